--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,11 @@
+# Third-party libraries, all from Debian 12 packages (see scripts/install-packages).
+find_package(Threads REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS log program_options)
+find_package(OpenSSL REQUIRED)
+find_package(nlohmann_json 3.11 REQUIRED)
+find_package(Catch2 2.13 REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(LIBEVENT REQUIRED IMPORTED_TARGET libevent libevent_openssl)
+pkg_check_modules(EVHTP REQUIRED IMPORTED_TARGET evhtp)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+find_path(FLATBUFFERS_INCLUDE_DIR flatbuffers/flatbuffers.h REQUIRED)
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/base/hash.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+/// Hashes by XXH3. They are stable across processes and versions, so several VMs compute the same choice.
+namespace rosemarymill {
+
+/// 128-bit content hash, used as a request fingerprint.
+struct Fingerprint {
+    std::uint64_t high { 0 };
+    std::uint64_t low { 0 };
+
+    friend constexpr auto operator<=>(const Fingerprint&, const Fingerprint&) = default;
+    friend constexpr bool operator==(const Fingerprint&, const Fingerprint&) = default;
+};
+
+/// Hashes a text with a seed.
+[[nodiscard]] std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0) noexcept;
+
+/// Hashes the parts in order. The boundaries between parts matter: ("ab", "c") and ("a", "bc") differ.
+[[nodiscard]] Fingerprint fingerprint(std::span<const std::string_view> parts) noexcept;
+
+/// Weight of a candidate for a key in rendezvous hashing; the candidate with the highest weight is chosen.
+[[nodiscard]] std::uint64_t rendezvousWeight(std::string_view key, std::string_view candidate) noexcept;
+
+} // namespace rosemarymill
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/configuration/fwd.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+/// Forward declarations of the configuration types.
+namespace rosemarymill::configuration {
+
+struct AdapterSpec;
+struct ReplicaRange;
+struct ModelSpec;
+struct RequestKind;
+struct ClientAccount;
+struct Route;
+struct ServiceSpec;
+struct Manifest;
+
+} // namespace rosemarymill::configuration
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/node/effect.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <rosemarymill/core/backend/order.hpp>
+#include <rosemarymill/core/base/sink.hpp>
+#include <rosemarymill/core/base/time.hpp>
+#include <rosemarymill/core/call/request.hpp>
+#include <rosemarymill/core/node/peer_message.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+/// Everything that the top reducer asks the runtime to do.
+namespace rosemarymill::node {
+
+/// Answers an announcement.
+struct ReplyAnnouncement {
+    RequestId request;
+    bool accepted { false };
+    /// Why the announcement was refused; empty when accepted.
+    std::string reason;
+    /// Time until the next announcement.
+    Duration interval { 0 };
+    /// Address to announce to from now on, "ip:port".
+    std::string home;
+};
+
+/// Sends an order to a backend server.
+struct SendOrder {
+    ServerId server;
+    std::string address;
+    backend::Order order;
+};
+
+/// Sends a call's request to a backend server.
+struct Dispatch {
+    AttemptId attempt;
+    CallId call;
+    ServerId server;
+    std::string address;
+    GroupId group;
+    FencingNumber fencing;
+    /// First token index wanted; above zero after a broken stream.
+    std::uint64_t resumeFrom { 0 };
+};
+
+/// Sends a call's request to an entry VM of another data centre, which runs it there and streams the answer back. The
+/// attempt's events are the same as for Dispatch.
+struct ForwardCall {
+    AttemptId attempt;
+    CallId call;
+    VmId vm;
+    /// Address of the entry VM's peer listener, "ip:port".
+    std::string address;
+    std::uint64_t resumeFrom { 0 };
+};
+
+/// Ends an attempt: the stream is cancelled at the server and later answers are dropped.
+struct CancelAttempt {
+    AttemptId attempt;
+    /// Whether the server has to be told.
+    bool notifyServer { true };
+};
+
+/// Starts the caller's response with the head received for this attempt.
+struct BeginResponse {
+    CallId call;
+    AttemptId attempt;
+    int status { 0 };
+    bool stream { false };
+};
+
+/// Passes the token event just received on to the caller.
+struct ForwardToken {
+    CallId call;
+    AttemptId attempt;
+};
+
+/// Ends the caller's response. For a response that is not a stream, sends the whole buffered answer.
+struct FinishCall {
+    CallId call;
+    AttemptId attempt;
+};
+
+/// Answers a caller with a refusal. A stream that has begun is ended with an error event instead.
+struct RefuseCall {
+    CallId call;
+    call::Refusal refusal;
+};
+
+/// Stops or restarts reading an attempt's response from the server.
+struct SetReading {
+    AttemptId attempt;
+    bool enabled { true };
+};
+
+/// Result of an operator request.
+enum class OperatorResult { Accepted, AlreadyAccepted, Conflict, NotAccepted, Invalid };
+
+/// Answers an operator.
+struct ReplyOperator {
+    RequestId request;
+    OperatorResult result { OperatorResult::Invalid };
+    Revision revision;
+    /// Newest revision when the submission was already superseded; equals revision otherwise.
+    Revision current;
+    std::string detail;
+};
+
+/// Sends a message to another process. The link is opened on demand. Delivery is not guaranteed.
+struct SendPeer {
+    VmId to;
+    /// Address of the receiver's peer listener, "ip:port".
+    std::string address;
+    PeerMessage message;
+};
+
+/// Severity of a log line.
+enum class LogLevel { Debug, Info, Warning, Error };
+
+/// Writes one log line. The part is the fixed prefix.
+struct WriteLog {
+    LogLevel level { LogLevel::Info };
+    const char* part { "node" };
+    std::string text;
+};
+
+/// All callers are answered and all slots are returned: the process can exit.
+struct Exit { };
+
+using Effect = std::variant<ReplyAnnouncement, SendOrder, Dispatch, ForwardCall, CancelAttempt, BeginResponse,
+    ForwardToken, FinishCall, RefuseCall, SetReading, ReplyOperator, SendPeer, WriteLog, Exit>;
+
+using Effects = EffectList<Effect>;
+
+} // namespace rosemarymill::node
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/node/reduce.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <rosemarymill/core/node/effect.hpp>
+#include <rosemarymill/core/node/event.hpp>
+#include <rosemarymill/core/node/state.hpp>
+
+/// Top reducer: dispatches each event to the part that owns it.
+namespace rosemarymill::node {
+
+/// Applies one event to the state and appends the effects it causes. Deterministic: equal states and events give equal
+/// effects.
+void reduce(State& state, const Event& event, Effects& effects);
+
+} // namespace rosemarymill::node
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <rosemarymill/core/backend/registry.hpp>
+#include <rosemarymill/core/base/id.hpp>
+#include <rosemarymill/core/base/time.hpp>
+#include <rosemarymill/core/configuration/manifest.hpp>
+#include <rosemarymill/core/node/calls.hpp>
+#include <rosemarymill/core/placement/group.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// State of one process as the top reducer sees it.
+namespace rosemarymill::node {
+
+/// Another process named in the settings. Membership learns further processes from these.
+struct PeerSetting {
+    VmId vm;
+    DataCentreId dataCentre;
+    /// Address of the peer listener, "ip:port".
+    std::string address;
+};
+
+/// Identity and fixed choices of one process.
+struct Settings {
+    VmId vm;
+    DataCentreId dataCentre;
+    /// Address at which backend servers announce themselves to this process, "ip:port".
+    std::string announceAddress;
+    /// Seed of all random choices.
+    std::uint64_t seed { 0 };
+    /// Drawn at each start of the process.
+    BootId bootId;
+    /// Address of this process's own peer listener, "ip:port".
+    std::string peerAddress;
+    std::vector<PeerSetting> peers;
+    /// Voters of the configuration log.
+    std::vector<VmId> configurationVoters;
+    /// Voters of the ledger log of each home data centre.
+    std::map<DataCentreId, std::vector<VmId>> ledgerVoters;
+    /// Acceptors of the placement lease of this data centre.
+    std::vector<VmId> placementAcceptors;
+    /// Whether the process has a data folder.
+    bool hasDisk { false };
+};
+
+/// Configuration in force in this process.
+struct ConfigurationInForce {
+    Revision revision;
+    std::string submissionId;
+    std::string digest;
+    configuration::Manifest manifest;
+};
+
+/// State of one process.
+struct State {
+    explicit State(Settings fixed)
+        : settings(std::move(fixed))
+    {
+    }
+
+    Settings settings;
+    Instant now;
+    ConfigurationInForce configuration;
+    backend::Registry servers;
+    placement::GroupTable groups;
+    GroupId lastGroup;
+    std::uint64_t lastOrder { 0 };
+    Calls calls;
+    bool shuttingDown { false };
+};
+
+} // namespace rosemarymill::node
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/placement/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+/// Forward declarations of the placement types.
+namespace rosemarymill::placement {
+
+enum class GroupPhase;
+struct Group;
+
+} // namespace rosemarymill::placement
--- /dev/null
+++ b/packages/core/src/node/parts.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <rosemarymill/core/node/effect.hpp>
+#include <rosemarymill/core/node/event.hpp>
+#include <rosemarymill/core/node/state.hpp>
+
+/// Handlers of the parts of the top reducer, one source file per part.
+namespace rosemarymill::node {
+
+// calls.cpp
+void handle(State& state, const CallArrived& event, Effects& effects);
+void handle(State& state, const CallerGone& event, Effects& effects);
+void handle(State& state, const CallerBacklogChanged& event, Effects& effects);
+void handle(State& state, const ResponseStarted& event, Effects& effects);
+void handle(State& state, const TokenReceived& event, Effects& effects);
+void handle(State& state, const ResponseFinished& event, Effects& effects);
+void handle(State& state, const AttemptFailed& event, Effects& effects);
+
+/// Starts waiting calls for which a server has a free slot.
+void startWaitingCalls(State& state, Effects& effects);
+
+/// Refuses waiting calls whose deadline has passed.
+void refuseExpiredCalls(State& state, Effects& effects);
+
+// backends.cpp
+void handle(State& state, const AnnouncementReceived& event, Effects& effects);
+void handle(State& state, const OrderAnswered& event, Effects& effects);
+
+/// Drops servers without a recent announcement and updates the groups.
+void updateGroups(State& state, Effects& effects);
+
+// operators.cpp
+void handle(State& state, const ManifestSubmitted& event, Effects& effects);
+void handle(State& state, const AvailabilityCommand& event, Effects& effects);
+
+// peers.cpp
+void handle(State& state, const PeerMessageReceived& event, Effects& effects);
+
+} // namespace rosemarymill::node
--- /dev/null
+++ b/packages/core/src/node/reduce.cpp
@@ -0,0 +1,38 @@
+#include <rosemarymill/core/node/reduce.hpp>
+
+#include "parts.hpp"
+
+namespace rosemarymill::node {
+
+namespace {
+
+void handle(State&, const Started&, Effects& effects) { effects(WriteLog { LogLevel::Info, "node", "Started." }); }
+
+void handle(State& state, const Tick&, Effects& effects)
+{
+    updateGroups(state, effects);
+    refuseExpiredCalls(state, effects);
+    startWaitingCalls(state, effects);
+    if (state.shuttingDown && state.calls.active.empty())
+        effects(Exit {});
+}
+
+void handle(State& state, const ShutdownRequested&, Effects& effects)
+{
+    state.shuttingDown = true;
+    effects(WriteLog { LogLevel::Info, "node", "Shutdown requested. Finishing the calls in progress." });
+}
+
+} // namespace
+
+void reduce(State& state, const Event& event, Effects& effects)
+{
+    std::visit(
+        [&](const auto& it) {
+            state.now = it.now;
+            handle(state, it, effects);
+        },
+        event);
+}
+
+} // namespace rosemarymill::node
--- /dev/null
+++ b/packages/ctl/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/packages/daemon/src/settings.cpp
@@ -0,0 +1,74 @@
+#include <rosemarymill/daemon/settings.hpp>
+
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <sstream>
+#include <string_view>
+
+namespace rosemarymill::daemon {
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr std::string_view environmentPrefix = "ROSEMARYMILL_";
+
+options::options_description describe(Settings& settings)
+{
+    options::options_description description("rosemarymilld settings");
+    auto add = description.add_options();
+    add("help", options::bool_switch(&settings.help), "print this text");
+    add("check-settings", options::bool_switch(&settings.checkOnly), "check the settings and exit");
+    add("vm", options::value(&settings.vm), "name of this VM");
+    add("data-centre", options::value(&settings.dataCentre), "data centre of this VM");
+    add("caller-address", options::value(&settings.callerAddress), "ip:port for callers and backend servers");
+    add("operator-address", options::value(&settings.operatorAddress), "ip:port for operators");
+    return description;
+}
+
+std::string flagOfVariable(const options::options_description& description, const std::string& variable)
+{
+    if (!variable.starts_with(environmentPrefix))
+        return {};
+    std::string flag = variable.substr(environmentPrefix.size());
+    std::transform(flag.begin(), flag.end(), flag.begin(),
+        [](unsigned char c) { return c == '_' ? '-' : static_cast<char>(std::tolower(c)); });
+    return description.find_nothrow(flag, false) ? flag : std::string {};
+}
+
+void requireValue(const std::string& value, const char* flag, std::vector<std::string>& errors)
+{
+    if (value.empty())
+        errors.push_back(std::string("--") + flag + ": a value is required");
+}
+
+} // namespace
+
+ParsedSettings parseSettings(int argc, const char* const* argv)
+{
+    ParsedSettings parsed;
+    const auto description = describe(parsed.settings);
+    std::ostringstream usage;
+    usage << description;
+    parsed.usage = usage.str();
+    try {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, description), values);
+        options::store(options::parse_environment(
+                           description, [&](const std::string& it) { return flagOfVariable(description, it); }),
+            values);
+        options::notify(values);
+    } catch (const options::error& error) {
+        parsed.errors.emplace_back(error.what());
+        return parsed;
+    }
+    requireValue(parsed.settings.vm, "vm", parsed.errors);
+    requireValue(parsed.settings.dataCentre, "data-centre", parsed.errors);
+    requireValue(parsed.settings.callerAddress, "caller-address", parsed.errors);
+    requireValue(parsed.settings.operatorAddress, "operator-address", parsed.errors);
+    return parsed;
+}
+
+} // namespace rosemarymill::daemon
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
