--- /dev/null
+++ b/tests/support/http.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+/// HTTP client for tests that runs the event loop until the response is complete.
+namespace rosemarymill::test {
+
+struct FreeBase {
+    void operator()(event_base* it) const noexcept { event_base_free(it); }
+};
+
+using EventBase = std::unique_ptr<event_base, FreeBase>;
+
+struct HttpResponse {
+    /// 0 when no response arrived.
+    int status { 0 };
+    std::string body;
+    bool done { false };
+};
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+namespace detail {
+
+struct FreeConnection {
+    void operator()(evhttp_connection* it) const noexcept { evhttp_connection_free(it); }
+};
+
+inline void onResponse(evhttp_request* request, void* arg)
+{
+    auto& response = *static_cast<HttpResponse*>(arg);
+    response.done = true;
+    if (!request)
+        return;
+    response.status = evhttp_request_get_response_code(request);
+    auto* buf = evhttp_request_get_input_buffer(request);
+    response.body.resize(evbuffer_get_length(buf));
+    evbuffer_copyout(buf, response.body.data(), response.body.size());
+}
+
+} // namespace detail
+
+/// Sends one request to 127.0.0.1 and waits for the response, at most 10 s.
+inline HttpResponse request(event_base& base, std::uint16_t port, evhttp_cmd_type method, const std::string& path,
+    const std::string& body = {}, const Headers& headers = {})
+{
+    const std::unique_ptr<evhttp_connection, detail::FreeConnection> connection(
+        evhttp_connection_base_new(&base, nullptr, "127.0.0.1", port));
+    evhttp_connection_set_timeout(connection.get(), 10);
+    HttpResponse response;
+    auto* it = evhttp_request_new(&detail::onResponse, &response);
+    auto* out = evhttp_request_get_output_headers(it);
+    evhttp_add_header(out, "Host", "127.0.0.1");
+    for (const auto& [key, value] : headers)
+        evhttp_add_header(out, key.c_str(), value.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(it), body.data(), body.size());
+    evhttp_make_request(connection.get(), it, method, path.c_str());
+    while (!response.done)
+        event_base_loop(&base, EVLOOP_ONCE);
+    return response;
+}
+
+} // namespace rosemarymill::test
