--- a/packages/core/include/rosemarymill/core/placement/fwd.hpp
+++ b/packages/core/include/rosemarymill/core/placement/fwd.hpp
@@ -5,5 +5,7 @@
 
 enum class GroupPhase;
 struct Group;
+struct LeaseSettings;
+struct LeaseState;
 
 } // namespace rosemarymill::placement
--- /dev/null
+++ b/tests/core/placement/lease.cpp
@@ -0,0 +1,236 @@
+#include <rosemarymill/core/placement/lease.hpp>
+
+#include <catch2/catch.hpp>
+
+#include "../support/virtual_network.hpp"
+
+using namespace rosemarymill;
+using namespace rosemarymill::placement;
+
+namespace {
+
+/// Faults that a broken variant of the lease has.
+enum class Defect { None, AcceptorSpeaksAtOnce, HolderIgnoresClock };
+
+/// Three acceptors that are also the candidates, with clocks of different rate and offset.
+class LeaseCluster {
+public:
+    LeaseCluster(std::uint32_t seed, Defect defect)
+        : network(seed)
+        , m_defect(defect)
+    {
+        for (int i = 0; i < 3; ++i)
+            m_acceptors.emplace_back("vm-" + std::to_string(i));
+        for (const auto& vm : m_acceptors) {
+            auto& node = m_nodes[vm];
+            // Rates between 0.995 and 1.005 differ by up to 1%.
+            node.rate = 0.995 + 0.00001 * static_cast<double>(network.random()() % 1000);
+            node.offset = Duration { 1000 + network.random()() % 1'000'000'000 };
+            start(vm);
+        }
+    }
+
+    void start(const VmId& vm)
+    {
+        auto& node = m_nodes.at(vm);
+        node.paused = false;
+        node.state.emplace(
+            LeaseSettings { vm, BootId { vm.text() + std::to_string(++m_boots) }, m_boots, m_acceptors, true });
+        apply(vm, LeaseStarted { clock(vm) });
+        if (m_defect == Defect::AcceptorSpeaksAtOnce)
+            node.state->acceptor.silentUntil = {};
+    }
+
+    void crash(const VmId& vm) { m_nodes.at(vm).state.reset(); }
+    void pause(const VmId& vm) { m_nodes.at(vm).paused = true; }
+    void resume(const VmId& vm) { m_nodes.at(vm).paused = false; }
+    [[nodiscard]] bool crashed(const VmId& vm) const { return !m_nodes.at(vm).state; }
+    [[nodiscard]] const VmId& vm(std::size_t i) const { return m_acceptors[i]; }
+
+    /// Runs and checks after every step that at most one process may act and that numbers only rise.
+    void run(Duration duration)
+    {
+        for (const auto end = now + duration; now < end; now += 10ms) {
+            network.deliverUntil(now, [&](auto&& it) {
+                if (runs(it.to))
+                    apply(it.to, LeaseReceived { clock(it.to), it.from, it.message });
+            });
+            for (const auto& vm : m_acceptors) {
+                if (runs(vm) && network.random()() % 10 == 0)
+                    apply(vm, LeaseTick { clock(vm) });
+            }
+            check();
+        }
+    }
+
+    [[nodiscard]] std::size_t holders() const
+    {
+        std::size_t n = 0;
+        for (const auto& vm : m_acceptors)
+            n += acts(vm) ? 1 : 0;
+        return n;
+    }
+
+    test::VirtualNetwork<LeaseMessage> network;
+    Instant now { 100s };
+    std::size_t violations { 0 };
+    std::size_t terms { 0 };
+
+private:
+    struct Node {
+        std::optional<LeaseState> state;
+        double rate { 1 };
+        Duration offset { 0 };
+        bool paused { false };
+    };
+
+    [[nodiscard]] Instant clock(const VmId& vm) const
+    {
+        const auto& node = m_nodes.at(vm);
+        return Instant { node.offset
+            + Duration { static_cast<std::int64_t>(node.rate * static_cast<double>(now.time_since_epoch().count())) } };
+    }
+
+    [[nodiscard]] bool runs(const VmId& vm) const { return m_nodes.at(vm).state && !m_nodes.at(vm).paused; }
+
+    /// A paused process acts as soon as it resumes, so it counts as acting while its clock allows it.
+    [[nodiscard]] bool acts(const VmId& vm) const
+    {
+        const auto& node = m_nodes.at(vm);
+        if (!node.state)
+            return false;
+        if (m_defect == Defect::HolderIgnoresClock)
+            return node.state->candidate.gainedAt.has_value();
+        return holdsLease(*node.state, clock(vm));
+    }
+
+    void check()
+    {
+        violations += holders() > 1 ? 1 : 0;
+        for (const auto& vm : m_acceptors) {
+            if (!acts(vm))
+                continue;
+            const auto fencing = m_nodes.at(vm).state->candidate.fencing;
+            violations += fencing < m_highest ? 1 : 0;
+            violations += fencing == m_highest && vm != m_lastHolder ? 1 : 0;
+            terms += fencing > m_highest ? 1 : 0;
+            m_highest = fencing;
+            m_lastHolder = vm;
+        }
+    }
+
+    void apply(const VmId& vm, const LeaseEvent& event)
+    {
+        LeaseEffects effects;
+        reduce(*m_nodes.at(vm).state, event, effects);
+        for (auto& effect : effects) {
+            if (auto* send = std::get_if<LeaseSend>(&effect))
+                network.send(now, vm, send->to, std::move(send->message));
+        }
+        // Servers show the highest number that they have accepted in their announcements.
+        if (std::holds_alternative<LeaseStarted>(event))
+            reduce(*m_nodes.at(vm).state, FencingSeen { clock(vm), m_highest }, effects);
+    }
+
+    Defect m_defect;
+    std::vector<VmId> m_acceptors;
+    std::map<VmId, Node> m_nodes;
+    std::uint64_t m_boots { 0 };
+    FencingNumber m_highest;
+    VmId m_lastHolder;
+};
+
+/// Runs a seeded schedule of pauses, crashes, losses and partitions.
+LeaseCluster runSchedule(std::uint32_t seed, Defect defect)
+{
+    LeaseCluster cluster(seed, defect);
+    auto& random = cluster.network.random();
+    cluster.run(8s);
+    for (int round = 0; round < 30; ++round) {
+        const auto& vm = cluster.vm(random() % 3);
+        const auto fault = random() % 4;
+        cluster.network.lossPercent = random() % 30;
+        cluster.network.maxDelay = Duration { 2ms } + Duration { random() % 400'000 };
+        if (fault == 0)
+            cluster.pause(vm);
+        else if (fault == 1)
+            cluster.crash(vm);
+        else if (fault == 2)
+            cluster.network.cut(vm, cluster.vm(random() % 3));
+        for (std::size_t i = 0; fault == 3 && i < 3; ++i) {
+            cluster.network.cut(vm, cluster.vm(i));
+            cluster.network.cut(cluster.vm(i), vm);
+        }
+        cluster.run(Duration { random() % 6'000'000 });
+        cluster.network.heal();
+        for (std::size_t i = 0; i < 3; ++i) {
+            cluster.resume(cluster.vm(i));
+            if (cluster.crashed(cluster.vm(i)))
+                cluster.start(cluster.vm(i));
+        }
+        cluster.run(Duration { random() % 3'000'000 });
+    }
+    cluster.network.lossPercent = 0;
+    cluster.network.maxDelay = 2ms;
+    cluster.run(15s);
+    return cluster;
+}
+
+std::size_t violationsOf(Defect defect)
+{
+    std::size_t violations = 0;
+    for (std::uint32_t seed = 1; seed <= 40; ++seed)
+        violations += runSchedule(seed, defect).violations;
+    return violations;
+}
+
+} // namespace
+
+// Guards against two leaders that give orders at the same time and against numbers that repeat.
+TEST_CASE("At most one process holds the lease under pauses, crashes, losses and partitions", "[lease]")
+{
+    for (std::uint32_t seed = 1; seed <= 100; ++seed) {
+        INFO("seed " << seed);
+        const auto cluster = runSchedule(seed, Defect::None);
+        CHECK(cluster.violations == 0);
+        CHECK(cluster.terms > 1);
+        CHECK(cluster.holders() == 1);
+    }
+}
+
+TEST_CASE("The lease check rejects acceptors that answer at once after a start", "[lease]")
+{
+    CHECK(violationsOf(Defect::AcceptorSpeaksAtOnce) > 0);
+}
+
+TEST_CASE("The lease check rejects a holder that does not read its clock", "[lease]")
+{
+    CHECK(violationsOf(Defect::HolderIgnoresClock) > 0);
+}
+
+// Guards against a data centre without a leader for longer than one lease and one backoff.
+TEST_CASE("Another process takes over when the holder crashes", "[lease]")
+{
+    LeaseCluster cluster(3, Defect::None);
+    cluster.run(8s);
+    REQUIRE(cluster.holders() == 1);
+    for (std::size_t i = 0; i < 3; ++i) {
+        LeaseCluster probe = cluster;
+        probe.crash(probe.vm(i));
+        probe.run(4s);
+        CHECK(probe.holders() == 1);
+        CHECK(probe.violations == 0);
+    }
+}
+
+TEST_CASE("A process without acceptors holds the lease above every number it sees", "[lease]")
+{
+    LeaseState state { { VmId { "alone" }, BootId { "b" }, 1, {}, true } };
+    LeaseEffects effects;
+    const Instant now { 5s };
+    reduce(state, LeaseStarted { now }, effects);
+    CHECK(holdsLease(state, now));
+    reduce(state, FencingSeen { now, FencingNumber { 41 } }, effects);
+    CHECK(state.candidate.fencing == FencingNumber { 42 });
+    CHECK(holdsLease(state, now + 1h));
+}
