--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,5 +1,7 @@
+#include <rosemarymill/daemon/run.hpp>
 #include <rosemarymill/daemon/settings.hpp>
 
+#include <exception>
 #include <iostream>
 
 int main(int argc, char** argv)
@@ -11,5 +13,14 @@
     }
     for (const auto& error : parsed.errors)
         std::cerr << error << '\n';
-    return parsed.errors.empty() ? 0 : 2;
+    if (!parsed.errors.empty())
+        return 2;
+    if (parsed.settings.checkOnly)
+        return 0;
+    try {
+        return rosemarymill::daemon::run(parsed.settings);
+    } catch (const std::exception& error) {
+        std::cerr << "rosemarymilld: " << error.what() << '\n';
+        return 1;
+    }
 }
--- /dev/null
+++ b/packages/daemon/src/run.cpp
@@ -0,0 +1,125 @@
+#include <rosemarymill/daemon/run.hpp>
+
+#include <rosemarymill/runtime/backend/announcements.hpp>
+#include <rosemarymill/runtime/backend/client.hpp>
+#include <rosemarymill/runtime/backend/order_sender.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
+#include <rosemarymill/runtime/caller/listener.hpp>
+#include <rosemarymill/runtime/health/health.hpp>
+#include <rosemarymill/runtime/loop/process.hpp>
+#include <rosemarymill/runtime/operator/manifest_listener.hpp>
+
+#include <random>
+#include <sstream>
+
+namespace rosemarymill::daemon {
+
+namespace {
+
+using runtime::Process;
+
+node::Settings nodeSettings(const Settings& settings)
+{
+    std::random_device device;
+    std::ostringstream bootId;
+    bootId << std::hex << device() << device();
+    node::Settings node;
+    node.vm = VmId { settings.vm };
+    node.dataCentre = DataCentreId { settings.dataCentre };
+    node.seed = device();
+    node.bootId = BootId { bootId.str() };
+    return node;
+}
+
+std::string notReadyReason(const node::State& state)
+{
+    if (state.shuttingDown)
+        return "shutting down";
+    return state.configuration.revision ? std::string {} : "no configuration";
+}
+
+/// Adapters of one process. Members are destroyed in reverse order, servers last.
+struct Adapters {
+    Adapters(Process& process, const Settings& settings)
+        : callerServer(process.base(), *runtime::parseAddress(settings.callerAddress))
+        , operatorServer(process.base(), *runtime::parseAddress(settings.operatorAddress))
+        , pool(process.base())
+        , announcements(callerServer, postTo(process))
+        , callers(process.base(), callerServer, postTo(process))
+        , client(
+              process.base(), pool, postTo(process), [this](CallId call) { return callers.find(call); },
+              process.state().settings.vm.text() + "-" + process.state().settings.bootId.text())
+        , orders(process.base(), postTo(process))
+        , manifests(operatorServer, postTo(process))
+    {
+        const runtime::HealthSources health { [&process] { return notReadyReason(process.state()); },
+            [this] { return metrics(); } };
+        runtime::addHealthRoutes(callerServer, health);
+        runtime::addHealthRoutes(operatorServer, health);
+    }
+
+    static runtime::PostEvent postTo(Process& process)
+    {
+        return [&process](node::Event&& event) { process.post(std::move(event)); };
+    }
+
+    [[nodiscard]] std::string metrics() const
+    {
+        std::ostringstream out;
+        out << "# TYPE rosemarymill_calls gauge\nrosemarymill_calls " << callers.calls()
+            << "\n# TYPE rosemarymill_attempts gauge\nrosemarymill_attempts " << client.inFlight()
+            << "\n# TYPE rosemarymill_connections gauge\nrosemarymill_connections " << callerServer.connections()
+            << '\n';
+        return out.str();
+    }
+
+    runtime::http::Server callerServer;
+    runtime::http::Server operatorServer;
+    runtime::backend::ConnectionPool pool;
+    runtime::backend::Announcements announcements;
+    runtime::caller::Listener callers;
+    runtime::backend::Client client;
+    runtime::backend::OrderSender orders;
+    runtime::operators::ManifestListener manifests;
+};
+
+void connectCallEffects(Process& process, Adapters& adapters)
+{
+    auto& client = adapters.client;
+    auto& callers = adapters.callers;
+    process.onEffect<node::Dispatch>([&](auto& it) { client.dispatch(it); });
+    process.onEffect<node::CancelAttempt>([&](auto& it) { client.cancel(it); });
+    process.onEffect<node::SetReading>([&](auto& it) { client.setReading(it); });
+    process.onEffect<node::BeginResponse>([&](auto& it) { callers.begin(it); });
+    process.onEffect<node::ForwardToken>([&](auto& it) { callers.append(it.call, client.currentToken(it.attempt)); });
+    process.onEffect<node::FinishCall>([&](auto& it) { callers.finish(it.call, client.answer(it.attempt)); });
+    process.onEffect<node::RefuseCall>([&](auto& it) { callers.refuse(it); });
+}
+
+} // namespace
+
+int run(const Settings& settings)
+{
+    runtime::setUpLog(node::LogLevel::Info);
+    Process process(nodeSettings(settings));
+    Adapters adapters(process, settings);
+    const auto announceAddress = runtime::formatAddress(adapters.callerServer.address());
+    process.setAnnounceAddress(announceAddress);
+    connectCallEffects(process, adapters);
+    process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
+    process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
+    process.onEffect<node::ReplyOperator>([&](auto& it) { adapters.manifests.reply(it); });
+    process.onEffect<node::WriteLog>([](auto& it) { runtime::writeLog(it.level, it.part, it.text); });
+    process.onEffect<node::Exit>([&](auto&) {
+        if (adapters.callers.calls() == 0)
+            process.stop();
+    });
+    runtime::writeLog(node::LogLevel::Info, "daemon", "Callers at " + announceAddress + ".");
+    runtime::writeLog(node::LogLevel::Info, "daemon",
+        "Operators at " + runtime::formatAddress(adapters.operatorServer.address()) + ".");
+    process.run();
+    runtime::writeLog(node::LogLevel::Info, "daemon", "Stopped.");
+    return 0;
+}
+
+} // namespace rosemarymill::daemon
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -1,5 +1,7 @@
 #include <rosemarymill/daemon/settings.hpp>
 
+#include <rosemarymill/runtime/base/address.hpp>
+
 #include <boost/program_options.hpp>
 
 #include <algorithm>
@@ -44,6 +46,13 @@
         errors.push_back(std::string("--") + flag + ": a value is required");
 }
 
+void requireAddress(const std::string& value, const char* flag, std::vector<std::string>& errors)
+{
+    requireValue(value, flag, errors);
+    if (!value.empty() && !runtime::parseAddress(value))
+        errors.push_back(std::string("--") + flag + ": '" + value + "' is not ip:port");
+}
+
 } // namespace
 
 ParsedSettings parseSettings(int argc, const char* const* argv)
@@ -66,8 +75,8 @@
     }
     requireValue(parsed.settings.vm, "vm", parsed.errors);
     requireValue(parsed.settings.dataCentre, "data-centre", parsed.errors);
-    requireValue(parsed.settings.callerAddress, "caller-address", parsed.errors);
-    requireValue(parsed.settings.operatorAddress, "operator-address", parsed.errors);
+    requireAddress(parsed.settings.callerAddress, "caller-address", parsed.errors);
+    requireAddress(parsed.settings.operatorAddress, "operator-address", parsed.errors);
     return parsed;
 }
 
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/backend/announcements.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <rosemarymill/core/node/effect.hpp>
+#include <rosemarymill/runtime/http/pending_replies.hpp>
+#include <rosemarymill/runtime/loop/post_event.hpp>
+
+/// Listener for the announcements of backend servers.
+namespace rosemarymill::runtime::backend {
+
+/// Takes `POST /v1/backends/announce` on an HTTP server.
+class Announcements {
+public:
+    Announcements(http::Server& server, PostEvent post);
+
+    /// Answers an announcement: 200 with interval and home, or 400 with the reason.
+    void reply(const node::ReplyAnnouncement& effect);
+
+private:
+    void receive(http::Exchange& exchange);
+
+    PostEvent m_post;
+    http::PendingReplies m_pending;
+};
+
+} // namespace rosemarymill::runtime::backend
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/backend/client.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <rosemarymill/core/node/effect.hpp>
+#include <rosemarymill/core/node/event.hpp>
+#include <rosemarymill/runtime/backend/connection_pool.hpp>
+#include <rosemarymill/runtime/backend/outgoing_request.hpp>
+#include <rosemarymill/runtime/loop/post_event.hpp>
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+/// HTTP client towards backend servers by evhttp.
+namespace rosemarymill::runtime::backend {
+
+/// Largest answer that is not a stream, in bytes. It is buffered whole.
+inline constexpr std::size_t maxAnswerBytes = 4 * 1024 * 1024;
+
+namespace detail {
+struct Exchange;
+} // namespace detail
+
+/// Answer that is not a stream.
+struct WholeAnswer {
+    int status { 0 };
+    std::string contentType;
+    evbuffer* body { nullptr };
+};
+
+/// Sends requests to backend servers and turns their answers into events.
+class Client {
+public:
+    /// The name is unique among all processes and starts; it makes attempt ids unique at the servers.
+    Client(event_base* base, ConnectionPool& pool, PostEvent post, FindRequest find, std::string name);
+    ~Client();
+
+    void dispatch(const node::Dispatch& effect);
+    void cancel(const node::CancelAttempt& effect);
+    void setReading(const node::SetReading& effect);
+
+    /// Bytes of the token event whose TokenReceived is being reduced; empty for another attempt.
+    [[nodiscard]] std::string_view currentToken(AttemptId attempt) const noexcept;
+
+    /// Answer of the attempt whose ResponseFinished is being reduced; no body for another attempt.
+    [[nodiscard]] WholeAnswer answer(AttemptId attempt) noexcept;
+
+    /// Requests in flight.
+    [[nodiscard]] std::size_t inFlight() const noexcept { return m_exchanges.size(); }
+
+private:
+    friend struct detail::Exchange;
+
+    void addHeaders(evhttp_request* request, const node::Dispatch& effect, const OutgoingRequest& outgoing) const;
+    [[nodiscard]] std::string requestIdOf(AttemptId attempt) const;
+    void fail(AttemptId attempt, node::AttemptError error, bool requestSent);
+    void sendCancel(const std::string& address, AttemptId attempt);
+    /// Forgets an attempt whose evhttp request has ended by itself.
+    void finish(AttemptId attempt, bool reuseConnection);
+    void dispose(std::unique_ptr<detail::Exchange> exchange);
+
+    ConnectionPool& m_pool;
+    PostEvent m_post;
+    FindRequest m_find;
+    std::string m_name;
+    EventHandle m_cleanUp;
+    std::unordered_map<AttemptId, std::unique_ptr<detail::Exchange>> m_exchanges;
+    std::vector<std::unique_ptr<detail::Exchange>> m_disposed;
+    AttemptId m_currentAttempt;
+    std::string_view m_currentToken;
+};
+
+} // namespace rosemarymill::runtime::backend
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/http/server.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <rosemarymill/runtime/base/address.hpp>
+#include <rosemarymill/runtime/base/handles.hpp>
+
+#include <evhtp.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+/// HTTP/1.1 server by libevhtp with limits on size and arrival time.
+namespace rosemarymill::runtime::http {
+
+/// Largest request body in bytes. A longer one is read to its end, discarded and refused with 413.
+inline constexpr std::size_t maxBodyBytes = 1024 * 1024;
+
+/// Body length in bytes beyond which the connection is closed without an answer.
+inline constexpr std::size_t hardBodyBytes = 16 * maxBodyBytes;
+
+/// Largest sum of header names and values in bytes.
+inline constexpr std::size_t maxHeaderBytes = 16 * 1024;
+
+/// Time in which header and body have to arrive after their first byte.
+inline constexpr timeval arrivalTimeout { 10, 0 };
+
+/// Time after which a connection without a request is closed.
+inline constexpr timeval idleTimeout { 75, 0 };
+
+/// Kernel send buffer of a caller's connection in bytes. A fixed size keeps the kernel from growing it to megabytes
+/// for a caller that reads slowly; it carries 64 MiB/s at the 1 ms between callers and entry VMs.
+inline constexpr int sendBufferBytes = 64 * 1024;
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+class Server;
+
+namespace detail {
+struct Connection;
+} // namespace detail
+
+/// One request and its response. It lives until the response is sent or the client closes the connection; onClosed
+/// tells its holder about the end of its life.
+class Exchange {
+public:
+    Exchange(detail::Connection& connection, evhtp_request_t* request);
+
+    [[nodiscard]] std::string_view method() const noexcept;
+    [[nodiscard]] std::string_view path() const noexcept;
+    /// Query without the question mark.
+    [[nodiscard]] std::string_view query() const noexcept;
+    /// Value of a request header, or an empty text.
+    [[nodiscard]] std::string_view header(const char* name) const noexcept;
+    [[nodiscard]] std::string& body() noexcept { return m_body; }
+
+    /// Sends a whole response. The exchange must not be used afterwards.
+    void reply(int status, std::string_view contentType, std::string_view body, const Headers& headers = {});
+    /// Sends a whole response whose body is moved out of a buffer.
+    void reply(int status, std::string_view contentType, evbuffer* body, const Headers& headers = {});
+
+    /// Starts a response of unknown length.
+    void begin(int status, std::string_view contentType, const Headers& headers = {});
+    /// Moves bytes out of a buffer into the response.
+    void write(evbuffer* buf);
+    /// Ends a response started with begin(). The exchange must not be used afterwards.
+    void end();
+
+    /// Closes the connection without finishing the response.
+    void abort();
+
+    /// Bytes of the response that the kernel has not taken.
+    [[nodiscard]] std::size_t unsentBytes() const noexcept;
+
+    /// Called once when the exchange ends, whether the response was sent or the client went away.
+    std::function<void()> onClosed;
+    /// Called when the kernel took bytes of the response.
+    std::function<void()> onDrained;
+
+private:
+    friend class Server;
+    friend struct detail::Connection;
+
+    void addHeaders(std::string_view contentType, const Headers& headers);
+
+    detail::Connection& m_connection;
+    evhtp_request_t* m_request;
+    std::string m_body;
+    bool m_tooLarge { false };
+};
+
+/// Listener for one address. Requests without a route are answered with 404.
+class Server {
+public:
+    using Handler = std::function<void(Exchange&)>;
+
+    /// Binds the listener. Throws std::runtime_error when the address cannot be bound.
+    Server(event_base* base, const Address& address);
+    ~Server();
+
+    Server(const Server&) = delete;
+    Server& operator=(const Server&) = delete;
+
+    /// Bound address, with the port chosen by the kernel when port 0 was asked for.
+    [[nodiscard]] const Address& address() const noexcept { return m_address; }
+
+    /// Handles requests of a method to a path. A path that ends in "/" matches everything below it.
+    void route(std::string method, std::string path, Handler handler);
+
+    /// Open connections.
+    [[nodiscard]] std::size_t connections() const noexcept { return m_connections.size(); }
+
+private:
+    friend struct detail::Connection;
+
+    struct Route {
+        std::string method;
+        std::string path;
+        Handler handler;
+    };
+
+    void dispatch(Exchange& exchange);
+    static evhtp_res onAccept(evhtp_connection_t* connection, void* server);
+
+    event_base* m_base;
+    Address m_address;
+    evhtp_t* m_htp;
+    std::vector<Route> m_routes;
+    std::unordered_map<evhtp_connection_t*, std::unique_ptr<detail::Connection>> m_connections;
+};
+
+} // namespace rosemarymill::runtime::http
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/loop/process.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <rosemarymill/core/node/effect.hpp>
+#include <rosemarymill/core/node/event.hpp>
+#include <rosemarymill/core/node/state.hpp>
+#include <rosemarymill/runtime/base/handles.hpp>
+#include <rosemarymill/runtime/loop/post_event.hpp>
+
+#include <deque>
+#include <functional>
+#include <tuple>
+#include <variant>
+
+/// One process: the event loop, the node state and the hand-over of effects to adapters.
+namespace rosemarymill::runtime {
+
+namespace detail {
+
+template <typename Variant> struct HandlersOf;
+template <typename... Effects> struct HandlersOf<std::variant<Effects...>> {
+    using Type = std::tuple<std::function<void(Effects&)>...>;
+};
+
+} // namespace detail
+
+/// Owns the libevent base and the node state. Adapters register a handler for each effect type that they carry out.
+class Process {
+public:
+    /// Time between two Tick events.
+    static constexpr timeval tickInterval { 0, 100'000 };
+
+    explicit Process(node::Settings settings);
+
+    Process(const Process&) = delete;
+    Process& operator=(const Process&) = delete;
+
+    [[nodiscard]] event_base* base() noexcept { return m_base.get(); }
+    [[nodiscard]] const node::State& state() const noexcept { return m_state; }
+
+    /// Sets the address at which backend servers announce themselves. It is known only once the listener is bound.
+    void setAnnounceAddress(std::string address) { m_state.settings.announceAddress = std::move(address); }
+
+    /// Registers the handler of one effect type. A second registration replaces the first.
+    template <typename Effect> void onEffect(std::function<void(Effect&)> handler)
+    {
+        std::get<std::function<void(Effect&)>>(m_handlers) = std::move(handler);
+    }
+
+    /// Reduces an event and carries out its effects. An event posted meanwhile is queued and reduced afterwards.
+    void post(node::Event&& event);
+
+    /// Runs until the core asks to exit or stop() is called. Reacts to SIGTERM and SIGINT with ShutdownRequested.
+    void run();
+
+    /// Ends run() after the current event.
+    void stop() noexcept;
+
+private:
+    void reduceAndCarryOut(const node::Event& event);
+
+    BaseHandle m_base;
+    node::State m_state;
+    node::Effects m_effects;
+    std::deque<node::Event> m_queue;
+    bool m_reducing { false };
+    detail::HandlersOf<node::Effect>::Type m_handlers;
+};
+
+} // namespace rosemarymill::runtime
--- /dev/null
+++ b/packages/runtime/src/backend/announcements.cpp
@@ -0,0 +1,56 @@
+#include <rosemarymill/runtime/backend/announcements.hpp>
+
+#include <rosemarymill/runtime/base/address.hpp>
+#include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/wire/backend/json.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace rosemarymill::runtime::backend {
+
+namespace {
+
+void refuse(http::Exchange& exchange, const std::string& reason)
+{
+    const nlohmann::json document { { "reason", reason } };
+    exchange.reply(400, "application/json", document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+} // namespace
+
+Announcements::Announcements(http::Server& server, PostEvent post)
+    : m_post(std::move(post))
+{
+    server.route("POST", "/v1/backends/announce", [this](http::Exchange& exchange) { receive(exchange); });
+}
+
+void Announcements::receive(http::Exchange& exchange)
+{
+    auto decoded = wire::decodeAnnouncement(exchange.body());
+    if (const auto* fault = std::get_if<wire::JsonFault>(&decoded)) {
+        refuse(exchange, fault->reason);
+        return;
+    }
+    auto& announcement = std::get<rosemarymill::backend::Announcement>(decoded);
+    if (!parseAddress(announcement.address)) {
+        refuse(exchange, "address is not ip:port");
+        return;
+    }
+    m_post(node::AnnouncementReceived { readClock(), m_pending.add(exchange), std::move(announcement) });
+}
+
+void Announcements::reply(const node::ReplyAnnouncement& effect)
+{
+    auto* exchange = m_pending.take(effect.request);
+    if (!exchange)
+        return;
+    if (!effect.accepted) {
+        refuse(*exchange, effect.reason);
+        return;
+    }
+    const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(effect.interval);
+    const nlohmann::json document { { "interval_ms", interval.count() }, { "home", effect.home } };
+    exchange->reply(200, "application/json", document.dump());
+}
+
+} // namespace rosemarymill::runtime::backend
--- /dev/null
+++ b/packages/runtime/src/backend/client.cpp
@@ -0,0 +1,314 @@
+#include <rosemarymill/runtime/backend/client.hpp>
+
+#include <rosemarymill/runtime/backend/sse_parser.hpp>
+#include <rosemarymill/runtime/base/clock.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <event2/bufferevent.h>
+#include <event2/keyvalq_struct.h>
+
+namespace rosemarymill::runtime::backend {
+
+namespace detail {
+
+/// One attempt: its request, connection and the state of its answer.
+struct Exchange {
+    Client* client { nullptr };
+    AttemptId id;
+    std::string address;
+    HttpConnectionHandle connection;
+    evhttp_request* request { nullptr };
+    SseParser parser;
+    BufferHandle body { evbuffer_new() };
+    std::string contentType;
+    int status { 0 };
+    bool stream { false };
+    bool finished { false };
+    bool failed { false };
+    /// Set by the error callback, which evhttp calls only after the connection was made.
+    bool connected { false };
+    node::AttemptError error { node::AttemptError::ConnectFailed };
+
+    [[nodiscard]] bool owned() const { return client->m_exchanges.contains(id); }
+
+    void fail(node::AttemptError why)
+    {
+        failed = true;
+        client->fail(id, why, true);
+    }
+
+    /// Returns false to close the connection.
+    bool readHead()
+    {
+        const auto* headers = evhttp_request_get_input_headers(request);
+        const auto* answered = evhttp_find_header(headers, "X-Request-Id");
+        connected = true;
+        if (!answered || client->requestIdOf(id) != answered) {
+            error = node::AttemptError::CrossedAnswer;
+            return false;
+        }
+        status = evhttp_request_get_response_code(request);
+        const auto* type = evhttp_find_header(headers, "Content-Type");
+        contentType = type ? type : "application/octet-stream";
+        stream = contentType.starts_with("text/event-stream");
+        client->m_post(node::ResponseStarted { readClock(), id, status, stream });
+        return true;
+    }
+
+    bool receive(const SseEvent& event)
+    {
+        if (finished)
+            return false;
+        if (event.empty)
+            return true;
+        if (event.done) {
+            finished = true;
+            client->m_post(node::ResponseFinished { readClock(), id });
+            return false;
+        }
+        if (!event.id) {
+            fail(node::AttemptError::MalformedAnswer);
+            return false;
+        }
+        client->m_currentAttempt = id;
+        client->m_currentToken = event.bytes;
+        client->m_post(
+            node::TokenReceived { readClock(), id, *event.id, static_cast<std::uint32_t>(event.bytes.size()) });
+        client->m_currentAttempt = {};
+        return owned();
+    }
+
+    void readBody()
+    {
+        auto* input = evhttp_request_get_input_buffer(request);
+        if (finished || failed)
+            return;
+        if (!stream) {
+            evbuffer_add_buffer(body.get(), input);
+            if (evbuffer_get_length(body.get()) > maxAnswerBytes)
+                fail(node::AttemptError::AnswerTooLarge);
+            return;
+        }
+        const auto size = evbuffer_get_length(input);
+        const std::string_view bytes { reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), size };
+        const bool fed = parser.feed(bytes, [this](const SseEvent& event) { return receive(event); });
+        if (!fed && !finished && !failed && owned())
+            fail(node::AttemptError::MalformedAnswer);
+    }
+
+    void ended(bool complete)
+    {
+        request = nullptr;
+        if (complete && !stream && !finished && !failed) {
+            finished = true;
+            client->m_post(node::ResponseFinished { readClock(), id });
+        }
+        if (!finished && !failed)
+            client->fail(id, complete ? node::AttemptError::ConnectionLost : error, connected);
+        client->finish(id, complete && !failed);
+    }
+};
+
+namespace {
+
+Exchange& exchangeOf(void* arg) { return *static_cast<Exchange*>(arg); }
+
+int onHead(evhttp_request*, void* arg) { return exchangeOf(arg).readHead() ? 0 : -1; }
+
+void onBody(evhttp_request*, void* arg) { exchangeOf(arg).readBody(); }
+
+void onEnd(evhttp_request* request, void* arg)
+{
+    exchangeOf(arg).ended(request != nullptr && evhttp_request_get_response_code(request) != 0);
+}
+
+void onError(evhttp_request_error error, void* arg)
+{
+    auto& exchange = exchangeOf(arg);
+    exchange.connected = true;
+    if (exchange.error != node::AttemptError::ConnectFailed)
+        return;
+    switch (error) {
+    case EVREQ_HTTP_TIMEOUT:
+        exchange.error = node::AttemptError::TimedOut;
+        break;
+    case EVREQ_HTTP_INVALID_HEADER:
+        exchange.error = node::AttemptError::MalformedAnswer;
+        break;
+    case EVREQ_HTTP_DATA_TOO_LONG:
+        exchange.error = node::AttemptError::AnswerTooLarge;
+        break;
+    default:
+        exchange.error = node::AttemptError::ConnectionLost;
+        break;
+    }
+}
+
+void addHeader(evhttp_request* request, const char* name, const std::string& value)
+{
+    if (!value.empty())
+        evhttp_add_header(evhttp_request_get_output_headers(request), name, value.c_str());
+}
+
+} // namespace
+
+} // namespace detail
+
+Client::Client(event_base* base, ConnectionPool& pool, PostEvent post, FindRequest find, std::string name)
+    : m_pool(pool)
+    , m_post(std::move(post))
+    , m_find(std::move(find))
+    , m_name(std::move(name))
+    , m_cleanUp(event_new(
+          base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<Client*>(self)->m_disposed.clear(); },
+          this))
+{
+}
+
+Client::~Client() = default;
+
+std::string Client::requestIdOf(AttemptId attempt) const { return m_name + "-" + std::to_string(attempt.value); }
+
+void Client::addHeaders(evhttp_request* request, const node::Dispatch& effect, const OutgoingRequest& outgoing) const
+{
+    detail::addHeader(request, "Host", effect.address);
+    detail::addHeader(request, "Content-Type", outgoing.contentType);
+    detail::addHeader(request, "Accept", outgoing.accept);
+    detail::addHeader(request, "Idempotency-Key", outgoing.idempotencyKey);
+    detail::addHeader(request, "traceparent", outgoing.traceparent);
+    detail::addHeader(request, "X-Request-Id", requestIdOf(effect.attempt));
+    if (effect.resumeFrom > 0)
+        detail::addHeader(request, "X-Resume-From", std::to_string(effect.resumeFrom));
+    if (effect.group) {
+        detail::addHeader(request, "X-Group", std::to_string(effect.group.value));
+        detail::addHeader(request, "X-Fencing", std::to_string(effect.fencing.value));
+    }
+}
+
+void Client::dispatch(const node::Dispatch& effect)
+{
+    const auto* outgoing = m_find(effect.call);
+    auto connection = outgoing ? m_pool.take(effect.address) : nullptr;
+    if (!connection) {
+        fail(effect.attempt, node::AttemptError::ConnectFailed, false);
+        return;
+    }
+    auto exchange = std::make_unique<detail::Exchange>();
+    auto* it = exchange.get();
+    it->client = this;
+    it->id = effect.attempt;
+    it->address = effect.address;
+    it->connection = std::move(connection);
+    it->request = evhttp_request_new(detail::onEnd, it);
+    evhttp_request_set_header_cb(it->request, detail::onHead);
+    evhttp_request_set_chunked_cb(it->request, detail::onBody);
+    evhttp_request_set_error_cb(it->request, detail::onError);
+    addHeaders(it->request, effect, *outgoing);
+    evbuffer_add(evhttp_request_get_output_buffer(it->request), outgoing->body.data(), outgoing->body.size());
+    m_exchanges.emplace(effect.attempt, std::move(exchange));
+    auto* request = it->request;
+    if (evhttp_make_request(it->connection.get(), request, outgoing->method, outgoing->target.c_str()) != 0) {
+        // evhttp has freed the request and calls none of its callbacks.
+        it->request = nullptr;
+        fail(effect.attempt, node::AttemptError::ConnectFailed, false);
+        finish(effect.attempt, false);
+    }
+}
+
+void Client::cancel(const node::CancelAttempt& effect)
+{
+    const auto it = m_exchanges.find(effect.attempt);
+    if (it == m_exchanges.end())
+        return;
+    auto exchange = std::move(it->second);
+    m_exchanges.erase(it);
+    if (effect.notifyServer)
+        sendCancel(exchange->address, effect.attempt);
+    dispose(std::move(exchange));
+}
+
+void Client::setReading(const node::SetReading& effect)
+{
+    const auto it = m_exchanges.find(effect.attempt);
+    if (it == m_exchanges.end())
+        return;
+    auto* bev = evhttp_connection_get_bufferevent(it->second->connection.get());
+    if (effect.enabled)
+        bufferevent_enable(bev, EV_READ);
+    else
+        bufferevent_disable(bev, EV_READ);
+}
+
+std::string_view Client::currentToken(AttemptId attempt) const noexcept
+{
+    return attempt == m_currentAttempt ? m_currentToken : std::string_view {};
+}
+
+WholeAnswer Client::answer(AttemptId attempt) noexcept
+{
+    const auto it = m_exchanges.find(attempt);
+    if (it == m_exchanges.end())
+        return {};
+    return { it->second->status, it->second->contentType, it->second->body.get() };
+}
+
+void Client::fail(AttemptId attempt, node::AttemptError error, bool requestSent)
+{
+    m_post(node::AttemptFailed { readClock(), attempt, error, requestSent });
+}
+
+void Client::finish(AttemptId attempt, bool reuseConnection)
+{
+    const auto it = m_exchanges.find(attempt);
+    if (it == m_exchanges.end())
+        return;
+    auto exchange = std::move(it->second);
+    m_exchanges.erase(it);
+    if (reuseConnection)
+        m_pool.put(exchange->address, std::move(exchange->connection));
+    dispose(std::move(exchange));
+}
+
+void Client::dispose(std::unique_ptr<detail::Exchange> exchange)
+{
+    // The connection owns a request in progress and frees it. Both are freed outside of their own callbacks.
+    exchange->finished = true;
+    if (exchange->connection)
+        bufferevent_disable(evhttp_connection_get_bufferevent(exchange->connection.get()), EV_READ | EV_WRITE);
+    m_disposed.push_back(std::move(exchange));
+    event_active(m_cleanUp.get(), EV_TIMEOUT, 0);
+}
+
+void Client::sendCancel(const std::string& address, AttemptId attempt)
+{
+    auto connection = m_pool.take(address);
+    if (!connection)
+        return;
+    struct Cancel {
+        ConnectionPool& pool;
+        std::string address;
+        HttpConnectionHandle connection;
+    };
+    auto* cancel = new Cancel { m_pool, address, std::move(connection) };
+    auto* request = evhttp_request_new(
+        [](evhttp_request* answered, void* arg) {
+            const std::unique_ptr<Cancel> done(static_cast<Cancel*>(arg));
+            if (answered && evhttp_request_get_response_code(answered) != 0)
+                done->pool.put(done->address, std::move(done->connection));
+            else
+                done->pool.discard(std::move(done->connection));
+        },
+        cancel);
+    const nlohmann::json document { { "request_id", requestIdOf(attempt) } };
+    const auto text = document.dump();
+    detail::addHeader(request, "Host", address);
+    detail::addHeader(request, "Content-Type", "application/json");
+    evbuffer_add(evhttp_request_get_output_buffer(request), text.data(), text.size());
+    if (evhttp_make_request(cancel->connection.get(), request, EVHTTP_REQ_POST, "/v1/cancel") != 0) {
+        m_pool.discard(std::move(cancel->connection));
+        delete cancel;
+    }
+}
+
+} // namespace rosemarymill::runtime::backend
--- /dev/null
+++ b/packages/runtime/src/backend/order_sender.cpp
@@ -0,0 +1,67 @@
+#include <rosemarymill/runtime/backend/order_sender.hpp>
+
+#include <rosemarymill/runtime/base/address.hpp>
+#include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/wire/backend/json.hpp>
+
+namespace rosemarymill::runtime::backend {
+
+/// One order on its way. The connection is used once: orders are rare.
+struct OrderSender::Pending {
+    OrderSender& sender;
+    ServerId server;
+    std::uint64_t orderId;
+    HttpConnectionHandle connection;
+};
+
+OrderSender::OrderSender(event_base* base, PostEvent post)
+    : m_base(base)
+    , m_post(std::move(post))
+    , m_cleanUp(event_new(
+          base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<OrderSender*>(self)->m_done.clear(); },
+          this))
+{
+}
+
+OrderSender::~OrderSender() = default;
+
+void OrderSender::send(const node::SendOrder& effect)
+{
+    const auto address = parseAddress(effect.address);
+    if (!address) {
+        m_post(node::OrderAnswered { readClock(), effect.server, effect.order.orderId, false });
+        return;
+    }
+    auto pending = std::make_unique<Pending>(Pending { *this, effect.server, effect.order.orderId,
+        HttpConnectionHandle(evhttp_connection_base_new(m_base, nullptr, address->ip.c_str(), address->port)) });
+    auto* it = pending.get();
+    m_pending.emplace(it, std::move(pending));
+    evhttp_connection_set_timeout_tv(it->connection.get(), &orderTimeout);
+    auto* request = evhttp_request_new(
+        [](evhttp_request* answer, void* arg) {
+            auto& done = *static_cast<Pending*>(arg);
+            done.sender.answered(done, answer && evhttp_request_get_response_code(answer) == 200);
+        },
+        it);
+    const auto text = wire::encodeOrder(effect.order);
+    auto* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", effect.address.c_str());
+    evhttp_add_header(headers, "Content-Type", "application/json");
+    evhttp_add_header(headers, "Connection", "close");
+    evbuffer_add(evhttp_request_get_output_buffer(request), text.data(), text.size());
+    if (evhttp_make_request(it->connection.get(), request, EVHTTP_REQ_POST, "/v1/orders") != 0)
+        answered(*it, false);
+}
+
+void OrderSender::answered(Pending& pending, bool accepted)
+{
+    const auto it = m_pending.find(&pending);
+    if (it == m_pending.end())
+        return;
+    m_done.push_back(std::move(it->second));
+    m_pending.erase(it);
+    event_active(m_cleanUp.get(), EV_TIMEOUT, 0);
+    m_post(node::OrderAnswered { readClock(), pending.server, pending.orderId, accepted });
+}
+
+} // namespace rosemarymill::runtime::backend
--- /dev/null
+++ b/packages/runtime/src/http/server.cpp
@@ -0,0 +1,262 @@
+#include <rosemarymill/runtime/http/server.hpp>
+
+#include <rosemarymill/runtime/http/problem.hpp>
+
+#include "connection.hpp"
+#include "hook.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <stdexcept>
+
+namespace rosemarymill::runtime::http {
+
+namespace detail {
+
+namespace {
+
+Connection& connectionOf(void* arg) { return *static_cast<Connection*>(arg); }
+
+evhtp_res onHeader(evhtp_request_t*, evhtp_header_t* header, void* arg)
+{
+    connectionOf(arg).headerBytes += header->klen + header->vlen;
+    return EVHTP_RES_OK;
+}
+
+evhtp_res onHeaders(evhtp_request_t* request, evhtp_headers_t*, void* arg)
+{
+    auto& connection = connectionOf(arg);
+    connection.exchange = std::make_unique<Exchange>(connection, request);
+    return EVHTP_RES_OK;
+}
+
+evhtp_res onRequestEnd(evhtp_request_t*, void* arg)
+{
+    connectionOf(arg).requestEnded();
+    return EVHTP_RES_OK;
+}
+
+void onTimeout(evutil_socket_t, short, void* arg) { evhtp_connection_free(connectionOf(arg).htp); }
+
+void onInput(evbuffer*, const evbuffer_cb_info* info, void* arg)
+{
+    if (info->n_added > 0)
+        connectionOf(arg).bytesArrived();
+}
+
+void onOutput(evbuffer*, const evbuffer_cb_info* info, void* arg)
+{
+    if (info->n_deleted > 0)
+        connectionOf(arg).bytesSent();
+}
+
+} // namespace
+
+Connection::Connection(Server& owner, evhtp_connection_t* connection)
+    : server(owner)
+    , htp(connection)
+    , timer(event_new(owner.m_base, -1, 0, onTimeout, this))
+{
+    evhtp_connection_set_hook(htp, evhtp_hook_on_header, asHook(onHeader), this);
+    evhtp_connection_set_hook(htp, evhtp_hook_on_headers, asHook(onHeaders), this);
+    evhtp_connection_set_hook(htp, evhtp_hook_on_request_fini, asHook(onRequestEnd), this);
+    auto* bev = evhtp_connection_get_bev(htp);
+    evbuffer_add_cb(bufferevent_get_input(bev), onInput, this);
+    evbuffer_add_cb(bufferevent_get_output(bev), onOutput, this);
+    event_add(timer.get(), &idleTimeout);
+}
+
+void Connection::bytesArrived()
+{
+    if (arriving || answering)
+        return;
+    arriving = true;
+    event_add(timer.get(), &arrivalTimeout);
+}
+
+void Connection::requestComplete(evhtp_request_t* request)
+{
+    arriving = false;
+    answering = true;
+    event_del(timer.get());
+    if (!exchange)
+        exchange = std::make_unique<Exchange>(*this, request);
+}
+
+void Connection::requestEnded()
+{
+    answering = false;
+    arriving = false;
+    headerBytes = 0;
+    event_add(timer.get(), &idleTimeout);
+    const auto ended = std::move(exchange);
+    if (ended && ended->onClosed)
+        ended->onClosed();
+}
+
+void Connection::bytesSent()
+{
+    if (exchange && exchange->onDrained)
+        exchange->onDrained();
+}
+
+} // namespace detail
+
+Exchange::Exchange(detail::Connection& connection, evhtp_request_t* request)
+    : m_connection(connection)
+    , m_request(request)
+{
+}
+
+std::string_view Exchange::method() const noexcept { return htparser_get_methodstr_m(m_request->method); }
+
+std::string_view Exchange::path() const noexcept { return m_request->uri->path->full; }
+
+std::string_view Exchange::query() const noexcept
+{
+    const auto* raw = reinterpret_cast<const char*>(m_request->uri->query_raw);
+    return raw ? std::string_view { raw } : std::string_view {};
+}
+
+std::string_view Exchange::header(const char* name) const noexcept
+{
+    const auto* value = evhtp_header_find(m_request->headers_in, name);
+    return value ? std::string_view { value } : std::string_view {};
+}
+
+void Exchange::addHeaders(std::string_view contentType, const Headers& headers)
+{
+    auto* out = m_request->headers_out;
+    const std::string type { contentType };
+    evhtp_headers_add_header(out, evhtp_header_new("Content-Type", type.c_str(), 0, 1));
+    for (const auto& [name, value] : headers)
+        evhtp_headers_add_header(out, evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+}
+
+void Exchange::reply(int status, std::string_view contentType, std::string_view body, const Headers& headers)
+{
+    addHeaders(contentType, headers);
+    evbuffer_add(m_request->buffer_out, body.data(), body.size());
+    evhtp_send_reply(m_request, static_cast<evhtp_res>(status));
+}
+
+void Exchange::reply(int status, std::string_view contentType, evbuffer* body, const Headers& headers)
+{
+    addHeaders(contentType, headers);
+    evbuffer_add_buffer(m_request->buffer_out, body);
+    evhtp_send_reply(m_request, static_cast<evhtp_res>(status));
+}
+
+void Exchange::begin(int status, std::string_view contentType, const Headers& headers)
+{
+    addHeaders(contentType, headers);
+    evhtp_send_reply_chunk_start(m_request, static_cast<evhtp_res>(status));
+}
+
+void Exchange::write(evbuffer* buf) { evhtp_send_reply_chunk(m_request, buf); }
+
+void Exchange::end() { evhtp_send_reply_chunk_end(m_request); }
+
+void Exchange::abort() { evhtp_connection_free(m_connection.htp); }
+
+std::size_t Exchange::unsentBytes() const noexcept
+{
+    return evbuffer_get_length(bufferevent_get_output(evhtp_connection_get_bev(m_connection.htp)));
+}
+
+namespace {
+
+evhtp_res onConnectionEnd(evhtp_connection_t* connection, void* arg)
+{
+    auto& connections
+        = *static_cast<std::unordered_map<evhtp_connection_t*, std::unique_ptr<detail::Connection>>*>(arg);
+    connections.erase(connection);
+    return EVHTP_RES_OK;
+}
+
+Address boundAddress(evhtp_t* htp, const Address& asked)
+{
+    sockaddr_storage storage {};
+    socklen_t size = sizeof(storage);
+    getsockname(evconnlistener_get_fd(htp->server), reinterpret_cast<sockaddr*>(&storage), &size);
+    const auto port = storage.ss_family == AF_INET6 ? reinterpret_cast<const sockaddr_in6&>(storage).sin6_port
+                                                    : reinterpret_cast<const sockaddr_in&>(storage).sin_port;
+    return { asked.ip, ntohs(port) };
+}
+
+} // namespace
+
+Server::Server(event_base* base, const Address& address)
+    : m_base(base)
+    , m_htp(evhtp_new(base, this))
+{
+    constexpr int backlog = 1024;
+    const auto host = address.ip.find(':') == std::string::npos ? address.ip : "ipv6:" + address.ip;
+    evhtp_enable_flag(m_htp, EVHTP_FLAG_ENABLE_NODELAY);
+    evhtp_set_max_body_size(m_htp, hardBodyBytes);
+    evhtp_set_post_accept_cb(m_htp, onAccept, this);
+    evhtp_set_gencb(
+        m_htp,
+        [](evhtp_request_t* request, void* arg) {
+            auto& server = *static_cast<Server*>(arg);
+            auto& connection = *server.m_connections.at(request->conn);
+            connection.requestComplete(request);
+            auto& body = connection.exchange->m_body;
+            body.resize(evbuffer_get_length(request->buffer_in));
+            evbuffer_remove(request->buffer_in, body.data(), body.size());
+            server.dispatch(*connection.exchange);
+        },
+        this);
+    if (evhtp_bind_socket(m_htp, host.c_str(), address.port, backlog) != 0) {
+        evhtp_free(m_htp);
+        throw std::runtime_error("the address " + formatAddress(address) + " cannot be bound");
+    }
+    m_address = boundAddress(m_htp, address);
+}
+
+Server::~Server()
+{
+    while (!m_connections.empty())
+        evhtp_connection_free(m_connections.begin()->first);
+    evhtp_unbind_socket(m_htp);
+    evhtp_free(m_htp);
+}
+
+evhtp_res Server::onAccept(evhtp_connection_t* connection, void* server)
+{
+    auto& self = *static_cast<Server*>(server);
+    setsockopt(connection->sock, SOL_SOCKET, SO_SNDBUF, &sendBufferBytes, sizeof(sendBufferBytes));
+    evhtp_connection_set_hook(
+        connection, evhtp_hook_on_connection_fini, detail::asHook(onConnectionEnd), &self.m_connections);
+    self.m_connections.emplace(connection, std::make_unique<detail::Connection>(self, connection));
+    return EVHTP_RES_OK;
+}
+
+void Server::route(std::string method, std::string path, Handler handler)
+{
+    m_routes.push_back({ std::move(method), std::move(path), std::move(handler) });
+}
+
+void Server::dispatch(Exchange& exchange)
+{
+    const auto path = exchange.path();
+    bool pathKnown = false;
+    for (const auto& it : m_routes) {
+        const bool matches = it.path.ends_with('/') ? path.starts_with(it.path) : path == it.path;
+        if (!matches)
+            continue;
+        pathKnown = true;
+        if (it.method.empty() || it.method == exchange.method()) {
+            it.handler(exchange);
+            return;
+        }
+    }
+    if (pathKnown)
+        replyProblem(exchange, { 405, "Method not allowed", "not_run", "the path does not take this method" });
+    else
+        replyProblem(exchange, { 404, "Not found", "not_run", "there is no such path" });
+}
+
+} // namespace rosemarymill::runtime::http
