--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -5,9 +5,9 @@
 #include <rosemarymill/runtime/backend/order_sender.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/caller/listener.hpp>
-#include <rosemarymill/runtime/health/health.hpp>
 #include <rosemarymill/runtime/loop/process.hpp>
-#include <rosemarymill/runtime/operator/manifest_listener.hpp>
+#include <rosemarymill/runtime/operator/listener.hpp>
+#include <rosemarymill/runtime/operator/pages.hpp>
 
 #include <random>
 #include <sstream>
@@ -31,18 +31,10 @@
     return node;
 }
 
-std::string notReadyReason(const node::State& state)
-{
-    if (state.shuttingDown)
-        return "shutting down";
-    return state.configuration.revision ? std::string {} : "no configuration";
-}
-
 /// Adapters of one process. Members are destroyed in reverse order, servers last.
 struct Adapters {
     Adapters(Process& process, const Settings& settings)
-        : callerServer(process.base(), *runtime::parseAddress(settings.callerAddress))
-        , operatorServer(process.base(), *runtime::parseAddress(settings.operatorAddress))
+        : callerServer(process.base(), runtime::parseAddress(settings.callerAddress).value())
         , pool(process.base())
         , announcements(callerServer, postTo(process))
         , callers(process.base(), callerServer, postTo(process))
@@ -50,12 +42,18 @@
               process.base(), pool, postTo(process), [this](CallId call) { return callers.find(call); },
               process.state().settings.vm.text() + "-" + process.state().settings.bootId.text())
         , orders(process.base(), postTo(process))
-        , manifests(operatorServer, postTo(process))
+        , operators(runtime::OperatorListener::open(
+              *process.base(), settings.operatorAddress, process.state(), postTo(process), [this] {
+                  return metrics();
+              }).value())
     {
-        const runtime::HealthSources health { [&process] { return notReadyReason(process.state()); },
-            [this] { return metrics(); } };
-        runtime::addHealthRoutes(callerServer, health);
-        runtime::addHealthRoutes(operatorServer, health);
+        for (const auto* path : { "/healthz", "/readyz", "/metrics" }) {
+            callerServer.route("GET", path, [this, &process](runtime::http::Exchange& exchange) {
+                const auto page
+                    = runtime::monitoringPage(exchange.path(), process.state(), [this] { return metrics(); });
+                exchange.reply(page->status, page->contentType, page->body);
+            });
+        }
     }
 
     static runtime::PostEvent postTo(Process& process)
@@ -74,13 +72,12 @@
     }
 
     runtime::http::Server callerServer;
-    runtime::http::Server operatorServer;
     runtime::backend::ConnectionPool pool;
     runtime::backend::Announcements announcements;
     runtime::caller::Listener callers;
     runtime::backend::Client client;
     runtime::backend::OrderSender orders;
-    runtime::operators::ManifestListener manifests;
+    std::unique_ptr<runtime::OperatorListener> operators;
 };
 
 void connectCallEffects(Process& process, Adapters& adapters)
@@ -108,7 +105,7 @@
     connectCallEffects(process, adapters);
     process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
     process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
-    process.onEffect<node::ReplyOperator>([&](auto& it) { adapters.manifests.reply(it); });
+    process.onEffect<node::ReplyOperator>([&](auto& it) { adapters.operators->carryOut(it); });
     process.onEffect<node::WriteLog>([](auto& it) { runtime::writeLog(it.level, it.part, it.text); });
     process.onEffect<node::Exit>([&](auto&) {
         if (adapters.callers.calls() == 0)
@@ -116,7 +113,8 @@
     });
     runtime::writeLog(node::LogLevel::Info, "daemon", "Callers at " + announceAddress + ".");
     runtime::writeLog(node::LogLevel::Info, "daemon",
-        "Operators at " + runtime::formatAddress(adapters.operatorServer.address()) + ".");
+        "Operators at " + runtime::formatIp(runtime::parseAddress(settings.operatorAddress).value()) + ":"
+            + std::to_string(adapters.operators->port()) + ".");
     process.run();
     runtime::writeLog(node::LogLevel::Info, "daemon", "Stopped.");
     return 0;
--- a/packages/runtime/include/rosemarymill/runtime/http/server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/http/server.hpp
@@ -99,14 +99,14 @@
     using Handler = std::function<void(Exchange&)>;
 
     /// Binds the listener. Throws std::runtime_error when the address cannot be bound.
-    Server(event_base* base, const Address& address);
+    Server(event_base* base, const SocketAddress& address);
     ~Server();
 
     Server(const Server&) = delete;
     Server& operator=(const Server&) = delete;
 
     /// Bound address, with the port chosen by the kernel when port 0 was asked for.
-    [[nodiscard]] const Address& address() const noexcept { return m_address; }
+    [[nodiscard]] const SocketAddress& address() const noexcept { return m_address; }
 
     /// Handles requests of a method to a path. A path that ends in "/" matches everything below it.
     void route(std::string method, std::string path, Handler handler);
@@ -127,7 +127,7 @@
     static evhtp_res onAccept(evhtp_connection_t* connection, void* server);
 
     event_base* m_base;
-    Address m_address;
+    SocketAddress m_address;
     evhtp_t* m_htp;
     std::vector<Route> m_routes;
     std::unordered_map<evhtp_connection_t*, std::unique_ptr<detail::Connection>> m_connections;
--- a/packages/runtime/src/backend/announcements.cpp
+++ b/packages/runtime/src/backend/announcements.cpp
@@ -26,17 +26,17 @@
 
 void Announcements::receive(http::Exchange& exchange)
 {
-    auto decoded = wire::decodeAnnouncement(exchange.body());
-    if (const auto* fault = std::get_if<wire::JsonFault>(&decoded)) {
-        refuse(exchange, fault->reason);
+    std::vector<wire::JsonFault> faults;
+    auto announcement = wire::decodeAnnouncement(exchange.body(), faults);
+    if (!announcement) {
+        refuse(exchange, wire::describe(faults));
         return;
     }
-    auto& announcement = std::get<rosemarymill::backend::Announcement>(decoded);
-    if (!parseAddress(announcement.address)) {
+    if (!parseAddress(announcement->address)) {
         refuse(exchange, "address is not ip:port");
         return;
     }
-    m_post(node::AnnouncementReceived { readClock(), m_pending.add(exchange), std::move(announcement) });
+    m_post(node::AnnouncementReceived { readClock(), m_pending.add(exchange), std::move(*announcement) });
 }
 
 void Announcements::reply(const node::ReplyAnnouncement& effect)
--- a/packages/runtime/src/backend/connection_pool.cpp
+++ b/packages/runtime/src/backend/connection_pool.cpp
@@ -22,7 +22,8 @@
     const auto parsed = parseAddress(address);
     if (!parsed)
         return nullptr;
-    HttpConnectionHandle connection(evhttp_connection_base_new(m_base, nullptr, parsed->ip.c_str(), parsed->port));
+    HttpConnectionHandle connection(
+        evhttp_connection_base_new(m_base, nullptr, formatIp(parsed.value()).c_str(), portOf(parsed.value())));
     if (connection)
         evhttp_connection_set_timeout_tv(connection.get(), &silenceTimeout);
     return connection;
--- a/packages/runtime/src/backend/order_sender.cpp
+++ b/packages/runtime/src/backend/order_sender.cpp
@@ -33,7 +33,8 @@
         return;
     }
     auto pending = std::make_unique<Pending>(Pending { *this, effect.server, effect.order.orderId,
-        HttpConnectionHandle(evhttp_connection_base_new(m_base, nullptr, address->ip.c_str(), address->port)) });
+        HttpConnectionHandle(
+            evhttp_connection_base_new(m_base, nullptr, formatIp(address.value()).c_str(), portOf(address.value()))) });
     auto* it = pending.get();
     m_pending.emplace(it, std::move(pending));
     evhttp_connection_set_timeout_tv(it->connection.get(), &orderTimeout);
--- a/packages/runtime/src/caller/parse_request.cpp
+++ b/packages/runtime/src/caller/parse_request.cpp
@@ -1,6 +1,6 @@
 #include <rosemarymill/runtime/caller/parse_request.hpp>
 
-#include <rosemarymill/runtime/base/digest.hpp>
+#include <rosemarymill/wire/digest/sha256.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -41,7 +41,7 @@
 std::optional<std::string> fillCommon(const HttpParts& parts, call::Request& request)
 {
     const auto token = tokenOf(parts.authorization);
-    request.tokenDigest = token.empty() ? std::string {} : sha256Hex(token);
+    request.tokenDigest = token.empty() ? std::string {} : wire::sha256Hex(token);
     request.method = parts.method;
     request.kind = parts.kind;
     request.idempotencyKey = parts.idempotencyKey;
--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -5,8 +5,6 @@
 #include "connection.hpp"
 #include "hook.hpp"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <stdexcept>
@@ -176,24 +174,13 @@
     return EVHTP_RES_OK;
 }
 
-Address boundAddress(evhtp_t* htp, const Address& asked)
-{
-    sockaddr_storage storage {};
-    socklen_t size = sizeof(storage);
-    getsockname(evconnlistener_get_fd(htp->server), reinterpret_cast<sockaddr*>(&storage), &size);
-    const auto port = storage.ss_family == AF_INET6 ? reinterpret_cast<const sockaddr_in6&>(storage).sin6_port
-                                                    : reinterpret_cast<const sockaddr_in&>(storage).sin_port;
-    return { asked.ip, ntohs(port) };
-}
-
 } // namespace
 
-Server::Server(event_base* base, const Address& address)
+Server::Server(event_base* base, const SocketAddress& address)
     : m_base(base)
     , m_htp(evhtp_new(base, this))
 {
     constexpr int backlog = 1024;
-    const auto host = address.ip.find(':') == std::string::npos ? address.ip : "ipv6:" + address.ip;
     evhtp_enable_flag(m_htp, EVHTP_FLAG_ENABLE_NODELAY);
     evhtp_set_max_body_size(m_htp, hardBodyBytes);
     evhtp_set_post_accept_cb(m_htp, onAccept, this);
@@ -209,11 +196,12 @@
             server.dispatch(*connection.exchange);
         },
         this);
-    if (evhtp_bind_socket(m_htp, host.c_str(), address.port, backlog) != 0) {
+    auto asked = address;
+    if (evhtp_bind_sockaddr(m_htp, asked.get(), asked.length, backlog) != 0) {
         evhtp_free(m_htp);
         throw std::runtime_error("the address " + formatAddress(address) + " cannot be bound");
     }
-    m_address = boundAddress(m_htp, address);
+    m_address = localAddress(evconnlistener_get_fd(m_htp->server)).value();
 }
 
 Server::~Server()
--- a/packages/wire/include/rosemarymill/wire/backend/json.hpp
+++ b/packages/wire/include/rosemarymill/wire/backend/json.hpp
@@ -2,21 +2,20 @@
 
 #include <rosemarymill/core/backend/announcement.hpp>
 #include <rosemarymill/core/backend/order.hpp>
+#include <rosemarymill/wire/json/fault.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
+#include <vector>
 
 /// JSON forms of announcements and orders.
 namespace rosemarymill::wire {
 
-/// Why a JSON document was refused: the path of the member and the rule that it breaks.
-struct JsonFault {
-    std::string reason;
-};
-
-/// Reads an announcement. Members that this version does not know are ignored.
-[[nodiscard]] std::variant<backend::Announcement, JsonFault> decodeAnnouncement(std::string_view text);
+/// Reads an announcement. Members that this version does not know are ignored, so that servers can be newer than entry
+/// VMs. On a fault there is no announcement.
+[[nodiscard]] std::optional<backend::Announcement> decodeAnnouncement(
+    std::string_view text, std::vector<JsonFault>& faults);
 
 /// Writes an order for a backend server.
 [[nodiscard]] std::string encodeOrder(const backend::Order& order);
--- a/packages/wire/src/backend/json.cpp
+++ b/packages/wire/src/backend/json.cpp
@@ -1,9 +1,9 @@
 #include <rosemarymill/wire/backend/json.hpp>
 
-#include <nlohmann/json.hpp>
+#include <rosemarymill/wire/json/object_reader.hpp>
+#include <rosemarymill/wire/json/parse.hpp>
 
 #include <limits>
-#include <stdexcept>
 
 namespace rosemarymill::wire {
 
@@ -11,151 +11,122 @@
 
 using nlohmann::json;
 
-/// Ends the reading of a document; caught in decodeAnnouncement.
-struct Fault : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+/// Longest text member. Ids and addresses are far shorter.
+constexpr std::size_t maxTextLength = 256;
 
-/// Reads members of one JSON object and names the member in each fault.
+/// Members of one object of an announcement.
 class Reader {
 public:
-    Reader(const json& object, std::string path)
-        : m_object(object)
-        , m_path(std::move(path))
+    Reader(const json& value, std::string path, std::vector<JsonFault>& faults)
+        : m_reader(value, std::move(path), faults)
+        , m_faults(faults)
     {
-        if (!object.is_object())
-            throw Fault((m_path.empty() ? "the document" : m_path) + " is not an object");
     }
 
-    [[nodiscard]] const json* find(const char* name) const
+    [[nodiscard]] std::string text(const std::string& key, bool required = true)
     {
-        const auto it = m_object.find(name);
-        return it == m_object.end() || it->is_null() ? nullptr : &*it;
+        return m_reader.text(
+            key, [](std::string_view it) { return it.size() <= maxTextLength; }, "a text of at most 256 bytes",
+            required ? std::nullopt : std::optional<std::string> { "" });
     }
 
-    [[nodiscard]] std::string pathOf(const char* name) const { return m_path.empty() ? name : m_path + "." + name; }
-
-    [[nodiscard]] std::string text(const char* name, bool required) const
+    template <typename Integer> [[nodiscard]] Integer integer(const std::string& key, Integer fallback)
     {
-        const auto* value = find(name);
-        if (!value && !required)
-            return {};
-        if (!value || !value->is_string())
-            throw Fault(pathOf(name) + " is not a string");
-        return value->get<std::string>();
+        return static_cast<Integer>(m_reader.integer(key, 0, std::numeric_limits<Integer>::max(), fallback));
     }
 
-    template <typename Integer> [[nodiscard]] Integer number(const char* name, Integer fallback) const
+    [[nodiscard]] bool boolean(const std::string& key) { return m_reader.boolean(key, false); }
+
+    template <typename Visit> void object(const std::string& key, Visit visit)
     {
-        const auto* value = find(name);
-        if (!value)
-            return fallback;
-        if (!value->is_number_unsigned())
-            throw Fault(pathOf(name) + " is not an unsigned number");
-        const auto wide = value->get<std::uint64_t>();
-        if (wide > std::numeric_limits<Integer>::max())
-            throw Fault(pathOf(name) + " is too large");
-        return static_cast<Integer>(wide);
+        if (const auto* value = m_reader.member(key); value && !value->is_null())
+            visit(Reader(*value, childPath(m_reader.path(), key), m_faults));
     }
 
-    [[nodiscard]] bool flag(const char* name) const
+    template <typename Visit> void objects(const std::string& key, Visit visit)
     {
-        const auto* value = find(name);
-        if (value && !value->is_boolean())
-            throw Fault(pathOf(name) + " is not a boolean");
-        return value && value->get<bool>();
+        m_reader.each(
+            key, false, [&](const json& value, const std::string& path) { visit(Reader(value, path, m_faults)); });
     }
 
-    [[nodiscard]] const json& list(const char* name) const
+    [[nodiscard]] std::vector<std::uint64_t> hashes(const std::string& key)
     {
-        static const json none = json::array();
-        const auto* value = find(name);
-        if (value && !value->is_array())
-            throw Fault(pathOf(name) + " is not a list");
-        return value ? *value : none;
+        std::vector<std::uint64_t> values;
+        m_reader.each(key, false, [&](const json& value, const std::string& path) {
+            if (value.is_number_unsigned())
+                values.push_back(value.get<std::uint64_t>());
+            else
+                m_faults.push_back({ path, excerpt(value), "must be an unsigned integer" });
+        });
+        return values;
     }
 
-private:
-    const json& m_object;
-    std::string m_path;
-};
-
-std::vector<std::uint64_t> readHashes(const Reader& reader, const char* name)
-{
-    std::vector<std::uint64_t> hashes;
-    for (const auto& it : reader.list(name)) {
-        if (!it.is_number_unsigned())
-            throw Fault(reader.pathOf(name) + " holds a value that is not an unsigned number");
-        hashes.push_back(it.get<std::uint64_t>());
+    [[nodiscard]] std::vector<std::string> texts(const std::string& key)
+    {
+        std::vector<std::string> values;
+        m_reader.each(key, false, [&](const json& value, const std::string& path) {
+            if (value.is_string())
+                values.push_back(value.get<std::string>());
+            else
+                m_faults.push_back({ path, excerpt(value), "must be a text" });
+        });
+        return values;
     }
-    return hashes;
-}
 
-backend::ModelVersion readModel(const json& value)
-{
-    const Reader reader(value, "models[]");
-    backend::ModelVersion model { ModelName { reader.text("name", true) }, reader.text("version", true), {} };
-    for (const auto& it : reader.list("adapters")) {
-        if (!it.is_string())
-            throw Fault("models[].adapters holds a value that is not a string");
-        model.adapters.push_back(it.get<std::string>());
+    [[nodiscard]] backend::Kind kind()
+    {
+        const auto name = m_reader.text(
+            "kind", [](std::string_view it) { return it == "engine" || it == "service"; }, "engine or service");
+        return name == "service" ? backend::Kind::Service : backend::Kind::Engine;
     }
-    return model;
-}
 
-backend::Kind readKind(const std::string& name)
-{
-    if (name == "engine")
-        return backend::Kind::Engine;
-    if (name == "service")
-        return backend::Kind::Service;
-    throw Fault("kind is neither 'engine' nor 'service'");
-}
+private:
+    ObjectReader m_reader;
+    std::vector<JsonFault>& m_faults;
+};
 
-void readIdentity(const Reader& reader, backend::Announcement& it)
+void readIdentity(Reader& reader, backend::Announcement& it)
 {
-    it.id = ServerId { reader.text("id", true) };
-    it.bootId = BootId { reader.text("boot_id", true) };
-    it.vm = VmId { reader.text("vm", true) };
-    it.dataCentre = DataCentreId { reader.text("data_centre", true) };
+    it.id = ServerId { reader.text("id") };
+    it.bootId = BootId { reader.text("boot_id") };
+    it.vm = VmId { reader.text("vm") };
+    it.dataCentre = DataCentreId { reader.text("data_centre") };
     it.fabricDomain = FabricDomainId { reader.text("fabric_domain", false) };
-    it.address = reader.text("address", true);
-    it.kind = readKind(reader.text("kind", true));
+    it.address = reader.text("address");
+    it.kind = reader.kind();
     it.service = ServiceName { reader.text("service", false) };
 }
 
-void readCapacity(const Reader& reader, backend::Announcement& it)
+void readCapacity(Reader& reader, backend::Announcement& it)
 {
-    it.accelerators = reader.number<std::uint32_t>("accelerators", 0);
-    it.memoryBytes = reader.number<std::uint64_t>("memory_bytes", 0);
-    it.tokenMemory = reader.number<std::uint64_t>("token_memory", 0);
-    it.maxRequests = reader.number<std::uint32_t>("max_requests", 1);
-    it.cold = reader.flag("cold");
-    it.coldRequests = reader.number<std::uint32_t>("cold_requests", 1);
-    it.leaving = reader.flag("leaving");
-    for (const auto& model : reader.list("models"))
-        it.models.push_back(readModel(model));
+    it.accelerators = reader.integer<std::uint32_t>("accelerators", 0);
+    it.memoryBytes = reader.integer<std::uint64_t>("memory_bytes", 0);
+    it.tokenMemory = reader.integer<std::uint64_t>("token_memory", 0);
+    it.maxRequests = reader.integer<std::uint32_t>("max_requests", 1);
+    it.cold = reader.boolean("cold");
+    it.coldRequests = reader.integer<std::uint32_t>("cold_requests", 1);
+    it.leaving = reader.boolean("leaving");
+    reader.objects("models", [&](Reader model) {
+        it.models.push_back({ ModelName { model.text("name") }, model.text("version"), model.texts("adapters") });
+    });
 }
 
-void readCondition(const Reader& reader, backend::Announcement& it)
+void readCondition(Reader& reader, backend::Announcement& it)
 {
-    if (const auto* value = reader.find("load")) {
-        const Reader load(*value, "load");
-        it.load = { load.number<std::uint32_t>("running", 0), load.number<std::uint32_t>("queued", 0),
-            load.number<std::uint64_t>("tokens_held", 0) };
-    }
-    if (const auto* value = reader.find("group")) {
-        const Reader group(*value, "group");
-        it.group = backend::GroupMembership { GroupId { group.number<std::uint64_t>("id", 0) },
-            FencingNumber { group.number<std::uint64_t>("fencing", 0) }, group.number<std::uint32_t>("rank", 0) };
-    }
-    it.fencingSeen = FencingNumber { reader.number<std::uint64_t>("fencing_seen", 0) };
-    it.checksFencing = reader.flag("checks_fencing");
-    if (const auto* value = reader.find("cache_events")) {
-        const Reader events(*value, "cache_events");
-        it.cacheEvents = { events.number<std::uint64_t>("sequence", 0), readHashes(events, "added"),
-            readHashes(events, "removed") };
-    }
+    reader.object("load", [&](Reader load) {
+        it.load = { load.integer<std::uint32_t>("running", 0), load.integer<std::uint32_t>("queued", 0),
+            load.integer<std::uint64_t>("tokens_held", 0) };
+    });
+    reader.object("group", [&](Reader group) {
+        it.group = backend::GroupMembership { GroupId { group.integer<std::uint64_t>("id", 0) },
+            FencingNumber { group.integer<std::uint64_t>("fencing", 0) }, group.integer<std::uint32_t>("rank", 0) };
+    });
+    it.fencingSeen = FencingNumber { reader.integer<std::uint64_t>("fencing_seen", 0) };
+    it.checksFencing = reader.boolean("checks_fencing");
+    reader.object("cache_events", [&](Reader events) {
+        it.cacheEvents
+            = { events.integer<std::uint64_t>("sequence", 0), events.hashes("added"), events.hashes("removed") };
+    });
 }
 
 const char* nameOf(backend::OrderAction action) noexcept
@@ -177,21 +148,19 @@
 
 } // namespace
 
-std::variant<backend::Announcement, JsonFault> decodeAnnouncement(std::string_view text)
+std::optional<backend::Announcement> decodeAnnouncement(std::string_view text, std::vector<JsonFault>& faults)
 {
-    const auto document = json::parse(text, nullptr, false);
-    if (document.is_discarded())
-        return JsonFault { "the document is not valid JSON" };
-    try {
-        const Reader reader(document, {});
-        backend::Announcement it;
-        readIdentity(reader, it);
-        readCapacity(reader, it);
-        readCondition(reader, it);
-        return it;
-    } catch (const Fault& fault) {
-        return JsonFault { fault.what() };
-    }
+    const auto document = parseJson(text, faults);
+    if (!document)
+        return std::nullopt;
+    Reader reader(*document, {}, faults);
+    backend::Announcement it;
+    readIdentity(reader, it);
+    readCapacity(reader, it);
+    readCondition(reader, it);
+    if (!faults.empty())
+        return std::nullopt;
+    return it;
 }
 
 std::string encodeOrder(const backend::Order& order)
