--- a/packages/runtime/src/base/address.cpp
+++ b/packages/runtime/src/base/address.cpp
@@ -38,17 +38,29 @@
     return evutil_inet_pton(AF_INET, host.c_str(), &it.sin_addr) == 1 ? Result<SocketAddress>(address) : invalid;
 }
 
-std::string formatAddress(const SocketAddress& address)
+std::string formatIp(const SocketAddress& address)
 {
     std::array<char, INET6_ADDRSTRLEN> text {};
-    if (address.storage.ss_family == AF_INET6) {
-        const auto& it = reinterpret_cast<const sockaddr_in6&>(address.storage);
-        inet_ntop(AF_INET6, &it.sin6_addr, text.data(), text.size());
-        return "[" + std::string(text.data()) + "]:" + std::to_string(ntohs(it.sin6_port));
-    }
-    const auto& it = reinterpret_cast<const sockaddr_in&>(address.storage);
-    inet_ntop(AF_INET, &it.sin_addr, text.data(), text.size());
-    return std::string(text.data()) + ":" + std::to_string(ntohs(it.sin_port));
+    if (address.storage.ss_family == AF_INET6)
+        inet_ntop(
+            AF_INET6, &reinterpret_cast<const sockaddr_in6&>(address.storage).sin6_addr, text.data(), text.size());
+    else
+        inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in&>(address.storage).sin_addr, text.data(), text.size());
+    return text.data();
+}
+
+std::uint16_t portOf(const SocketAddress& address) noexcept
+{
+    return address.storage.ss_family == AF_INET6
+        ? ntohs(reinterpret_cast<const sockaddr_in6&>(address.storage).sin6_port)
+        : ntohs(reinterpret_cast<const sockaddr_in&>(address.storage).sin_port);
+}
+
+std::string formatAddress(const SocketAddress& address)
+{
+    const auto ip = formatIp(address);
+    const bool isIpv6 = address.storage.ss_family == AF_INET6;
+    return (isIpv6 ? "[" + ip + "]" : ip) + ":" + std::to_string(portOf(address));
 }
 
 Result<SocketAddress> localAddress(int socket)
