--- /dev/null
+++ b/packages/ctl/include/rosemarymill/ctl/fwd.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+/// Forward declarations of rosemarymillctl.
+namespace rosemarymill::ctl {
+
+enum class Command;
+enum class ExitCode : int;
+struct Arguments;
+struct Answer;
+class Client;
+
+} // namespace rosemarymill::ctl
