--- a/packages/daemon/include/rosemarymill/daemon/settings.hpp
+++ b/packages/daemon/include/rosemarymill/daemon/settings.hpp
@@ -1,11 +1,20 @@
 #pragma once
 
+#include <rosemarymill/core/node/effect.hpp>
+#include <rosemarymill/core/node/state.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 /// Settings of the daemon from flags and ROSEMARYMILL_* environment variables. A flag takes precedence.
 namespace rosemarymill::daemon {
 
+/// Format of the log lines.
+enum class LogFormat { Text, Json };
+
 /// Settings of one process.
 struct Settings {
     std::string vm;
@@ -14,6 +23,23 @@
     std::string callerAddress;
     /// Listener for operators, "ip:port".
     std::string operatorAddress;
+    /// Listener for other entry VMs, "ip:port"; empty without peers.
+    std::string peerAddress;
+    std::vector<node::PeerSetting> peers;
+    std::vector<std::string> configurationVoters;
+    /// Voters of the ledger by home data centre.
+    std::map<std::string, std::vector<std::string>> ledgerVoters;
+    std::vector<std::string> placementAcceptors;
+    /// Folder of the write-ahead log and the snapshots; empty on a VM without a disk.
+    std::string dataFolder;
+    LogFormat logFormat { LogFormat::Text };
+    node::LogLevel logLevel { node::LogLevel::Info };
+    /// File that receives the recorded event trace; empty for none.
+    std::string traceFile;
+    /// File that receives the spans; empty for none.
+    std::string spanFile;
+    /// Seed of all random choices; drawn at the start when absent.
+    std::optional<std::uint64_t> seed;
     bool checkOnly { false };
     bool help { false };
 };
@@ -30,4 +56,8 @@
 /// Reads the settings of a process.
 [[nodiscard]] ParsedSettings parseSettings(int argc, const char* const* argv);
 
+/// Translates the settings for the core. The boot id, and the seed when none is set, are drawn from the system's random
+/// device.
+[[nodiscard]] node::Settings nodeSettings(const Settings& settings);
+
 } // namespace rosemarymill::daemon
--- a/packages/runtime/include/rosemarymill/runtime/base/address.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/base/address.hpp
@@ -1,32 +1,25 @@
 #pragma once
 
-#include <rosemarymill/core/base/result.hpp>
-
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
-#include <sys/socket.h>
-
-/// Addresses of sockets.
+/// Addresses of listeners and servers.
 namespace rosemarymill::runtime {
 
-/// IP address and port, ready for the socket calls.
-struct SocketAddress {
-    sockaddr_storage storage {};
-    socklen_t length { 0 };
+/// IP address and port.
+struct Address {
+    std::string ip;
+    std::uint16_t port { 0 };
 
-    [[nodiscard]] const sockaddr* get() const noexcept { return reinterpret_cast<const sockaddr*>(&storage); }
-    [[nodiscard]] sockaddr* get() noexcept { return reinterpret_cast<sockaddr*>(&storage); }
+    friend bool operator==(const Address&, const Address&) = default;
 };
 
-/// Parses "ip:port", for IPv6 "[ip]:port". Host names are not resolved. The error is std::errc::invalid_argument.
-[[nodiscard]] Result<SocketAddress> parseAddress(const std::string& text);
-
-/// The address as "ip:port".
-[[nodiscard]] std::string formatAddress(const SocketAddress& address);
+/// Reads "ip:port", with the IP address in digits and IPv6 in brackets. Host names are refused.
+[[nodiscard]] std::optional<Address> parseAddress(std::string_view text);
 
-/// Local address of a bound socket.
-[[nodiscard]] Result<SocketAddress> localAddress(int socket);
+/// Writes "ip:port".
+[[nodiscard]] std::string formatAddress(const Address& address);
 
 } // namespace rosemarymill::runtime
--- a/packages/runtime/src/base/address.cpp
+++ b/packages/runtime/src/base/address.cpp
@@ -1,63 +1,36 @@
 #include <rosemarymill/runtime/base/address.hpp>
 
-#include <array>
-#include <cerrno>
-#include <charconv>
-
 #include <arpa/inet.h>
-#include <event2/util.h>
-#include <netinet/in.h>
+
+#include <charconv>
 
 namespace rosemarymill::runtime {
 
-Result<SocketAddress> parseAddress(const std::string& text)
+std::optional<Address> parseAddress(std::string_view text)
 {
-    const auto invalid = std::make_error_code(std::errc::invalid_argument);
     const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return invalid;
-    std::uint16_t port = 0;
-    const auto* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    if (parsed.ec != std::errc {} || parsed.ptr != end)
-        return invalid;
-    auto host = text.substr(0, colon);
-    SocketAddress address;
-    if (host.starts_with('[') && host.ends_with(']')) {
-        auto& it = reinterpret_cast<sockaddr_in6&>(address.storage);
-        it.sin6_family = AF_INET6;
-        it.sin6_port = htons(port);
-        address.length = sizeof(it);
-        host = host.substr(1, host.size() - 2);
-        return evutil_inet_pton(AF_INET6, host.c_str(), &it.sin6_addr) == 1 ? Result<SocketAddress>(address) : invalid;
-    }
-    auto& it = reinterpret_cast<sockaddr_in&>(address.storage);
-    it.sin_family = AF_INET;
-    it.sin_port = htons(port);
-    address.length = sizeof(it);
-    return evutil_inet_pton(AF_INET, host.c_str(), &it.sin_addr) == 1 ? Result<SocketAddress>(address) : invalid;
-}
-
-std::string formatAddress(const SocketAddress& address)
-{
-    std::array<char, INET6_ADDRSTRLEN> text {};
-    if (address.storage.ss_family == AF_INET6) {
-        const auto& it = reinterpret_cast<const sockaddr_in6&>(address.storage);
-        inet_ntop(AF_INET6, &it.sin6_addr, text.data(), text.size());
-        return "[" + std::string(text.data()) + "]:" + std::to_string(ntohs(it.sin6_port));
-    }
-    const auto& it = reinterpret_cast<const sockaddr_in&>(address.storage);
-    inet_ntop(AF_INET, &it.sin_addr, text.data(), text.size());
-    return std::string(text.data()) + ":" + std::to_string(ntohs(it.sin_port));
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    auto ip = text.substr(0, colon);
+    const auto digits = text.substr(colon + 1);
+    Address address;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), address.port);
+    if (error != std::errc {} || end != digits.data() + digits.size())
+        return std::nullopt;
+    const bool isBracketed = ip.size() > 2 && ip.front() == '[' && ip.back() == ']';
+    if (isBracketed)
+        ip = ip.substr(1, ip.size() - 2);
+    address.ip = ip;
+    in6_addr binary {};
+    if (inet_pton(isBracketed ? AF_INET6 : AF_INET, address.ip.c_str(), &binary) != 1)
+        return std::nullopt;
+    return address;
 }
 
-Result<SocketAddress> localAddress(int socket)
+std::string formatAddress(const Address& address)
 {
-    SocketAddress address;
-    address.length = sizeof(address.storage);
-    if (getsockname(socket, address.get(), &address.length) != 0)
-        return std::error_code(errno, std::system_category());
-    return address;
+    const bool isIpv6 = address.ip.find(':') != std::string::npos;
+    return (isIpv6 ? "[" + address.ip + "]" : address.ip) + ":" + std::to_string(address.port);
 }
 
 } // namespace rosemarymill::runtime
--- a/packages/runtime/src/operator/listener.cpp
+++ b/packages/runtime/src/operator/listener.cpp
@@ -7,6 +7,7 @@
 #include <rosemarymill/wire/json/parse.hpp>
 #include <rosemarymill/wire/manifest/manifest.hpp>
 
+#include <cerrno>
 #include <charconv>
 #include <map>
 #include <optional>
@@ -19,6 +20,7 @@
 #include <event2/listener.h>
 #include <evhtp/evhtp.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 namespace rosemarymill::runtime {
 
@@ -272,9 +274,9 @@
 Result<std::unique_ptr<OperatorListener>> OperatorListener::open(
     event_base& base, const std::string& address, const node::State& state, PostEvent post, MetricsText metrics)
 {
-    auto parsed = parseAddress(address);
+    const auto parsed = parseAddress(address);
     if (!parsed)
-        return parsed.error();
+        return std::make_error_code(std::errc::invalid_argument);
     auto impl = std::make_unique<Impl>(base, state, std::move(post), std::move(metrics));
     impl->server.reset(evhtp_new(&base, nullptr));
     auto& server = *impl->server;
@@ -282,13 +284,15 @@
     evhtp_set_timeouts(&server, &timeout, &timeout);
     evhtp_set_max_body_size(&server, maxOperatorBodyBytes);
     evhtp_set_gencb(&server, &Impl::onRequest, impl.get());
-    if (evhtp_bind_sockaddr(&server, parsed.value().get(), parsed.value().length, listenBacklog) != 0)
+    const auto host = parsed->ip.find(':') == std::string::npos ? parsed->ip : "ipv6:" + parsed->ip;
+    if (evhtp_bind_socket(&server, host.c_str(), parsed->port, listenBacklog) != 0)
         return std::error_code(EVUTIL_SOCKET_ERROR(), std::system_category());
-    const auto bound = localAddress(evconnlistener_get_fd(server.server));
-    if (!bound)
-        return bound.error();
+    sockaddr_storage bound {};
+    socklen_t length = sizeof(bound);
+    if (getsockname(evconnlistener_get_fd(server.server), reinterpret_cast<sockaddr*>(&bound), &length) != 0)
+        return std::error_code(errno, std::system_category());
     // The port lies at the same place in the addresses of both families.
-    impl->port = ntohs(reinterpret_cast<const sockaddr_in*>(bound.value().get())->sin_port);
+    impl->port = ntohs(reinterpret_cast<const sockaddr_in&>(bound).sin_port);
     const timeval second { 1, 0 };
     impl->timer.reset(event_new(&base, -1, EV_PERSIST, &Impl::onTimer, impl.get()));
     event_add(impl->timer.get(), &second);
