--- /dev/null
+++ b/packages/core/include/rosemarymill/core/admission/queue.hpp
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <rosemarymill/core/base/id.hpp>
+#include <rosemarymill/core/base/time.hpp>
+
+#include <algorithm>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <vector>
+
+/// Entry side of admission: calls that wait for a slot, in an order that is a policy.
+namespace rosemarymill::admission {
+
+/// Call that waits for a slot of one pool of equivalent servers.
+struct Waiting {
+    CallId call;
+    AccountId account;
+    double weight { 1.0 };
+    /// Worth of one answer of this kind to the caller.
+    double worth { 1.0 };
+    /// Estimated cost in tokens.
+    double cost { 1.0 };
+    std::uint64_t tokens { 0 };
+    std::optional<Instant> deadline;
+    /// Position in the order of arrival at this process.
+    std::uint64_t arrival { 0 };
+    /// The call has to run alone on a server.
+    bool suspect { false };
+};
+
+/// Order in which waiting calls get slots. `take` removes and returns the first call, in the policy's order, for which
+/// the predicate holds.
+template <typename Order>
+concept AdmissionOrder
+    = requires(Order order, const Order& fixed, Waiting waiting, CallId call, const AccountId& account, double amount)
+{
+    order.push(std::move(waiting));
+    {
+        order.erase(call)
+        } -> std::same_as<bool>;
+    {
+        order.take([](const Waiting&) { return true; })
+        } -> std::same_as<std::optional<Waiting>>;
+    order.correct(account, amount);
+    {
+        fixed.size()
+        } -> std::convertible_to<std::size_t>;
+    fixed.forEach([](const Waiting&) {});
+    {
+        fixed.countBefore(waiting)
+        } -> std::convertible_to<std::size_t>;
+    {
+        fixed.backlog(account)
+        } -> std::convertible_to<std::size_t>;
+    {
+        fixed.share(waiting)
+        } -> std::convertible_to<double>;
+    {
+        Order::sharedSlots
+        } -> std::convertible_to<bool>;
+};
+
+/// Weighted fair queueing over client accounts on token cost; within an account by worth and deadline. It is
+/// work-conserving: a call that no free slot suits does not hold back the calls behind it.
+class FairOrder {
+public:
+    /// Slots are leased from the servers' homes.
+    static constexpr bool sharedSlots = true;
+
+    void push(Waiting waiting);
+    bool erase(CallId call);
+    template <std::predicate<const Waiting&> Predicate> std::optional<Waiting> take(const Predicate& suits);
+    /// Adds the difference between real and estimated cost of a call.
+    void correct(const AccountId& account, double difference);
+    [[nodiscard]] std::size_t size() const noexcept { return m_size; }
+    template <typename Visitor> void forEach(const Visitor& visit) const;
+    /// Calls of the same account that come before.
+    [[nodiscard]] std::size_t countBefore(const Waiting& waiting) const;
+    /// Waiting calls of an account.
+    [[nodiscard]] std::size_t backlog(const AccountId& account) const;
+    /// Part of the capacity that the call's account gets while the present accounts wait.
+    [[nodiscard]] double share(const Waiting& waiting) const;
+
+private:
+    struct Account {
+        double weight { 1.0 };
+        /// Virtual time at which the account's next call starts.
+        double start { 0.0 };
+        std::vector<Waiting> calls;
+    };
+
+    std::map<AccountId, Account> m_accounts;
+    double m_virtualTime { 0.0 };
+    std::size_t m_size { 0 };
+};
+
+/// Baseline: first come, first served, with a limit kept by each entry VM alone.
+class FifoOrder {
+public:
+    static constexpr bool sharedSlots = false;
+
+    void push(Waiting waiting) { m_calls.push_back(std::move(waiting)); }
+    bool erase(CallId call);
+    template <std::predicate<const Waiting&> Predicate> std::optional<Waiting> take(const Predicate& suits);
+    void correct(const AccountId&, double) noexcept { }
+    [[nodiscard]] std::size_t size() const noexcept { return m_calls.size(); }
+    template <typename Visitor> void forEach(const Visitor& visit) const;
+    [[nodiscard]] std::size_t countBefore(const Waiting& waiting) const;
+    [[nodiscard]] std::size_t backlog(const AccountId&) const noexcept { return m_calls.size(); }
+    [[nodiscard]] double share(const Waiting&) const noexcept { return 1.0; }
+
+private:
+    std::list<Waiting> m_calls;
+};
+
+template <std::predicate<const Waiting&> Predicate> std::optional<Waiting> FairOrder::take(const Predicate& suits)
+{
+    std::vector<Account*> order;
+    for (auto& [id, account] : m_accounts) {
+        if (!account.calls.empty())
+            order.push_back(&account);
+    }
+    std::stable_sort(order.begin(), order.end(), [](auto* a, auto* b) { return a->start < b->start; });
+    for (auto* account : order) {
+        const auto it = std::find_if(account->calls.begin(), account->calls.end(), suits);
+        if (it == account->calls.end())
+            continue;
+        Waiting taken = std::move(*it);
+        account->calls.erase(it);
+        --m_size;
+        m_virtualTime = std::max(m_virtualTime, account->start);
+        account->start += taken.cost / account->weight;
+        return taken;
+    }
+    return std::nullopt;
+}
+
+template <typename Visitor> void FairOrder::forEach(const Visitor& visit) const
+{
+    for (const auto& [id, account] : m_accounts) {
+        for (const auto& it : account.calls)
+            visit(it);
+    }
+}
+
+template <std::predicate<const Waiting&> Predicate> std::optional<Waiting> FifoOrder::take(const Predicate& suits)
+{
+    const auto it = std::find_if(m_calls.begin(), m_calls.end(), suits);
+    if (it == m_calls.end())
+        return std::nullopt;
+    Waiting taken = std::move(*it);
+    m_calls.erase(it);
+    return taken;
+}
+
+template <typename Visitor> void FifoOrder::forEach(const Visitor& visit) const
+{
+    for (const auto& it : m_calls)
+        visit(it);
+}
+
+static_assert(AdmissionOrder<FairOrder>);
+static_assert(AdmissionOrder<FifoOrder>);
+
+} // namespace rosemarymill::admission
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/node/policy.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <rosemarymill/core/admission/home.hpp>
+#include <rosemarymill/core/admission/lease.hpp>
+#include <rosemarymill/core/admission/queue.hpp>
+#include <rosemarymill/core/lifecycle/lifecycle.hpp>
+#include <rosemarymill/core/quarantine/quarantine.hpp>
+#include <rosemarymill/core/retry/budget.hpp>
+#include <rosemarymill/core/retry/hedge.hpp>
+#include <rosemarymill/core/routing/choice.hpp>
+#include <rosemarymill/core/routing/latency.hpp>
+#include <rosemarymill/core/routing/remote.hpp>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// State of the policy under load and faults in one process.
+namespace rosemarymill::node {
+
+/// Which policy a process runs. The baseline exists for comparison in the benchmarks.
+enum class PolicyChoice { Shipped, Baseline };
+
+/// What a pool of equivalent servers is made of.
+struct PoolTarget {
+    call::Target target { call::Target::Model };
+    ModelName model;
+    std::string version;
+    ServiceName service;
+};
+
+/// Calls that wait for one pool.
+template <admission::AdmissionOrder Order> struct Pool {
+    PoolTarget target;
+    Order order;
+};
+
+/// Waiting calls and routing of one policy.
+template <admission::AdmissionOrder AdmissionOrder, routing::RoutingChoice RoutingChoice> struct Scheduler {
+    using Order = AdmissionOrder;
+    using Choice = RoutingChoice;
+    std::map<std::string, Pool<Order>> pools;
+    Choice choice;
+};
+
+using ShippedScheduler = Scheduler<admission::FairOrder, routing::TwoChoice>;
+using BaselineScheduler = Scheduler<admission::FifoOrder, routing::RoundRobin>;
+
+/// Server of this data centre with its home.
+struct LocatedServer {
+    VmId home;
+    Instant lastAnnounced;
+    admission::DigestEntry entry;
+};
+
+/// Measured times of one pool, exponentially weighted, in microseconds.
+struct PoolTimes {
+    double firstResponse { 0.0 };
+    double finish { 0.0 };
+    /// Tokens of an answer.
+    double outputTokens { 0.0 };
+    std::uint64_t samples { 0 };
+    retry::HedgeDelay hedgeDelay;
+};
+
+/// Pace of messages to another entry VM.
+struct PeerPace {
+    Instant lastReports;
+    Instant lastGrants;
+};
+
+/// Counters for the metrics endpoint.
+struct PolicyCounters {
+    std::uint64_t retries { 0 };
+    std::uint64_t hedges { 0 };
+    std::uint64_t resumes { 0 };
+    std::uint64_t forwards { 0 };
+    std::map<call::RefusalReason, std::uint64_t> refusals;
+};
+
+/// State of the policy.
+struct Policy {
+    std::variant<ShippedScheduler, BaselineScheduler> scheduler;
+    admission::Home home;
+    std::map<ServerId, admission::Lease> leases;
+    std::map<ServerId, LocatedServer> directory;
+    std::map<ServiceName, std::set<ServerId>> services;
+    std::map<VmId, PeerPace> paces;
+    std::map<std::string, PoolTimes> times;
+    routing::LatencyTable latency;
+    std::map<ServerId, routing::PrefixCache> caches;
+    routing::Remotes remotes;
+    retry::Budget budget;
+    quarantine::State quarantine;
+    lifecycle::Availability availability;
+    lifecycle::Shutdown shutdown;
+    /// Digest of the own servers as last sent to the peers of the data centre.
+    std::vector<admission::DigestEntry> sentDigest;
+    Instant digestSentAt;
+    std::uint32_t digestRepeats { 0 };
+    Instant capacitySentAt;
+    std::uint64_t capacityRounds { 0 };
+    PolicyCounters counters;
+};
+
+/// Makes the policy of a process.
+[[nodiscard]] Policy makePolicy(PolicyChoice choice, std::uint64_t seed);
+
+} // namespace rosemarymill::node
--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -5,6 +5,7 @@
 #include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/core/configuration/manifest.hpp>
 #include <rosemarymill/core/node/calls.hpp>
+#include <rosemarymill/core/node/policy.hpp>
 #include <rosemarymill/core/placement/group.hpp>
 
 #include <cstdint>
@@ -45,6 +46,7 @@
     std::vector<VmId> placementAcceptors;
     /// Whether the process has a data folder.
     bool hasDisk { false };
+    PolicyChoice policy { PolicyChoice::Shipped };
 };
 
 /// Configuration in force in this process.
@@ -59,6 +61,7 @@
 struct State {
     explicit State(Settings fixed)
         : settings(std::move(fixed))
+        , policy(makePolicy(settings.policy, settings.seed))
     {
     }
 
@@ -70,6 +73,7 @@
     GroupId lastGroup;
     std::uint64_t lastOrder { 0 };
     Calls calls;
+    Policy policy;
     bool shuttingDown { false };
 };
 
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/routing/choice.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <rosemarymill/core/base/id.hpp>
+#include <rosemarymill/core/base/time.hpp>
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <vector>
+
+/// Choice of a server or group among those that have a free slot.
+namespace rosemarymill::routing {
+
+/// Load that a preferred server may have in relation to the mean before calls overflow to others.
+inline constexpr double loadBound = 1.25;
+
+/// Server that can take a call.
+struct Candidate {
+    ServerId server;
+    std::string address;
+    GroupId group;
+    FencingNumber fencing;
+    /// Requests in flight from this process.
+    std::uint32_t inFlight { 0 };
+    /// Time in which a call dispatched now is expected to finish.
+    Duration expectedFinish { 0 };
+    /// The call can start on it now.
+    bool free { false };
+    /// The server is drained as a straggler; it is used only when no other server is left.
+    bool drained { false };
+    /// Blocks of the call's prompt that the server's prefix cache is known to hold.
+    std::uint32_t cachedBlocks { 0 };
+};
+
+/// What a choice depends on besides the candidates.
+struct Query {
+    std::string_view pool;
+    /// Hashes of the prompt's leading blocks, longest prefix last.
+    std::span<const std::uint64_t> prefixHashes;
+};
+
+/// Policy that picks one of the candidates that are free, or none. It gets all candidates, so that it can compare their
+/// loads.
+template <typename Choice>
+concept RoutingChoice = requires(Choice choice, const Query& query, std::span<const Candidate> candidates)
+{
+    {
+        choice.choose(query, candidates)
+        } -> std::same_as<std::optional<std::size_t>>;
+};
+
+/// Prefix affinity by rendezvous hashing with bounded load; otherwise the better of two random candidates by expected
+/// finish time.
+class TwoChoice {
+public:
+    explicit TwoChoice(std::uint64_t seed = 0)
+        : m_random(seed)
+    {
+    }
+    [[nodiscard]] std::optional<std::size_t> choose(const Query& query, std::span<const Candidate> candidates);
+
+private:
+    std::mt19937_64 m_random;
+};
+
+/// Baseline: each pool's servers in turn.
+class RoundRobin {
+public:
+    [[nodiscard]] std::optional<std::size_t> choose(const Query& query, std::span<const Candidate> candidates);
+
+private:
+    std::map<std::string, std::size_t, std::less<>> m_last;
+};
+
+static_assert(RoutingChoice<TwoChoice>);
+static_assert(RoutingChoice<RoundRobin>);
+
+} // namespace rosemarymill::routing
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/routing/fwd.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+/// Forward declarations of the routing types.
+namespace rosemarymill::routing {
+
+struct Candidate;
+struct Query;
+struct State;
+struct CapacityDigest;
+class TwoChoice;
+class RoundRobin;
+
+} // namespace rosemarymill::routing
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/routing/remote.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <rosemarymill/core/base/id.hpp>
+#include <rosemarymill/core/base/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+/// Choice of another data centre for calls that the local one cannot serve in time.
+namespace rosemarymill::routing {
+
+/// Time over which a data centre that returns gets its full share.
+inline constexpr Duration rampTime = 30s;
+
+/// Age up to which a digest is used.
+inline constexpr Duration digestTerm = 5s;
+
+/// Time between two digests to a data centre.
+inline constexpr Duration digestInterval = 1s;
+
+/// Spare capacity of one pool.
+struct PoolCapacity {
+    std::string pool;
+    std::uint32_t limit { 0 };
+    std::uint32_t free { 0 };
+
+    friend bool operator==(const PoolCapacity&, const PoolCapacity&) = default;
+};
+
+/// Spare capacity of a data centre, sent by one of its entry VMs.
+struct CapacityDigest {
+    DataCentreId dataCentre;
+    /// The data centre takes calls of others.
+    bool accepting { true };
+    std::vector<PoolCapacity> pools;
+
+    friend bool operator==(const CapacityDigest&, const CapacityDigest&) = default;
+};
+
+/// Another data centre as this process sees it.
+struct RemoteDataCentre {
+    CapacityDigest digest;
+    /// Entry VM that sent the newest digest.
+    VmId vm;
+    Instant receivedAt;
+    /// Start of the ramp; the data centre was unknown or did not accept calls before.
+    Instant availableSince;
+    /// Calls sent to each pool since the newest digest.
+    std::map<std::string, std::uint32_t> sent;
+};
+
+/// All other data centres.
+struct Remotes {
+    std::map<DataCentreId, RemoteDataCentre> dataCentres;
+    /// Pools whose calls are sent away at present, by hysteresis.
+    std::map<std::string, bool> overflowing;
+};
+
+/// Takes in a digest.
+void receive(Remotes& remotes, const CapacityDigest& digest, const VmId& from, Instant now);
+
+/// Updates by hysteresis whether the pool's calls are sent away, from the time that calls wait locally. Returns the new
+/// state. A pool without local servers always overflows.
+bool updateOverflow(Remotes& remotes, const std::string& pool, Duration localWait, bool servedHere);
+
+/// Data centre for one call, or none: the one with the most spare slots, within its ramp.
+[[nodiscard]] std::optional<DataCentreId> chooseRemote(
+    const Remotes& remotes, const std::string& pool, Instant now, const std::vector<DataCentreId>& excluded);
+
+/// Counts a call sent to a data centre.
+void countSent(Remotes& remotes, const DataCentreId& dataCentre, const std::string& pool);
+
+/// Part of a data centre's spare capacity that may be used now, from 0 to 1.
+[[nodiscard]] double rampShare(const RemoteDataCentre& remote, Instant now) noexcept;
+
+} // namespace rosemarymill::routing
--- /dev/null
+++ b/packages/core/src/admission/division.cpp
@@ -0,0 +1,96 @@
+#include <rosemarymill/core/admission/division.hpp>
+
+#include <algorithm>
+
+namespace rosemarymill::admission {
+
+namespace {
+
+/// Demand of one account at one entry VM while slots are handed out.
+struct Claim {
+    VmId vm;
+    std::uint32_t wanted { 0 };
+    std::uint32_t given { 0 };
+    std::uint64_t tokensPerCall { 0 };
+};
+
+struct AccountClaims {
+    double weight { 1.0 };
+    std::uint32_t given { 0 };
+    std::vector<Claim> claims;
+    bool done { false };
+};
+
+std::map<AccountId, AccountClaims> collect(
+    const DemandTable& demand, const std::function<double(const AccountId&)>& weightOf)
+{
+    std::map<AccountId, AccountClaims> accounts;
+    for (const auto& [vm, entries] : demand) {
+        for (const auto& it : entries) {
+            auto& account = accounts[it.account];
+            account.weight = std::max(weightOf(it.account), 1e-3);
+            account.claims.push_back({ vm, it.inUse + it.waiting, 0, it.tokensPerCall });
+        }
+    }
+    return accounts;
+}
+
+/// The claim with the smallest served part of its demand gets the account's next slot.
+Claim* nextClaim(AccountClaims& account, std::uint64_t tokens)
+{
+    Claim* best = nullptr;
+    for (auto& it : account.claims) {
+        if (it.given >= it.wanted || it.tokensPerCall > tokens)
+            continue;
+        if (!best || std::uint64_t { it.given } * best->wanted < std::uint64_t { best->given } * it.wanted)
+            best = &it;
+    }
+    return best;
+}
+
+AccountClaims* nextAccount(std::map<AccountId, AccountClaims>& accounts)
+{
+    AccountClaims* best = nullptr;
+    double lowest = 0.0;
+    for (auto& [id, account] : accounts) {
+        if (account.done)
+            continue;
+        const double level = (account.given + 1) / account.weight;
+        if (!best || level < lowest) {
+            best = &account;
+            lowest = level;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+std::map<VmId, Share> divide(const DemandTable& demand, std::uint32_t slots, std::uint64_t tokens,
+    const std::function<double(const AccountId&)>& weightOf)
+{
+    auto accounts = collect(demand, weightOf);
+    std::map<VmId, Share> shares;
+    for (const auto& [vm, entries] : demand)
+        shares[vm] = {};
+    while (slots > 0) {
+        auto* account = nextAccount(accounts);
+        if (!account)
+            break;
+        auto* claim = nextClaim(*account, tokens);
+        if (!claim) {
+            account->done = true;
+            continue;
+        }
+        ++claim->given;
+        ++account->given;
+        --slots;
+        tokens -= claim->tokensPerCall;
+        auto& share = shares[claim->vm];
+        ++share.slots;
+        share.tokens += claim->tokensPerCall;
+    }
+    return shares;
+}
+
+} // namespace rosemarymill::admission
--- /dev/null
+++ b/packages/core/src/admission/home.cpp
@@ -0,0 +1,342 @@
+#include <rosemarymill/core/admission/division.hpp>
+#include <rosemarymill/core/admission/home.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarymill::admission {
+
+namespace {
+
+/// Time after which a server that no longer announces itself here is forgotten.
+constexpr Duration forgetAfter = 2 * takeoverWait;
+
+struct Amount {
+    std::uint64_t slots { 0 };
+    std::uint64_t tokens { 0 };
+};
+
+std::uint64_t minus(std::uint64_t a, std::uint64_t b) noexcept { return a > b ? a - b : 0; }
+
+Amount inUse(const ServerSlots& slots) noexcept
+{
+    Amount sum;
+    for (const auto& [vm, lease] : slots.leases) {
+        sum.slots += lease.inUse;
+        sum.tokens += lease.tokensInUse;
+    }
+    return sum;
+}
+
+Amount counted(const ServerSlots& slots) noexcept
+{
+    Amount sum;
+    for (const auto& [vm, lease] : slots.leases) {
+        sum.slots += lease.countedSlots;
+        sum.tokens += lease.countedTokens;
+    }
+    return sum;
+}
+
+void sampleUse(ServerSlots& slots, Instant now)
+{
+    const auto used = inUse(slots);
+    while (!slots.history.empty() && now - slots.history.front().at > reportLag)
+        slots.history.pop_front();
+    slots.history.push_back({ now, static_cast<std::uint32_t>(used.slots), used.tokens });
+}
+
+/// Requests and tokens that no active lease accounts for: those of expired leases, and those in the server's report
+/// that exceed all use within the report's lag.
+Amount unaccounted(const ServerSlots& slots, Instant now) noexcept
+{
+    Amount recent = inUse(slots);
+    for (const auto& it : slots.history) {
+        if (now - it.at <= reportLag) {
+            recent.slots = std::max<std::uint64_t>(recent.slots, it.slots);
+            recent.tokens = std::max(recent.tokens, it.tokens);
+        }
+    }
+    Amount sum;
+    sum.slots = minus(std::uint64_t { slots.reported.running } + slots.reported.queued, recent.slots);
+    sum.tokens = sum.slots > 0 ? minus(slots.reported.tokensHeld, recent.tokens) : 0;
+    for (const auto& it : slots.expired) {
+        if (now < it.at) {
+            sum.slots += it.slots;
+            sum.tokens += it.tokens;
+        }
+    }
+    return sum;
+}
+
+Amount available(const ServerSlots& slots, Instant now) noexcept
+{
+    const auto other = unaccounted(slots, now);
+    return { minus(slots.limit.value(), other.slots), minus(slots.tokenMemory, other.tokens) };
+}
+
+/// Sets what an entry VM may use. A reduction counts only after the entry VM has seen it.
+void setLease(HeldLease& lease, std::uint32_t granted, std::uint64_t tokens, bool exclusive)
+{
+    if (lease.slots == granted && lease.tokens == tokens && lease.exclusive == exclusive)
+        return;
+    lease.slots = granted;
+    lease.tokens = tokens;
+    lease.exclusive = exclusive;
+    lease.countedSlots = std::max(lease.countedSlots, granted);
+    lease.countedTokens = std::max(lease.countedTokens, tokens);
+    ++lease.sequence;
+    lease.changed = true;
+}
+
+std::uint64_t tokensPerWaitingCall(const HeldLease& lease) noexcept
+{
+    std::uint64_t largest = 0;
+    for (const auto& it : lease.demand) {
+        if (it.waiting > 0)
+            largest = std::max(largest, it.tokensPerCall);
+    }
+    return largest;
+}
+
+/// Entry VM that gets the server for one suspect, if any asks for it. The present holder comes first.
+const VmId* exclusiveClaimant(const ServerSlots& slots)
+{
+    const VmId* first = nullptr;
+    for (const auto& [vm, lease] : slots.leases) {
+        if (!lease.wantsExclusive)
+            continue;
+        if (lease.exclusive)
+            return &vm;
+        if (!first)
+            first = &vm;
+    }
+    return first;
+}
+
+void divideExclusively(ServerSlots& slots, const VmId& claimant, Instant now)
+{
+    bool empty = unaccounted(slots, now).slots == 0;
+    for (auto& [vm, lease] : slots.leases) {
+        if (vm == claimant)
+            continue;
+        setLease(lease, 0, 0, false);
+        empty = empty && lease.countedSlots == 0;
+    }
+    auto& lease = slots.leases.at(claimant);
+    if (lease.exclusive)
+        return;
+    if (empty && lease.countedSlots == 0 && hasAuthority(slots, now))
+        setLease(lease, 1, slots.tokenMemory, true);
+    else
+        setLease(lease, 0, 0, false);
+}
+
+std::uint64_t missingSlots(const ServerSlots& slots, const std::map<VmId, Share>& shares)
+{
+    std::uint64_t missing = 0;
+    for (const auto& [vm, lease] : slots.leases)
+        missing += minus(shares.at(vm).slots, lease.slots);
+    return missing;
+}
+
+bool lacksTokens(const HeldLease& lease) noexcept
+{
+    const auto perCall = tokensPerWaitingCall(lease);
+    return perCall > 0 && lease.tokens < lease.tokensInUse + perCall;
+}
+
+void lowerLeases(ServerSlots& slots, const std::map<VmId, Share>& shares)
+{
+    for (auto& [vm, lease] : slots.leases) {
+        const auto target = shares.at(vm).slots;
+        const auto unused = minus(target, lease.inUse);
+        const auto tokens = lease.tokensInUse + unused * tokensPerWaitingCall(lease);
+        setLease(lease, std::min(lease.slots, target), std::min(lease.tokens, tokens), false);
+    }
+}
+
+void raiseLeases(ServerSlots& slots, const std::map<VmId, Share>& shares, const Amount& limit)
+{
+    for (auto& [vm, lease] : slots.leases) {
+        const auto held = counted(slots);
+        // A grant below the counted slots only restores what is already set aside for the lease.
+        const auto room = minus(limit.slots, held.slots) + minus(lease.countedSlots, lease.slots);
+        const auto tokenRoom = minus(limit.tokens, held.tokens) + minus(lease.countedTokens, lease.tokens);
+        const auto perCall = tokensPerWaitingCall(lease);
+        auto more = std::min(minus(shares.at(vm).slots, lease.slots), room);
+        const auto spare = minus(lease.tokens, lease.tokensInUse);
+        if (perCall > 0)
+            more = std::min(more, (spare + tokenRoom) / perCall);
+        const auto granted = static_cast<std::uint32_t>(lease.slots + more);
+        const auto wanted = lease.tokensInUse + minus(granted, lease.inUse) * perCall;
+        const auto tokens = lease.tokens + std::min(minus(wanted, lease.tokens), tokenRoom);
+        setLease(lease, granted, tokens, false);
+    }
+}
+
+void divideSlots(ServerSlots& slots, Instant now, const WeightOf& weightOf)
+{
+    if (slots.leaving) {
+        for (auto& [vm, lease] : slots.leases)
+            setLease(lease, 0, 0, false);
+        return;
+    }
+    if (const auto* claimant = exclusiveClaimant(slots)) {
+        divideExclusively(slots, *claimant, now);
+        return;
+    }
+    DemandTable demand;
+    for (const auto& [vm, lease] : slots.leases)
+        demand[vm] = lease.demand;
+    const auto limit = available(slots, now);
+    const auto shares = divide(demand, static_cast<std::uint32_t>(limit.slots), limit.tokens, weightOf);
+    const auto held = counted(slots);
+    // Unused slots stay where they are until another entry VM needs them, so that its next call starts at once.
+    const bool tokensShort = slots.tokenMemory < unlimitedTokens
+        && std::any_of(slots.leases.begin(), slots.leases.end(), [](const auto& it) { return lacksTokens(it.second); });
+    const bool contended = held.slots > limit.slots || held.tokens > limit.tokens || tokensShort
+        || missingSlots(slots, shares) > minus(limit.slots, held.slots);
+    const bool anyExclusive
+        = std::any_of(slots.leases.begin(), slots.leases.end(), [](const auto& it) { return it.second.exclusive; });
+    if (contended || anyExclusive)
+        lowerLeases(slots, shares);
+    if (hasAuthority(slots, now))
+        raiseLeases(slots, shares, limit);
+}
+
+void expireLeases(ServerSlots& slots, Instant now)
+{
+    std::erase_if(slots.expired, [&](const auto& it) { return now >= it.at; });
+    std::erase_if(slots.leases, [&](const auto& entry) {
+        const auto& lease = entry.second;
+        if (now < lease.expiresAt)
+            return false;
+        if (lease.countedSlots > 0)
+            slots.expired.push_back({ lease.expiresAt + reportLag, lease.countedSlots, lease.countedTokens });
+        return true;
+    });
+}
+
+void startServer(ServerSlots& slots, const backend::Announcement& it)
+{
+    slots.bootId = it.bootId;
+    slots.limit.start(it.coldRequests, it.maxRequests, it.cold ? 0 : it.load.running);
+    slots.expired.clear();
+    slots.history.clear();
+}
+
+} // namespace
+
+bool hasAuthority(const ServerSlots& slots, Instant now) noexcept
+{
+    return now >= slots.authorityFrom && now - slots.lastAnnounced < authorityTerm && !slots.leaving;
+}
+
+std::uint32_t freeSlots(const ServerSlots& slots, Instant now) noexcept
+{
+    return static_cast<std::uint32_t>(minus(available(slots, now).slots, counted(slots).slots));
+}
+
+void announced(Home& home, const backend::Announcement& announcement, Instant now, bool alone)
+{
+    const auto [it, added] = home.servers.try_emplace(announcement.id);
+    auto& slots = it->second;
+    if (added || now - slots.lastAnnounced >= authorityTerm) {
+        const bool sameBoot = !added && slots.bootId == announcement.bootId;
+        slots.authorityFrom = alone || (!added && !sameBoot) ? now : now + takeoverWait;
+        if (!sameBoot)
+            startServer(slots, announcement);
+    } else if (slots.bootId != announcement.bootId) {
+        startServer(slots, announcement);
+        slots.authorityFrom = now;
+    } else if (announcement.cold && !slots.cold) {
+        slots.limit.shrink();
+    }
+    slots.cold = announcement.cold;
+    slots.limit.setBounds(announcement.coldRequests, announcement.maxRequests);
+    slots.tokenMemory = announcement.tokenMemory == 0 ? unlimitedTokens : announcement.tokenMemory;
+    slots.lastAnnounced = now;
+    slots.leaving = announcement.leaving;
+    slots.reported = announcement.load;
+    sampleUse(slots, now);
+}
+
+bool reported(Home& home, const VmId& from, const LeaseReport& report, Instant now, const WeightOf& weightOf)
+{
+    const auto it = home.servers.find(report.server);
+    if (it == home.servers.end() || now - it->second.lastAnnounced >= authorityTerm)
+        return false;
+    auto& slots = it->second;
+    expireLeases(slots, now);
+    auto& lease = slots.leases[from];
+    if (report.sentAt < lease.reportSentAt)
+        return true;
+    lease.expiresAt = now + leaseTerm;
+    lease.reportSentAt = report.sentAt;
+    lease.inUse = report.inUse;
+    lease.tokensInUse = report.tokensInUse;
+    lease.wantsExclusive = report.exclusive;
+    lease.demand = report.demand;
+    if (report.seenGrant >= lease.sequence) {
+        lease.sequence = report.seenGrant;
+        lease.countedSlots = lease.slots;
+        lease.countedTokens = lease.tokens;
+    }
+    lease.countedSlots = std::max(lease.countedSlots, report.inUse);
+    lease.countedTokens = std::max(lease.countedTokens, report.tokensInUse);
+    lease.changed = true;
+    slots.limit.observe(report.completed, report.firstResponse);
+    sampleUse(slots, now);
+    divideSlots(slots, now, weightOf);
+    return true;
+}
+
+bool returned(Home& home, const VmId& from, const LeaseReport& report, Instant now, const WeightOf& weightOf)
+{
+    const auto it = home.servers.find(report.server);
+    if (it != home.servers.end()) {
+        const auto lease = it->second.leases.find(from);
+        // A grant that the entry VM had not seen when it returned its slots stands.
+        if (lease != it->second.leases.end() && report.seenGrant >= lease->second.sequence) {
+            lease->second.slots = std::min(lease->second.slots, report.inUse);
+            lease->second.tokens = std::min(lease->second.tokens, report.tokensInUse);
+        }
+    }
+    return reported(home, from, report, now, weightOf);
+}
+
+void advance(Home& home, Instant now, const WeightOf& weightOf)
+{
+    for (auto& [id, slots] : home.servers) {
+        expireLeases(slots, now);
+        sampleUse(slots, now);
+        divideSlots(slots, now, weightOf);
+    }
+    std::erase_if(home.servers, [&](const auto& entry) { return now - entry.second.lastAnnounced > forgetAfter; });
+}
+
+Grant takeGrant(ServerSlots& slots, const ServerId& server, const VmId& to, Instant now)
+{
+    auto& lease = slots.leases.at(to);
+    lease.changed = false;
+    return { server, lease.reportSentAt, lease.sequence, lease.slots, lease.tokens, freeSlots(slots, now),
+        lease.exclusive, false };
+}
+
+void adopt(
+    Home& home, const ServerId& server, const std::map<VmId, HeldLease>& leases, const ServerLimit& limit, Instant now)
+{
+    const auto it = home.servers.find(server);
+    if (it == home.servers.end())
+        return;
+    for (auto [vm, lease] : leases) {
+        lease.expiresAt = now + leaseTerm;
+        lease.countedSlots = std::max(lease.countedSlots, lease.slots);
+        it->second.leases.insert_or_assign(vm, lease);
+    }
+    it->second.limit = limit;
+    it->second.authorityFrom = now;
+}
+
+} // namespace rosemarymill::admission
--- /dev/null
+++ b/packages/core/src/admission/limit.cpp
@@ -0,0 +1,73 @@
+#include <rosemarymill/core/admission/limit.hpp>
+
+#include <algorithm>
+
+namespace rosemarymill::admission {
+
+namespace {
+
+constexpr double recentShare = 0.3;
+constexpr double baselineShare = 0.02;
+/// Samples before the baseline is trusted.
+constexpr std::uint32_t minimumSamples = 8;
+/// Batching alone lets latency grow up to about twofold between an idle and a full server.
+constexpr double growthTolerance = 2.0;
+constexpr double jumpFactor = 3.0;
+/// Differences below this are scheduling noise for services that answer within microseconds.
+constexpr double jumpFloorMicroseconds = 20'000.0;
+/// Each jump raises the baseline, so that a lasting change of the workload does not hold the limit down.
+constexpr double baselineStep = 1.5;
+
+} // namespace
+
+void ServerLimit::start(std::uint32_t cold, std::uint32_t maximum, std::uint32_t running) noexcept
+{
+    *this = {};
+    setBounds(cold, maximum);
+    m_limit = std::clamp(running, m_cold, m_maximum);
+}
+
+void ServerLimit::shrink() noexcept
+{
+    m_limit = m_cold;
+    m_successes = 0;
+}
+
+void ServerLimit::setBounds(std::uint32_t cold, std::uint32_t maximum) noexcept
+{
+    m_maximum = std::max(maximum, 1U);
+    m_cold = std::clamp(cold, 1U, m_maximum);
+    m_limit = std::clamp(m_limit, m_cold, m_maximum);
+}
+
+void ServerLimit::observe(std::uint32_t completed, Duration firstResponse) noexcept
+{
+    if (completed == 0)
+        return;
+    const auto sample = static_cast<double>(firstResponse.count());
+    if (m_samples == 0)
+        m_recent = m_baseline = sample;
+    m_samples += completed;
+    m_recent += recentShare * (sample - m_recent);
+    if (m_samples < minimumSamples)
+        m_baseline += recentShare * (sample - m_baseline);
+    else if (sample < growthTolerance * m_baseline)
+        m_baseline += baselineShare * (sample - m_baseline);
+    const auto jump = std::max(jumpFactor * m_baseline, m_baseline + jumpFloorMicroseconds);
+    if (m_samples >= minimumSamples && m_recent > jump) {
+        shrink();
+        m_baseline *= baselineStep;
+        m_recent = m_baseline;
+        return;
+    }
+    const auto growthBound = std::max(growthTolerance * m_baseline, m_baseline + jumpFloorMicroseconds);
+    if (m_samples >= minimumSamples && m_recent > growthBound) {
+        m_successes = 0;
+        return;
+    }
+    m_successes += completed;
+    m_limit = std::min(m_maximum, m_limit + m_successes / answersPerSlot);
+    m_successes %= answersPerSlot;
+}
+
+} // namespace rosemarymill::admission
--- /dev/null
+++ b/packages/core/src/node/attempts.cpp
@@ -0,0 +1,195 @@
+#include "call_parts.hpp"
+
+#include <rosemarymill/core/retry/decision.hpp>
+
+#include <algorithm>
+
+namespace rosemarymill::node {
+
+namespace {
+
+using call::RefusalReason;
+
+/// Share of a new sample in the mean times of a pool.
+constexpr double sampleShare = 0.05;
+
+Call* findByAttempt(State& state, AttemptId attempt)
+{
+    const auto it = state.calls.attempts.find(attempt);
+    return it == state.calls.attempts.end() ? nullptr : &state.calls.active.at(it->second);
+}
+
+/// The attempt of the call with this id; the primary one or its hedge.
+std::optional<Attempt>& attemptOf(Call& call, AttemptId id)
+{
+    return call.hedge && call.hedge->id == id ? call.hedge : call.attempt;
+}
+
+/// Keeps one attempt of a hedged call and cancels the other.
+void keepOnly(State& state, Call& call, AttemptId id, Effects& effects)
+{
+    if (!call.hedge)
+        return;
+    if (call.hedge->id == id)
+        std::swap(call.attempt, call.hedge);
+    effects(CancelAttempt { call.hedge->id, true });
+    releaseAttempt(state, call, call.hedge);
+}
+
+void mix(double& mean, double sample, std::uint64_t samples)
+{
+    mean += std::max(sampleShare, 1.0 / static_cast<double>(samples + 1)) * (sample - mean);
+}
+
+void observeAnswer(State& state, const Call& call, const Attempt& attempt)
+{
+    auto& times = state.policy.times[call.pool];
+    const auto finish = state.now - attempt.dispatchedAt;
+    const auto first = attempt.responseStarted ? attempt.firstResponse : finish;
+    if (call.idempotent)
+        times.hedgeDelay.observe(finish);
+    if (!attempt.dataCentre.empty())
+        return;
+    mix(times.firstResponse, static_cast<double>(first.count()), times.samples);
+    mix(times.finish, static_cast<double>(finish.count()), times.samples);
+    if (attempt.stream)
+        mix(times.outputTokens, static_cast<double>(call.nextToken), times.samples);
+    ++times.samples;
+    routing::observe(state.policy.latency, attempt.server, first, finish);
+    auto& lease = state.policy.leases.at(attempt.server);
+    ++lease.completed;
+    lease.responseTime += first;
+}
+
+/// Draws the conclusions about crashes from a complete answer.
+void clearSuspicion(State& state, const Call& call, const Attempt& attempt, Effects& effects)
+{
+    auto& records = state.policy.quarantine;
+    if (!attempt.dataCentre.empty() || records.records.empty())
+        return;
+    const quarantine::Crash crash { attempt.server, attempt.bootId };
+    if (records.unconfirmed.contains(crash))
+        reportSurvival(state, crash, effects);
+    if (attempt.alone)
+        reportCleared(state, call.request.fingerprint, effects);
+}
+
+/// Consequences of a broken attempt for its server.
+void blameServer(State& state, const Attempt& attempt, const AttemptFailed& event, Effects& effects)
+{
+    const bool broken = event.error == AttemptError::ConnectFailed || event.error == AttemptError::ConnectionLost;
+    if (!attempt.dataCentre.empty() || !broken)
+        return;
+    auto& lease = state.policy.leases.at(attempt.server);
+    admission::revoke(lease, state.now);
+    lease.blockedUntil = state.now + admission::connectFailureBlock;
+    if (event.error == AttemptError::ConnectionLost && event.requestSent)
+        reportCrash(state, { attempt.server, attempt.bootId }, effects);
+}
+
+/// Refuses a call that is given up, with the reason that callers can act on.
+void giveUp(State& state, const Call& call, const retry::Failure& failure, bool quarantined, Effects& effects)
+{
+    call::Refusal refusal { RefusalReason::ServerFailed, retry::outcomeOf(failure), 1s, "the backend server failed" };
+    if (quarantined) {
+        refusal.reason = RefusalReason::Quarantined;
+        refusal.retryAfter = Duration::zero();
+        refusal.detail = "the request was running on two backend servers when they crashed";
+    } else if (refusal.outcome == call::Outcome::Unknown) {
+        refusal.reason = RefusalReason::AnswerLost;
+        refusal.retryAfter = Duration::zero();
+        refusal.detail = "the answer was lost and the call may have run";
+    }
+    refuseCall(state, call.id, std::move(refusal), effects);
+}
+
+void retryOrRefuse(State& state, Call& call, const Attempt& failed, Effects& effects)
+{
+    retry::Failure failure;
+    failure.idempotent = call.idempotent;
+    failure.mayHaveRun = call.mayHaveRun;
+    failure.answerBegun = call.responseBegun;
+    failure.stream = failed.stream || call.nextToken > 0;
+    failure.attempts = call.attemptCount;
+    failure.deadlinePassed = call.deadline && state.now >= *call.deadline;
+    const bool quarantined
+        = quarantine::verdictOf(state.policy.quarantine, call.request.fingerprint) == quarantine::Verdict::Refused;
+    const auto decision = retry::decide(failure);
+    if (quarantined || decision == retry::Decision::GiveUp) {
+        giveUp(state, call, failure, quarantined, effects);
+        return;
+    }
+    if (decision == retry::Decision::Retry) {
+        if (!state.policy.budget.take()) {
+            giveUp(state, call, failure, false, effects);
+            return;
+        }
+        auto& counters = state.policy.counters;
+        ++(call.responseBegun ? counters.resumes : counters.retries);
+    }
+    requeue(state, call);
+}
+
+} // namespace
+
+void handle(State& state, const ResponseStarted& event, Effects& effects)
+{
+    auto* call = findByAttempt(state, event.attempt);
+    if (!call)
+        return;
+    keepOnly(state, *call, event.attempt, effects);
+    auto& attempt = *call->attempt;
+    attempt.responseStarted = true;
+    attempt.firstResponse = event.now - attempt.dispatchedAt;
+    attempt.stream = event.stream;
+    call->mayHaveRun = true;
+    if (event.stream && !call->responseBegun && !call->callerGone) {
+        call->responseBegun = true;
+        effects(BeginResponse { call->id, event.attempt, event.status, true });
+    }
+}
+
+void handle(State& state, const TokenReceived& event, Effects& effects)
+{
+    auto* call = findByAttempt(state, event.attempt);
+    if (!call || event.index != call->nextToken)
+        return;
+    ++call->nextToken;
+    effects(ForwardToken { call->id, event.attempt });
+}
+
+void handle(State& state, const ResponseFinished& event, Effects& effects)
+{
+    auto* call = findByAttempt(state, event.attempt);
+    if (!call)
+        return;
+    keepOnly(state, *call, event.attempt, effects);
+    const auto id = call->id;
+    const auto pool = call->pool;
+    const auto& attempt = *call->attempt;
+    observeAnswer(state, *call, attempt);
+    clearSuspicion(state, *call, attempt, effects);
+    if (attempt.stream)
+        correctCost(state, *call, static_cast<double>(call->request.promptTokens + call->nextToken));
+    finishCall(state, id, event.attempt, effects);
+    servePool(state, pool, effects);
+}
+
+void handle(State& state, const AttemptFailed& event, Effects& effects)
+{
+    auto* call = findByAttempt(state, event.attempt);
+    if (!call)
+        return;
+    call->mayHaveRun = call->mayHaveRun || event.requestSent || attemptOf(*call, event.attempt)->responseStarted;
+    const auto pool = call->pool;
+    const auto failed = *attemptOf(*call, event.attempt);
+    blameServer(state, failed, event, effects);
+    releaseAttempt(state, *call, attemptOf(*call, event.attempt));
+    if (!call->attempt && call->hedge)
+        std::swap(call->attempt, call->hedge);
+    if (!call->attempt)
+        retryOrRefuse(state, *call, failed, effects);
+    servePool(state, pool, effects);
+}
+
+} // namespace rosemarymill::node
--- a/packages/core/src/node/backends.cpp
+++ b/packages/core/src/node/backends.cpp
@@ -155,7 +155,7 @@
     effects(
         ReplyAnnouncement { event.request, true, {}, backend::announcementInterval, state.settings.announceAddress });
     updateGroups(state, effects);
-    startWaitingCalls(state, effects);
+    serverAnnounced(state, event.announcement, effects);
 }
 
 void handle(State&, const OrderAnswered& event, Effects& effects)
--- /dev/null
+++ b/packages/core/src/node/call_parts.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "parts.hpp"
+
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Parts of the call lifecycle, one source file per part.
+namespace rosemarymill::node {
+
+/// What the manifest says of a call.
+struct CallTerms {
+    AccountId account;
+    double weight { 1.0 };
+    double worth { 1.0 };
+    /// Zero means none.
+    Duration deadline { 0 };
+    bool idempotent { true };
+};
+
+/// Server of a pool with this process's lease of it.
+struct PoolServer {
+    ServerId server;
+    const LocatedServer* located { nullptr };
+    GroupId group;
+    FencingNumber fencing;
+    admission::Lease* lease { nullptr };
+    bool local { false };
+};
+
+// call_checks.cpp
+
+/// Checks a request against the manifest.
+[[nodiscard]] std::variant<CallTerms, call::Refusal> checkCall(const State& state, const call::Request& request);
+
+// pools.cpp
+
+[[nodiscard]] PoolTarget poolTarget(const call::Request& request);
+[[nodiscard]] std::string poolKey(const PoolTarget& target);
+
+/// Servers of a pool that may get calls now, in order of their ids or groups.
+[[nodiscard]] std::vector<PoolServer> poolServers(State& state, const PoolTarget& target);
+
+/// Records where a server announces itself. Older knowledge is ignored.
+void locateServer(State& state, const VmId& home, const admission::DigestEntry& entry, Instant lastAnnounced);
+void forgetServer(State& state, const ServerId& server);
+
+/// Tokens that the call holds at a server at most.
+[[nodiscard]] std::uint64_t tokenNeed(const Call& call);
+
+// scheduling.cpp
+
+/// Queues a call for its pool.
+void enqueue(State& state, Call& call);
+
+/// Takes a call from the queue of its pool. Returns false when it does not wait.
+bool removeWaiting(State& state, const Call& call);
+
+/// Starts waiting calls of one pool and asks for the slots that are missing.
+void servePool(State& state, const std::string& key, Effects& effects);
+
+/// Refuses a new call whose queue is full or whose deadline cannot be met.
+[[nodiscard]] std::optional<call::Refusal> checkQueue(State& state, const Call& call);
+
+/// Charges the account the difference between real and estimated cost.
+void correctCost(State& state, const Call& call, double realCost);
+
+// dispatch.cpp
+
+/// Starts an attempt on a server.
+void dispatchCall(State& state, Call& call, const PoolServer& server, bool alone, Effects& effects);
+
+/// Starts a second attempt of a late lookup, if a slot is free on another server.
+bool dispatchHedge(State& state, Call& call, Effects& effects);
+
+/// Sends a call to another data centre.
+void forwardCall(State& state, Call& call, const DataCentreId& dataCentre, Effects& effects);
+
+/// Frees the slot of an attempt and forgets it.
+void releaseAttempt(State& state, const Call& call, std::optional<Attempt>& attempt);
+
+/// Starts hedges of lookups that are late.
+void hedgeLateCalls(State& state, Effects& effects);
+
+// calls.cpp
+
+/// Ends a call without an effect towards its caller.
+void endCall(State& state, CallId id);
+
+/// Refuses a call and the resends that wait for it.
+void refuseCall(State& state, CallId id, call::Refusal refusal, Effects& effects);
+
+/// Finishes a call and the resends that wait for it with the answer of an attempt.
+void finishCall(State& state, CallId id, AttemptId attempt, Effects& effects);
+
+/// Queues a call again after a failed attempt.
+void requeue(State& state, Call& call);
+
+// slots.cpp
+
+/// Weight of an account in the manifest.
+[[nodiscard]] double weightOf(const State& state, const AccountId& account);
+
+/// Renews this process's lease of a server whose home it is. Returns whether calls may have become startable.
+bool exchangeLocally(State& state, const ServerId& server, admission::Lease& lease);
+
+/// Sends due reports to the homes and due grants to the entry VMs, each pair at its pace.
+void sendReports(State& state, Effects& effects);
+void sendGrants(State& state, bool urgent, Effects& effects);
+void sendHomeDigest(State& state, Effects& effects);
+
+void receive(State& state, const VmId& from, const admission::SlotRequest& message, Effects& effects);
+void receive(State& state, const VmId& from, const admission::SlotReturn& message, Effects& effects);
+void receive(State& state, const VmId& from, const admission::SlotGrant& message, Effects& effects);
+void receive(State& state, const VmId& from, const admission::HomeDigest& message, Effects& effects);
+
+// remote.cpp
+
+void receive(State& state, const VmId& from, const routing::CapacityDigest& message, Effects& effects);
+void sendCapacityDigests(State& state, Effects& effects);
+
+// crashes.cpp
+
+/// Reports a crash of the server with the requests that this process has in flight there.
+void reportCrash(State& state, const quarantine::Crash& crash, Effects& effects);
+
+/// Reports that the request ran alone to its end.
+void reportCleared(State& state, const Fingerprint& fingerprint, Effects& effects);
+
+/// Reports that a server answered after it was suspected of a crash.
+void reportSurvival(State& state, const quarantine::Crash& crash, Effects& effects);
+
+void receive(State& state, const VmId& from, const quarantine::CrashReport& message, Effects& effects);
+
+// send.cpp
+
+/// Sends a message to one entry VM named in the settings.
+void sendTo(State& state, const VmId& vm, PeerMessage message, Effects& effects);
+
+/// Entry VMs of the same data centre without this one.
+[[nodiscard]] std::vector<VmId> localPeers(const State& state);
+
+} // namespace rosemarymill::node
--- a/packages/core/src/node/calls.cpp
+++ b/packages/core/src/node/calls.cpp
@@ -1,196 +1,135 @@
-#include "parts.hpp"
+#include "call_parts.hpp"
 
-#include <algorithm>
+#include <utility>
 
 namespace rosemarymill::node {
 
 namespace {
 
 using call::Outcome;
-using call::Refusal;
 using call::RefusalReason;
 
-const configuration::ClientAccount* findAccount(const State& state, const std::string& digest)
-{
-    for (const auto& account : state.configuration.manifest.accounts) {
-        if (std::find(account.tokenDigests.begin(), account.tokenDigests.end(), digest) != account.tokenDigests.end())
-            return &account;
-    }
-    return nullptr;
-}
+KeyId keyOf(const Call& call) { return { call.account, call.request.idempotencyKey }; }
 
-bool hasModel(const State& state, const call::Request& request)
-{
-    const auto& models = state.configuration.manifest.models;
-    return std::any_of(models.begin(), models.end(), [&](const auto& it) {
-        return it.name == request.model && (request.version.empty() || request.version == it.version);
-    });
-}
+bool ownsKey(const Call& call) { return !call.idempotent && !call.resend; }
 
-const configuration::Route* findRoute(const configuration::ServiceSpec& service, const call::Request& request)
+/// Ends the resends that waited for a call's answer.
+template <typename Answer> void answerResends(State& state, const std::vector<CallId>& resends, const Answer& answer)
 {
-    const configuration::Route* best = nullptr;
-    for (const auto& route : service.routes) {
-        if (route.method != request.method || !request.path.starts_with(route.pathPrefix))
-            continue;
-        if (!best || route.pathPrefix.size() > best->pathPrefix.size())
-            best = &route;
+    for (const auto id : resends) {
+        answer(id);
+        state.calls.active.erase(id);
     }
-    return best;
-}
-
-std::optional<Refusal> checkService(const State& state, const call::Request& request)
-{
-    const auto& services = state.configuration.manifest.services;
-    const auto it = std::find_if(
-        services.begin(), services.end(), [&](const auto& service) { return service.name == request.service; });
-    if (it == services.end())
-        return Refusal { RefusalReason::UnknownService, Outcome::NotRun, {},
-            "no service '" + request.service.text() + "'" };
-    const auto* route = findRoute(*it, request);
-    if (!route)
-        return Refusal { RefusalReason::UnknownRoute, Outcome::NotRun, {},
-            "no route for " + request.method + " " + request.path };
-    return std::nullopt;
 }
 
-std::optional<Refusal> check(const State& state, const call::Request& request)
-{
-    if (state.shuttingDown)
-        return Refusal { RefusalReason::ShuttingDown, Outcome::NotRun, 1s, "the entry VM is shutting down" };
-    if (request.target == call::Target::Service)
-        return checkService(state, request);
-    if (!hasModel(state, request))
-        return Refusal { RefusalReason::UnknownModel, Outcome::NotRun, {}, "no model '" + request.model.text() + "'" };
-    return std::nullopt;
-}
-
-std::uint32_t limitOf(const backend::Announcement& it) { return it.cold ? it.coldRequests : it.maxRequests; }
-
-bool hasFreeSlot(const State& state, const backend::Announcement& it)
-{
-    const auto entry = state.calls.inFlight.find(it.id);
-    return !it.leaving && (entry == state.calls.inFlight.end() || entry->second < limitOf(it));
-}
-
-struct Choice {
-    const backend::Announcement* server { nullptr };
-    GroupId group;
-    FencingNumber fencing;
-};
-
-Choice chooseGroup(const State& state, const call::Request& request)
+/// Starts a call under its key, or answers it from the key's state. Returns whether the call runs.
+bool beginKey(State& state, Call& call, Effects& effects)
 {
-    for (const auto& [id, group] : state.groups) {
-        if (group.phase != placement::GroupPhase::Serving || group.model != request.model)
-            continue;
-        const auto it = state.servers.find(group.members.front().server);
-        if (it != state.servers.end() && hasFreeSlot(state, it->second.announcement))
-            return { &it->second.announcement, id, group.fencing };
-    }
-    return {};
-}
-
-Choice chooseServiceServer(const State& state, const call::Request& request)
-{
-    for (const auto& [id, record] : state.servers) {
-        const auto& it = record.announcement;
-        if (it.kind == backend::Kind::Service && it.service == request.service && hasFreeSlot(state, it))
-            return { &it, {}, {} };
+    const auto key = keyOf(call);
+    const auto refuse = [&](RefusalReason reason, Outcome outcome, const char* detail) {
+        state.calls.active.erase(call.id);
+        effects(RefuseCall { call.id, { reason, outcome, {}, detail } });
+        return false;
+    };
+    switch (state.calls.keys.begin(key, call.request.fingerprint, call.id)) {
+    case KeyDecision::Run:
+        return true;
+    case KeyDecision::Wait:
+        call.resend = true;
+        return false;
+    case KeyDecision::Answered:
+        effects(FinishCall { call.id, state.calls.keys.find(key)->answer });
+        state.calls.active.erase(call.id);
+        return false;
+    case KeyDecision::Unknown:
+        return refuse(RefusalReason::AnswerLost, Outcome::Unknown, "the first call under this key may have run");
+    case KeyDecision::Reused:
+        return refuse(RefusalReason::KeyReused, Outcome::NotRun, "the idempotency key was used for another request");
     }
-    return {};
+    return false;
 }
 
-bool dispatch(State& state, Call& call, Effects& effects)
+Call makeCall(const State& state, const CallArrived& event, const CallTerms& terms)
 {
-    const auto choice = call.request.target == call::Target::Model ? chooseGroup(state, call.request)
-                                                                   : chooseServiceServer(state, call.request);
-    if (!choice.server)
-        return false;
-    auto& calls = state.calls;
-    calls.lastAttempt = calls.lastAttempt.next();
-    call.attempt = Attempt { calls.lastAttempt, choice.server->id, false, false };
-    calls.attempts.emplace(calls.lastAttempt, call.id);
-    ++calls.inFlight[choice.server->id];
-    effects(Dispatch { calls.lastAttempt, call.id, choice.server->id, choice.server->address, choice.group,
-        choice.fencing, call.nextToken });
-    return true;
+    Call call;
+    call.id = event.call;
+    call.account = terms.account;
+    call.request = event.request;
+    call.arrivedAt = event.now;
+    if (terms.deadline > Duration::zero())
+        call.deadline = event.now + terms.deadline;
+    call.pool = poolKey(poolTarget(event.request));
+    call.idempotent = terms.idempotent;
+    call.weight = terms.weight;
+    call.worth = terms.worth;
+    (void)state;
+    return call;
 }
 
-void releaseAttempt(State& state, Call& call)
-{
-    if (!call.attempt)
-        return;
-    auto& calls = state.calls;
-    if (const auto it = calls.inFlight.find(call.attempt->server); it != calls.inFlight.end() && --it->second == 0)
-        calls.inFlight.erase(it);
-    calls.attempts.erase(call.attempt->id);
-    call.attempt.reset();
-}
+} // namespace
 
 void endCall(State& state, CallId id)
 {
     const auto it = state.calls.active.find(id);
-    releaseAttempt(state, it->second);
-    state.calls.waiting.remove(id);
+    auto& call = it->second;
+    releaseAttempt(state, call, call.attempt);
+    releaseAttempt(state, call, call.hedge);
+    (void)removeWaiting(state, call);
     state.calls.active.erase(it);
 }
 
-Call* findByAttempt(State& state, AttemptId attempt)
-{
-    const auto it = state.calls.attempts.find(attempt);
-    return it == state.calls.attempts.end() ? nullptr : &state.calls.active.at(it->second);
-}
-
-void refuse(State& state, CallId id, Refusal refusal, Effects& effects)
+void refuseCall(State& state, CallId id, call::Refusal refusal, Effects& effects)
 {
-    effects(RefuseCall { id, std::move(refusal) });
-    if (state.calls.active.contains(id))
-        endCall(state, id);
-}
-
-} // namespace
-
-void startWaitingCalls(State& state, Effects& effects)
-{
-    auto& waiting = state.calls.waiting;
-    for (auto it = waiting.begin(); it != waiting.end();) {
-        const bool started = dispatch(state, state.calls.active.at(*it), effects);
-        it = started ? waiting.erase(it) : std::next(it);
+    const auto& call = state.calls.active.at(id);
+    ++state.policy.counters.refusals[refusal.reason];
+    std::vector<CallId> resends;
+    if (ownsKey(call)) {
+        const auto key = keyOf(call);
+        resends = refusal.outcome == Outcome::NotRun ? state.calls.keys.abort(key) : state.calls.keys.lose(key);
     }
+    answerResends(state, resends, [&](CallId resend) { effects(RefuseCall { resend, refusal }); });
+    if (!call.callerGone)
+        effects(RefuseCall { id, std::move(refusal) });
+    endCall(state, id);
 }
 
-void refuseExpiredCalls(State& state, Effects& effects)
+void finishCall(State& state, CallId id, AttemptId attempt, Effects& effects)
 {
-    const auto waiting = state.calls.waiting;
-    for (const auto id : waiting) {
-        const auto& call = state.calls.active.at(id);
-        if (call.deadline && state.now >= *call.deadline)
-            refuse(state, id,
-                { RefusalReason::DeadlineUnreachable, Outcome::NotRun, 1s, "no slot became free before the deadline" },
-                effects);
+    const auto& call = state.calls.active.at(id);
+    if (ownsKey(call)) {
+        answerResends(state, state.calls.keys.answer(keyOf(call), attempt), [&](CallId resend) {
+            effects(FinishCall { resend, attempt });
+        });
     }
+    if (call.callerGone)
+        effects(CancelAttempt { attempt, false });
+    else
+        effects(FinishCall { id, attempt });
+    endCall(state, id);
 }
 
+void requeue(State& state, Call& call) { enqueue(state, call); }
+
 void handle(State& state, const CallArrived& event, Effects& effects)
 {
-    const auto* account = findAccount(state, event.request.tokenDigest);
-    if (!account) {
-        refuse(state, event.call,
-            { RefusalReason::Unauthenticated, Outcome::NotRun, {}, "the bearer token belongs to no client account" },
-            effects);
+    auto checked = checkCall(state, event.request);
+    if (auto* refusal = std::get_if<call::Refusal>(&checked)) {
+        ++state.policy.counters.refusals[refusal->reason];
+        effects(RefuseCall { event.call, std::move(*refusal) });
         return;
     }
-    if (auto refusal = check(state, event.request)) {
-        refuse(state, event.call, std::move(*refusal), effects);
+    auto& call = state.calls.active[event.call];
+    call = makeCall(state, event, std::get<CallTerms>(checked));
+    if (!call.idempotent && !beginKey(state, call, effects))
+        return;
+    if (auto refusal = checkQueue(state, call)) {
+        refuseCall(state, event.call, std::move(*refusal), effects);
         return;
     }
-    Call call { event.call, account->id, event.request, event.now, std::nullopt, std::nullopt, false, 0 };
-    if (event.request.deadline > Duration::zero())
-        call.deadline = event.now + event.request.deadline;
-    state.calls.active.emplace(event.call, std::move(call));
-    state.calls.waiting.push_back(event.call);
-    startWaitingCalls(state, effects);
+    state.policy.budget.earn();
+    ++state.calls.arrivals;
+    enqueue(state, call);
+    servePool(state, std::string(call.pool), effects);
 }
 
 void handle(State& state, const CallerGone& event, Effects& effects)
@@ -198,10 +137,28 @@
     const auto it = state.calls.active.find(event.call);
     if (it == state.calls.active.end())
         return;
-    if (it->second.attempt)
-        effects(CancelAttempt { it->second.attempt->id, true });
+    auto& call = it->second;
+    if (call.resend) {
+        state.calls.keys.forgetResend(keyOf(call), call.id);
+        state.calls.active.erase(it);
+        return;
+    }
+    if (ownsKey(call)) {
+        const auto* key = state.calls.keys.find(keyOf(call));
+        // A call that can have run is followed to its end, so that a resend under its key gets the answer.
+        if (call.attempt || call.mayHaveRun || !key->resends.empty()) {
+            call.callerGone = true;
+            return;
+        }
+        (void)state.calls.keys.abort(keyOf(call));
+    }
+    for (const auto* attempt : { &call.attempt, &call.hedge }) {
+        if (*attempt)
+            effects(CancelAttempt { (*attempt)->id, true });
+    }
+    const auto pool = call.pool;
     endCall(state, event.call);
-    startWaitingCalls(state, effects);
+    servePool(state, pool, effects);
 }
 
 void handle(State& state, const CallerBacklogChanged& event, Effects& effects)
@@ -212,47 +169,4 @@
         effects(SetReading { it->second.attempt->id, event.bytes < highWaterMark });
 }
 
-void handle(State& state, const ResponseStarted& event, Effects& effects)
-{
-    auto* call = findByAttempt(state, event.attempt);
-    if (!call)
-        return;
-    call->attempt->responseStarted = true;
-    call->attempt->stream = event.stream;
-    if (event.stream && !call->responseBegun) {
-        call->responseBegun = true;
-        effects(BeginResponse { call->id, event.attempt, event.status, true });
-    }
-}
-
-void handle(State& state, const TokenReceived& event, Effects& effects)
-{
-    auto* call = findByAttempt(state, event.attempt);
-    if (!call || event.index != call->nextToken)
-        return;
-    ++call->nextToken;
-    effects(ForwardToken { call->id, event.attempt });
-}
-
-void handle(State& state, const ResponseFinished& event, Effects& effects)
-{
-    auto* call = findByAttempt(state, event.attempt);
-    if (!call)
-        return;
-    const auto id = call->id;
-    effects(FinishCall { id, event.attempt });
-    endCall(state, id);
-    startWaitingCalls(state, effects);
-}
-
-void handle(State& state, const AttemptFailed& event, Effects& effects)
-{
-    auto* call = findByAttempt(state, event.attempt);
-    if (!call)
-        return;
-    const auto outcome = event.requestSent ? Outcome::Unknown : Outcome::NotRun;
-    refuse(state, call->id, { RefusalReason::ServerFailed, outcome, 1s, "the backend server failed" }, effects);
-    startWaitingCalls(state, effects);
-}
-
 } // namespace rosemarymill::node
--- a/packages/core/src/node/parts.hpp
+++ b/packages/core/src/node/parts.hpp
@@ -11,11 +11,27 @@
 void handle(State& state, const CallArrived& event, Effects& effects);
 void handle(State& state, const CallerGone& event, Effects& effects);
 void handle(State& state, const CallerBacklogChanged& event, Effects& effects);
+
+// attempts.cpp
 void handle(State& state, const ResponseStarted& event, Effects& effects);
 void handle(State& state, const TokenReceived& event, Effects& effects);
 void handle(State& state, const ResponseFinished& event, Effects& effects);
 void handle(State& state, const AttemptFailed& event, Effects& effects);
 
+// policy_timer.cpp
+void handle(State& state, const ShutdownRequested& event, Effects& effects);
+
+/// Takes in an announcement that was accepted.
+void serverAnnounced(State& state, const backend::Announcement& announcement, Effects& effects);
+
+/// Advances leases, retries, stragglers, digests and a shutdown. Called on each tick.
+void advancePolicy(State& state, Effects& effects);
+
+// scheduling.cpp
+
+/// Calls that wait for a model in this process.
+[[nodiscard]] std::size_t waitingCalls(const State& state, const ModelName& model);
+
 /// Starts waiting calls for which a server has a free slot.
 void startWaitingCalls(State& state, Effects& effects);
 
--- a/packages/core/src/node/peers.cpp
+++ b/packages/core/src/node/peers.cpp
@@ -1,13 +1,16 @@
-#include "parts.hpp"
+#include "call_parts.hpp"
 
 namespace rosemarymill::node {
 
-void handle(State&, const PeerMessageReceived& event, Effects& effects)
+void handle(State& state, const PeerMessageReceived& event, Effects& effects)
 {
     const auto ignore = [&](std::monostate) {
         effects(WriteLog { LogLevel::Debug, "peers", "Empty message from " + event.from.text() + "." });
     };
-    std::visit(Overloaded { ignore }, event.message);
+    const auto take = [&](const auto& message) {
+        std::visit([&](const auto& it) { receive(state, event.from, it, effects); }, message);
+    };
+    std::visit(Overloaded { ignore, take }, event.message);
 }
 
 } // namespace rosemarymill::node
--- a/packages/core/src/node/reduce.cpp
+++ b/packages/core/src/node/reduce.cpp
@@ -11,16 +11,7 @@
 void handle(State& state, const Tick&, Effects& effects)
 {
     updateGroups(state, effects);
-    refuseExpiredCalls(state, effects);
-    startWaitingCalls(state, effects);
-    if (state.shuttingDown && state.calls.active.empty())
-        effects(Exit {});
-}
-
-void handle(State& state, const ShutdownRequested&, Effects& effects)
-{
-    state.shuttingDown = true;
-    effects(WriteLog { LogLevel::Info, "node", "Shutdown requested. Finishing the calls in progress." });
+    advancePolicy(state, effects);
 }
 
 } // namespace
--- /dev/null
+++ b/packages/core/src/node/scheduling.cpp
@@ -0,0 +1,458 @@
+#include "call_parts.hpp"
+
+#include <rosemarymill/core/base/hash.hpp>
+
+#include <algorithm>
+
+namespace rosemarymill::node {
+
+namespace {
+
+using admission::Waiting;
+
+/// Calls that may wait in one pool, in all and of one account. 4096 calls of 1 KB state are an eighth of the memory
+/// budget of 32 MB.
+constexpr std::size_t maxWaiting = 4096;
+constexpr std::size_t maxWaitingPerAccount = 1024;
+/// Answers of a pool before its times are trusted for early refusals.
+constexpr std::uint64_t trustedSamples = 8;
+constexpr Duration minimumRetryAfter = 1s;
+constexpr Duration maximumRetryAfter = 30s;
+/// Worth of a call that has run in part: it comes first in its account, because its caller already reads the answer.
+constexpr double resumedWorth = 1e9;
+
+bool isSuspect(const State& state, const Call& call)
+{
+    const auto& records = state.policy.quarantine;
+    return !records.records.empty()
+        && quarantine::verdictOf(records, call.request.fingerprint) == quarantine::Verdict::Suspect;
+}
+
+double estimateCost(const State& state, const Call& call)
+{
+    if (call.request.target == call::Target::Service)
+        return 1.0;
+    const auto it = state.policy.times.find(call.pool);
+    auto output = static_cast<double>(tokenNeed(call) - call.request.promptTokens);
+    if (it != state.policy.times.end() && it->second.samples > 0)
+        output = std::min(output, std::max(1.0, it->second.outputTokens));
+    return static_cast<double>(call.request.promptTokens) + output;
+}
+
+/// Candidates of one run over a pool, in the order of its servers.
+std::vector<routing::Candidate> makeCandidates(const State& state, const std::vector<PoolServer>& servers)
+{
+    std::vector<routing::Candidate> candidates;
+    candidates.reserve(servers.size());
+    for (const auto& it : servers) {
+        routing::Candidate candidate;
+        candidate.server = it.server;
+        candidate.inFlight = it.lease->inUse;
+        candidate.drained = routing::isDrained(state.policy.latency, it.server, state.now);
+        candidate.expectedFinish
+            = routing::expectedFinish(state.policy.latency, it.server, it.lease->inUse, it.lease->slots);
+        candidates.push_back(std::move(candidate));
+    }
+    return candidates;
+}
+
+/// Marks the candidates on which a call can start now. Returns whether there is any.
+template <admission::AdmissionOrder Order>
+bool markFree(const State& state, const Call& call, const Waiting& waiting, const std::vector<PoolServer>& servers,
+    std::vector<routing::Candidate>& candidates)
+{
+    bool any = false;
+    const bool alone = Order::sharedSlots && isSuspect(state, call);
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        const auto& lease = *servers[i].lease;
+        auto& candidate = candidates[i];
+        if constexpr (Order::sharedSlots)
+            candidate.free = admission::canStart(lease, waiting.tokens, alone, state.now);
+        else
+            candidate.free = lease.inUse < servers[i].located->entry.limit && state.now >= lease.blockedUntil;
+        candidate.inFlight = lease.inUse;
+        any = any || candidate.free;
+        const auto cache = state.policy.caches.find(servers[i].server);
+        candidate.cachedBlocks
+            = cache == state.policy.caches.end() ? 0 : routing::cachedBlocks(cache->second, call.request.prefixHashes);
+    }
+    return any;
+}
+
+template <typename Scheduler> bool anySlotFree(const State& state, const std::vector<PoolServer>& servers)
+{
+    return std::any_of(servers.begin(), servers.end(), [&](const auto& it) {
+        if constexpr (Scheduler::Order::sharedSlots)
+            return it.lease->inUse < it.lease->slots && state.now < it.lease->validUntil;
+        else
+            return it.lease->inUse < it.located->entry.limit;
+    });
+}
+
+template <typename Scheduler>
+void startCalls(State& state, Scheduler& scheduler, const std::string& key, const std::vector<PoolServer>& servers,
+    Effects& effects)
+{
+    auto& order = scheduler.pools.at(key).order;
+    auto candidates = makeCandidates(state, servers);
+    while (order.size() > 0 && anySlotFree<Scheduler>(state, servers)) {
+        std::optional<std::size_t> choice;
+        const auto suits = [&](const Waiting& waiting) {
+            const auto& call = state.calls.active.at(waiting.call);
+            if (!markFree<typename Scheduler::Order>(state, call, waiting, servers, candidates))
+                return false;
+            choice = scheduler.choice.choose({ key, call.request.prefixHashes }, candidates);
+            return choice.has_value();
+        };
+        const auto taken = order.take(suits);
+        if (!taken)
+            break;
+        auto& call = state.calls.active.at(taken->call);
+        const auto& server = servers[*choice];
+        dispatchCall(state, call, server, server.lease->exclusive, effects);
+        candidates[*choice].expectedFinish
+            = routing::expectedFinish(state.policy.latency, server.server, server.lease->inUse, server.lease->slots);
+    }
+}
+
+/// Servers in the order in which this process asks them for slots: known free slots first, then an order that differs
+/// between entry VMs, so that they do not all ask the same home.
+std::vector<admission::Lease*> rankServers(const State& state, const std::vector<PoolServer>& servers)
+{
+    struct Ranked {
+        bool free;
+        std::uint64_t weight;
+        admission::Lease* lease;
+    };
+    std::vector<Ranked> ranked;
+    for (const auto& it : servers) {
+        if (!it.lease->wantsExclusive && state.now >= it.lease->blockedUntil)
+            ranked.push_back({ it.lease->free > 0 || it.local,
+                rendezvousWeight(state.settings.vm.text(), it.server.text()), it.lease });
+    }
+    std::sort(ranked.begin(), ranked.end(),
+        [](const auto& a, const auto& b) { return a.free != b.free ? a.free : a.weight > b.weight; });
+    std::vector<admission::Lease*> leases;
+    for (const auto& it : ranked)
+        leases.push_back(it.lease);
+    return leases;
+}
+
+/// Asks for as many exclusive servers as suspects wait or run, at most a fifth of the pool and at least one.
+void planExclusive(const std::vector<PoolServer>& servers, std::size_t suspects)
+{
+    const auto allowed = std::max<std::size_t>(1, servers.size() / routing::drainedPartOf);
+    auto wanted = std::min(suspects, allowed);
+    for (const auto& it : servers) {
+        auto& lease = *it.lease;
+        const bool runs = lease.exclusive && lease.inUse > 0;
+        const bool keep = runs || (lease.wantsExclusive && wanted > 0);
+        if (lease.wantsExclusive && !keep)
+            lease.reportDue = true;
+        lease.wantsExclusive = keep;
+        if (keep && !runs)
+            --wanted;
+    }
+    while (wanted > 0) {
+        admission::Lease* best = nullptr;
+        for (const auto& it : servers) {
+            if (!it.lease->wantsExclusive && (!best || it.lease->inUse < best->inUse))
+                best = it.lease;
+        }
+        if (!best)
+            return;
+        best->wantsExclusive = true;
+        best->reportDue = true;
+        --wanted;
+    }
+}
+
+/// Spreads the demand of each account over the servers of the pool.
+template <typename Order>
+void planDemand(State& state, const Order& order, const std::string& key, const std::vector<PoolServer>& servers)
+{
+    std::map<AccountId, admission::AccountDemand> accounts;
+    std::size_t suspects = 0;
+    order.forEach([&](const Waiting& waiting) {
+        if (isSuspect(state, state.calls.active.at(waiting.call))) {
+            ++suspects;
+            return;
+        }
+        auto& demand = accounts[waiting.account];
+        demand.account = waiting.account;
+        ++demand.waiting;
+        demand.tokensPerCall = std::max(demand.tokensPerCall, waiting.tokens);
+    });
+    for (const auto& it : servers)
+        it.lease->waiting.erase(key);
+    planExclusive(servers, suspects);
+    const auto leases = rankServers(state, servers);
+    if (leases.empty())
+        return;
+    std::size_t offset = 0;
+    for (auto& [id, demand] : accounts) {
+        const auto base = demand.waiting / static_cast<std::uint32_t>(leases.size());
+        const auto extra = demand.waiting % static_cast<std::uint32_t>(leases.size());
+        for (std::size_t i = 0; i < leases.size(); ++i) {
+            const auto pos = (offset + i) % leases.size();
+            const auto part = base + (i < extra ? 1 : 0);
+            if (part > 0)
+                leases[pos]->waiting[key].push_back({ id, 0, part, demand.tokensPerCall });
+        }
+        offset += extra;
+    }
+}
+
+template <typename Scheduler>
+void askForSlots(State& state, Scheduler& scheduler, const std::string& key, const std::vector<PoolServer>& servers,
+    Effects& effects)
+{
+    auto& order = scheduler.pools.at(key).order;
+    planDemand(state, order, key, servers);
+    bool changed = false;
+    for (const auto& it : servers) {
+        const bool due = it.lease->reportDue || !it.lease->waiting.empty() || it.lease->wantsExclusive;
+        if (it.local && due)
+            changed = exchangeLocally(state, it.server, *it.lease) || changed;
+    }
+    if (changed) {
+        startCalls(state, scheduler, key, servers, effects);
+        planDemand(state, order, key, servers);
+    }
+    sendReports(state, effects);
+}
+
+template <typename Scheduler>
+void forwardCalls(
+    State& state, Scheduler& scheduler, const std::string& key, bool servedHere, Duration wait, Effects& effects)
+{
+    auto& order = scheduler.pools.at(key).order;
+    auto& remotes = state.policy.remotes;
+    if (!routing::updateOverflow(remotes, key, wait, servedHere))
+        return;
+    const auto& out = state.policy.availability.dataCentres;
+    const std::vector<DataCentreId> excluded(out.begin(), out.end());
+    while (order.size() > 0) {
+        const auto remote = routing::chooseRemote(remotes, key, state.now, excluded);
+        if (!remote)
+            return;
+        const auto taken = order.take([&](const Waiting& waiting) {
+            const auto& call = state.calls.active.at(waiting.call);
+            return !call.request.forwarded && !isSuspect(state, call);
+        });
+        if (!taken)
+            return;
+        forwardCall(state, state.calls.active.at(taken->call), *remote, effects);
+    }
+}
+
+/// Time that a call waits for its slot: the calls ahead of it at the rate at which the slots held now become free. Zero
+/// when nothing is known.
+template <typename Order>
+Duration expectedWait(State& state, const Order& order, const Waiting& waiting, const std::vector<PoolServer>& servers)
+{
+    const auto it = state.policy.times.find(state.calls.active.at(waiting.call).pool);
+    if (it == state.policy.times.end() || it->second.samples < trustedSamples)
+        return Duration::zero();
+    std::uint32_t inUse = 0;
+    for (const auto& server : servers) {
+        inUse += server.lease->inUse;
+        if (server.lease->inUse < server.lease->slots || server.lease->free > 0)
+            return Duration::zero();
+    }
+    const auto ahead = order.countBefore(waiting);
+    if (inUse == 0 || ahead == 0)
+        return Duration::zero();
+    const auto perSlot = it->second.finish / inUse / order.share(waiting);
+    return Duration { static_cast<std::int64_t>(static_cast<double>(ahead) * perSlot) };
+}
+
+template <typename Order> Duration oldestWait(const State& state, const Order& order)
+{
+    Duration longest { 0 };
+    order.forEach([&](const Waiting& waiting) {
+        longest = std::max(longest, state.now - state.calls.active.at(waiting.call).arrivedAt);
+    });
+    return longest;
+}
+
+template <typename Scheduler> void serve(State& state, Scheduler& scheduler, const std::string& key, Effects& effects)
+{
+    const auto found = scheduler.pools.find(key);
+    if (found == scheduler.pools.end())
+        return;
+    auto& pool = found->second;
+    const auto servers = poolServers(state, pool.target);
+    if (pool.order.size() > 0)
+        startCalls(state, scheduler, key, servers, effects);
+    if constexpr (Scheduler::Order::sharedSlots) {
+        if (pool.order.size() > 0) {
+            askForSlots(state, scheduler, key, servers, effects);
+        } else {
+            for (const auto& it : servers)
+                it.lease->waiting.erase(key);
+            planExclusive(servers, 0);
+        }
+    }
+    if (pool.order.size() > 0)
+        forwardCalls(state, scheduler, key, !servers.empty(), oldestWait(state, pool.order), effects);
+}
+
+Waiting makeWaiting(const Call& call)
+{
+    Waiting waiting;
+    waiting.call = call.id;
+    waiting.account = call.account;
+    waiting.weight = call.weight;
+    waiting.worth = call.mayHaveRun ? resumedWorth : call.worth;
+    waiting.cost = call.cost;
+    waiting.tokens = tokenNeed(call);
+    waiting.deadline = call.deadline;
+    waiting.arrival = call.id.value;
+    return waiting;
+}
+
+call::Refusal lateRefusal(Duration retryAfter)
+{
+    return { call::RefusalReason::DeadlineUnreachable, call::Outcome::NotRun,
+        std::clamp(retryAfter, minimumRetryAfter, maximumRetryAfter), "no slot becomes free before the deadline" };
+}
+
+template <typename Scheduler>
+std::optional<call::Refusal> checkQueueOf(State& state, Scheduler& scheduler, const Call& call)
+{
+    auto& pool = scheduler.pools[call.pool];
+    pool.target = poolTarget(call.request);
+    if (pool.order.size() >= maxWaiting || pool.order.backlog(call.account) >= maxWaitingPerAccount)
+        return call::Refusal { call::RefusalReason::QueueFull, call::Outcome::NotRun, minimumRetryAfter,
+            "too many calls wait" };
+    const auto servers = poolServers(state, pool.target);
+    const auto tooLarge = [&](const auto& it) {
+        const auto memory = it.located->entry.tokenMemory;
+        return memory != 0 && memory < tokenNeed(call);
+    };
+    if (!servers.empty() && std::all_of(servers.begin(), servers.end(), tooLarge))
+        return call::Refusal { call::RefusalReason::NoCapacity, call::Outcome::NotRun, {},
+            "the request needs more token memory than a server has" };
+    if constexpr (Scheduler::Order::sharedSlots) {
+        if (!call.deadline || servers.empty())
+            return std::nullopt;
+        const auto wait = expectedWait(state, pool.order, makeWaiting(call), servers);
+        const auto first = Duration { static_cast<std::int64_t>(state.policy.times[call.pool].firstResponse) };
+        if (wait > Duration::zero() && state.now + wait + first > *call.deadline)
+            return lateRefusal(wait);
+    }
+    return std::nullopt;
+}
+
+/// Calls of one pool that can no longer be answered in time.
+template <typename Scheduler>
+void collectExpired(const State& state, const Scheduler& scheduler, std::vector<CallId>& ids)
+{
+    for (const auto& [key, pool] : scheduler.pools) {
+        Duration first { 0 };
+        const auto times = state.policy.times.find(key);
+        if (Scheduler::Order::sharedSlots && times != state.policy.times.end())
+            first = Duration { static_cast<std::int64_t>(times->second.firstResponse) };
+        pool.order.forEach([&](const Waiting& waiting) {
+            const auto& call = state.calls.active.at(waiting.call);
+            if (call.deadline && !call.responseBegun && state.now + first >= *call.deadline)
+                ids.push_back(waiting.call);
+        });
+    }
+}
+
+} // namespace
+
+Policy makePolicy(PolicyChoice choice, std::uint64_t seed)
+{
+    Policy policy;
+    if (choice == PolicyChoice::Shipped)
+        policy.scheduler.emplace<ShippedScheduler>(ShippedScheduler { {}, routing::TwoChoice { seed } });
+    else
+        policy.scheduler.emplace<BaselineScheduler>();
+    return policy;
+}
+
+void enqueue(State& state, Call& call)
+{
+    call.cost = estimateCost(state, call);
+    std::visit(
+        [&](auto& scheduler) {
+            auto& pool = scheduler.pools[call.pool];
+            pool.target = poolTarget(call.request);
+            pool.order.push(makeWaiting(call));
+        },
+        state.policy.scheduler);
+}
+
+bool removeWaiting(State& state, const Call& call)
+{
+    return std::visit(
+        [&](auto& scheduler) {
+            const auto it = scheduler.pools.find(call.pool);
+            return it != scheduler.pools.end() && it->second.order.erase(call.id);
+        },
+        state.policy.scheduler);
+}
+
+void servePool(State& state, const std::string& key, Effects& effects)
+{
+    std::visit([&](auto& scheduler) { serve(state, scheduler, key, effects); }, state.policy.scheduler);
+}
+
+std::optional<call::Refusal> checkQueue(State& state, const Call& call)
+{
+    return std::visit([&](auto& scheduler) { return checkQueueOf(state, scheduler, call); }, state.policy.scheduler);
+}
+
+void correctCost(State& state, const Call& call, double realCost)
+{
+    std::visit(
+        [&](auto& scheduler) {
+            if (const auto it = scheduler.pools.find(call.pool); it != scheduler.pools.end())
+                it->second.order.correct(call.account, realCost - call.cost);
+        },
+        state.policy.scheduler);
+}
+
+void startWaitingCalls(State& state, Effects& effects)
+{
+    std::visit(
+        [&](auto& scheduler) {
+            for (auto& [key, pool] : scheduler.pools) {
+                if (pool.order.size() > 0)
+                    serve(state, scheduler, key, effects);
+            }
+        },
+        state.policy.scheduler);
+}
+
+void refuseExpiredCalls(State& state, Effects& effects)
+{
+    std::vector<CallId> ids;
+    std::visit([&](const auto& scheduler) { collectExpired(state, scheduler, ids); }, state.policy.scheduler);
+    for (const auto id : ids) {
+        const auto& call = state.calls.active.at(id);
+        auto refusal = lateRefusal(minimumRetryAfter);
+        if (call.mayHaveRun)
+            refusal.outcome = call.idempotent ? call::Outcome::Failed : call::Outcome::Unknown;
+        refuseCall(state, id, std::move(refusal), effects);
+    }
+}
+
+std::size_t waitingCalls(const State& state, const ModelName& model)
+{
+    return std::visit(
+        [&](const auto& scheduler) {
+            std::size_t count = 0;
+            for (const auto& [key, pool] : scheduler.pools) {
+                if (pool.target.target == call::Target::Model && pool.target.model == model)
+                    count += pool.order.size();
+            }
+            return count;
+        },
+        state.policy.scheduler);
+}
+
+} // namespace rosemarymill::node
--- /dev/null
+++ b/packages/core/src/routing/remote.cpp
@@ -0,0 +1,90 @@
+#include <rosemarymill/core/routing/remote.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace rosemarymill::routing {
+
+namespace {
+
+/// Local waiting time above which calls are sent away: half of the 0.53 s target for the first token.
+constexpr Duration overflowAbove = 265ms;
+/// Local waiting time below which calls stay again.
+constexpr Duration overflowBelow = 100ms;
+/// Part of a remote pool that stays free for its own callers.
+constexpr std::uint32_t reservedPartOf = 10;
+
+const PoolCapacity* findPool(const CapacityDigest& digest, const std::string& pool)
+{
+    const auto it
+        = std::find_if(digest.pools.begin(), digest.pools.end(), [&](const auto& entry) { return entry.pool == pool; });
+    return it == digest.pools.end() ? nullptr : &*it;
+}
+
+std::uint32_t usableSlots(const RemoteDataCentre& remote, const std::string& pool, Instant now)
+{
+    const auto* capacity = findPool(remote.digest, pool);
+    if (!capacity || !remote.digest.accepting || now - remote.receivedAt > digestTerm)
+        return 0;
+    const auto reserved = capacity->limit / reservedPartOf;
+    const auto spare = capacity->free > reserved ? capacity->free - reserved : 0;
+    const auto allowed = static_cast<std::uint32_t>(std::ceil(spare * rampShare(remote, now)));
+    const auto sent = remote.sent.find(pool);
+    const auto used = sent == remote.sent.end() ? 0 : sent->second;
+    return allowed > used ? allowed - used : 0;
+}
+
+} // namespace
+
+double rampShare(const RemoteDataCentre& remote, Instant now) noexcept
+{
+    const auto age = now - remote.availableSince;
+    return std::clamp(static_cast<double>(age.count()) / static_cast<double>(rampTime.count()), 0.0, 1.0);
+}
+
+void receive(Remotes& remotes, const CapacityDigest& digest, const VmId& from, Instant now)
+{
+    const auto [it, added] = remotes.dataCentres.try_emplace(digest.dataCentre);
+    auto& remote = it->second;
+    const bool wasAvailable = !added && remote.digest.accepting && now - remote.receivedAt <= digestTerm;
+    if (!wasAvailable)
+        remote.availableSince = now;
+    remote.digest = digest;
+    remote.vm = from;
+    remote.receivedAt = now;
+    remote.sent.clear();
+}
+
+bool updateOverflow(Remotes& remotes, const std::string& pool, Duration localWait, bool servedHere)
+{
+    auto& overflowing = remotes.overflowing[pool];
+    if (!servedHere || localWait > overflowAbove)
+        overflowing = true;
+    else if (localWait < overflowBelow)
+        overflowing = false;
+    return overflowing;
+}
+
+std::optional<DataCentreId> chooseRemote(
+    const Remotes& remotes, const std::string& pool, Instant now, const std::vector<DataCentreId>& excluded)
+{
+    std::optional<DataCentreId> best;
+    std::uint32_t most = 0;
+    for (const auto& [id, remote] : remotes.dataCentres) {
+        if (std::find(excluded.begin(), excluded.end(), id) != excluded.end())
+            continue;
+        const auto usable = usableSlots(remote, pool, now);
+        if (usable > most) {
+            best = id;
+            most = usable;
+        }
+    }
+    return best;
+}
+
+void countSent(Remotes& remotes, const DataCentreId& dataCentre, const std::string& pool)
+{
+    ++remotes.dataCentres[dataCentre].sent[pool];
+}
+
+} // namespace rosemarymill::routing
