--- a/packages/core/include/rosemarymill/core/admission/home.hpp
+++ b/packages/core/include/rosemarymill/core/admission/home.hpp
@@ -28,6 +28,13 @@
 /// Age that the load in an announcement can have. Slots of an expired lease count until reports include their requests.
 inline constexpr Duration reportLag = 3s;
 
+/// Reports from this long before a new home's authority on show what runs under the predecessor's leases: the server
+/// left the predecessor two announcements earlier, so those leases have ended by then.
+inline constexpr Duration takeoverEvidence = 1s;
+
+/// Time after which all entry VMs have reported a decrease of their use; it exceeds the renewal interval of leases.
+inline constexpr Duration useLag = 700ms;
+
 /// Token memory of a server that announces none.
 inline constexpr std::uint64_t unlimitedTokens = std::numeric_limits<std::uint64_t>::max() / 4;
 
@@ -63,7 +70,9 @@
     BootId bootId;
     ServerLimit limit;
     std::uint64_t tokenMemory { unlimitedTokens };
+    /// Latest time at which the server is certain to have had this home; it lags when announcements arrive late.
     Instant lastAnnounced;
+    Instant lastReceived;
     /// No grant is made before.
     Instant authorityFrom;
     bool leaving { false };
@@ -72,8 +81,16 @@
     std::map<VmId, HeldLease> leases;
     /// Slots of expired leases, each with the time from which reports cover it.
     std::vector<UseSample> expired;
-    /// Use over the last reportLag, oldest first.
+    /// Recent use by active leases, oldest first.
     std::deque<UseSample> history;
+    /// Bound on the requests and tokens that run without an active lease. It falls with each report that leaves less
+    /// room for them and rises only when a lease expires.
+    std::uint64_t orphans { 0 };
+    std::uint64_t orphanTokens { 0 };
+    /// Reports from then on are evidence for the bound.
+    Instant evidenceFrom;
+    /// Report that is evaluated once the entry VMs' use at its time is known.
+    std::optional<Instant> pendingReport;
 };
 
 /// Servers whose home is this process.
--- a/packages/core/src/admission/home.cpp
+++ b/packages/core/src/admission/home.cpp
@@ -1,5 +1,6 @@
 #include <rosemarymill/core/admission/division.hpp>
 #include <rosemarymill/core/admission/home.hpp>
+#include <rosemarymill/core/backend/registry.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -11,6 +12,10 @@
 /// Time after which a server that no longer announces itself here is forgotten.
 constexpr Duration forgetAfter = 2 * takeoverWait;
 
+/// Gap between announcements within which the server can have had another home: it leaves after two unanswered ones.
+/// The difference to two full intervals allows for the delay of the earlier announcement.
+constexpr Duration absenceGap = 2 * backend::announcementInterval - 100ms;
+
 struct Amount {
     std::uint64_t slots { 0 };
     std::uint64_t tokens { 0 };
@@ -40,26 +45,43 @@
 
 void sampleUse(ServerSlots& slots, Instant now)
 {
+    constexpr Duration kept = reportLag + 2 * backend::announcementInterval;
     const auto used = inUse(slots);
-    while (!slots.history.empty() && now - slots.history.front().at > reportLag)
+    while (!slots.history.empty() && now - slots.history.front().at > kept)
         slots.history.pop_front();
     slots.history.push_back({ now, static_cast<std::uint32_t>(used.slots), used.tokens });
 }
 
-/// Requests and tokens that no active lease accounts for: those of expired leases, and those in the server's report
-/// that exceed all use within the report's lag.
-Amount unaccounted(const ServerSlots& slots, Instant now) noexcept
+/// Least use by active leases since the oldest time that a report can show.
+Amount leastUse(const ServerSlots& slots, Instant reportedAt) noexcept
 {
-    Amount recent = inUse(slots);
+    auto least = inUse(slots);
     for (const auto& it : slots.history) {
-        if (now - it.at <= reportLag) {
-            recent.slots = std::max<std::uint64_t>(recent.slots, it.slots);
-            recent.tokens = std::max(recent.tokens, it.tokens);
+        if (it.at >= reportedAt - reportLag) {
+            least.slots = std::min<std::uint64_t>(least.slots, it.slots);
+            least.tokens = std::min(least.tokens, it.tokens);
         }
     }
-    Amount sum;
-    sum.slots = minus(std::uint64_t { slots.reported.running } + slots.reported.queued, recent.slots);
-    sum.tokens = sum.slots > 0 ? minus(slots.reported.tokensHeld, recent.tokens) : 0;
+    return least;
+}
+
+/// Evaluates the previous report once the use at its time is known.
+void boundOrphans(ServerSlots& slots, Instant now)
+{
+    if (!slots.pendingReport || now - *slots.pendingReport < useLag)
+        return;
+    const auto known = leastUse(slots, *slots.pendingReport);
+    const auto running = std::uint64_t { slots.reported.running } + slots.reported.queued;
+    slots.orphans = std::min(slots.orphans, minus(running, known.slots));
+    slots.orphanTokens
+        = slots.orphans == 0 ? 0 : std::min(slots.orphanTokens, minus(slots.reported.tokensHeld, known.tokens));
+    slots.pendingReport.reset();
+}
+
+/// Requests and tokens that no active lease accounts for.
+Amount unaccounted(const ServerSlots& slots, Instant now) noexcept
+{
+    Amount sum { slots.orphans, slots.orphanTokens };
     for (const auto& it : slots.expired) {
         if (now < it.at) {
             sum.slots += it.slots;
@@ -207,7 +229,14 @@
 
 void expireLeases(ServerSlots& slots, Instant now)
 {
-    std::erase_if(slots.expired, [&](const auto& it) { return now >= it.at; });
+    std::erase_if(slots.expired, [&](const auto& it) {
+        if (now < it.at)
+            return false;
+        slots.orphans += it.slots;
+        slots.orphanTokens += it.tokens;
+        slots.pendingReport.reset();
+        return true;
+    });
     std::erase_if(slots.leases, [&](const auto& entry) {
         const auto& lease = entry.second;
         if (now < lease.expiresAt)
@@ -224,6 +253,32 @@
     slots.limit.start(it.coldRequests, it.maxRequests, it.cold ? 0 : it.load.running);
     slots.expired.clear();
     slots.history.clear();
+    slots.orphans = 0;
+    slots.orphanTokens = 0;
+    slots.pendingReport.reset();
+}
+
+/// Starts the wait of a new home. What runs under the predecessor's leases is unknown until reports can show it.
+void startTakeover(ServerSlots& slots, Instant now) noexcept
+{
+    slots.authorityFrom = now + takeoverWait;
+    slots.evidenceFrom = slots.authorityFrom - takeoverEvidence;
+    slots.orphans = unlimitedTokens;
+    slots.orphanTokens = unlimitedTokens;
+    slots.pendingReport.reset();
+}
+
+/// Time for which an announcement proves that the server had this home. One that was received after a gap, or in a
+/// burst with others, may have waited in a socket of a paused process while the server moved to another home. Only
+/// regular spacing proves that it is new.
+Instant provenTime(const ServerSlots& slots, Instant now) noexcept
+{
+    constexpr Duration shortest = backend::announcementInterval / 2;
+    constexpr Duration longest = backend::announcementInterval * 3 / 2;
+    const auto gap = now - slots.lastReceived;
+    if (gap > longest)
+        return slots.lastReceived + backend::announcementInterval;
+    return gap < shortest ? slots.lastAnnounced : now;
 }
 
 } // namespace
@@ -242,30 +297,40 @@
 {
     const auto [it, added] = home.servers.try_emplace(announcement.id);
     auto& slots = it->second;
-    if (added || now - slots.lastAnnounced >= authorityTerm) {
-        const bool sameBoot = !added && slots.bootId == announcement.bootId;
-        slots.authorityFrom = alone || (!added && !sameBoot) ? now : now + takeoverWait;
-        if (!sameBoot)
-            startServer(slots, announcement);
-    } else if (slots.bootId != announcement.bootId) {
+    const bool newBoot = !added && slots.bootId != announcement.bootId;
+    const bool returned = !added && now - slots.lastReceived >= absenceGap;
+    if (added || newBoot)
         startServer(slots, announcement);
-        slots.authorityFrom = now;
-    } else if (announcement.cold && !slots.cold) {
+    else if (announcement.cold && !slots.cold)
         slots.limit.shrink();
+    if (newBoot) {
+        slots.authorityFrom = now;
+    } else if (alone && (added || returned)) {
+        slots.authorityFrom = now;
+        slots.orphans = added ? announcement.load.running : slots.orphans;
+        slots.orphanTokens = added ? announcement.load.tokensHeld : slots.orphanTokens;
+    } else if (added || returned) {
+        startTakeover(slots, now);
     }
+    boundOrphans(slots, now);
+    slots.lastAnnounced = added || newBoot || returned ? now : std::max(slots.lastAnnounced, provenTime(slots, now));
+    slots.lastReceived = now;
     slots.cold = announcement.cold;
     slots.limit.setBounds(announcement.coldRequests, announcement.maxRequests);
     slots.tokenMemory = announcement.tokenMemory == 0 ? unlimitedTokens : announcement.tokenMemory;
-    slots.lastAnnounced = now;
     slots.leaving = announcement.leaving;
-    slots.reported = announcement.load;
     sampleUse(slots, now);
+    if (slots.pendingReport)
+        return;
+    slots.reported = announcement.load;
+    if (now >= slots.evidenceFrom)
+        slots.pendingReport = now;
 }
 
 bool reported(Home& home, const VmId& from, const LeaseReport& report, Instant now, const WeightOf& weightOf)
 {
     const auto it = home.servers.find(report.server);
-    if (it == home.servers.end() || now - it->second.lastAnnounced >= authorityTerm)
+    if (it == home.servers.end() || now - it->second.lastReceived >= authorityTerm)
         return false;
     auto& slots = it->second;
     expireLeases(slots, now);
@@ -313,7 +378,7 @@
         sampleUse(slots, now);
         divideSlots(slots, now, weightOf);
     }
-    std::erase_if(home.servers, [&](const auto& entry) { return now - entry.second.lastAnnounced > forgetAfter; });
+    std::erase_if(home.servers, [&](const auto& entry) { return now - entry.second.lastReceived > forgetAfter; });
 }
 
 Grant takeGrant(ServerSlots& slots, const ServerId& server, const VmId& to, Instant now)
@@ -337,6 +402,8 @@
     }
     it->second.limit = limit;
     it->second.authorityFrom = now;
+    it->second.orphans = 0;
+    it->second.orphanTokens = 0;
 }
 
 } // namespace rosemarymill::admission
--- a/packages/core/src/node/policy_timer.cpp
+++ b/packages/core/src/node/policy_timer.cpp
@@ -52,7 +52,7 @@
     for (const auto& [id, slots] : state.policy.home.servers) {
         const auto it = state.policy.directory.find(id);
         const bool located = it != state.policy.directory.end() && it->second.home == state.settings.vm;
-        if (located && state.now - slots.lastAnnounced >= admission::authorityTerm) {
+        if (located && state.now - slots.lastReceived >= admission::authorityTerm) {
             lost.push_back({ id, slots.bootId });
         }
     }
