Add peer links, the Hello codec and the link relay stand-in

Cause: SendPeer effects had no carrier between processes. Change: framed outgoing links on demand with Hello in both directions, version and identity check, reconnect delays, a bounded queue that drops old soft frames, time limits for Hello and half-written frames, and counters per kind. scripts/generate runs flatc; the build uses the committed code. standin/relay delays, drops one direction, cuts and heals a link. Conclusion: a faulty or stopped peer costs bounded memory and time.

--- a/packages/daemon/src/node_settings.cpp
+++ b/packages/daemon/src/node_settings.cpp
@@ -12,6 +12,7 @@
 std::vector<VmId> vmIds(const std::vector<std::string>& names)
 {
     std::vector<VmId> ids;
+    ids.reserve(names.size());
     for (const auto& name : names)
         ids.emplace_back(name);
     return ids;
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/link/links.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <rosemarymill/core/base/result.hpp>
+#include <rosemarymill/core/node/effect.hpp>
+#include <rosemarymill/core/node/state.hpp>
+#include <rosemarymill/runtime/base/address.hpp>
+#include <rosemarymill/runtime/link/counters.hpp>
+#include <rosemarymill/runtime/loop/post_event.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <span>
+
+struct event_base;
+
+/// Links between the system's processes. Each process sends over links that it opened itself and receives over links
+/// that others opened, so that a failure in one direction does not depend on the state of the other.
+namespace rosemarymill::runtime {
+
+/// Time without frames after which a link is closed.
+inline constexpr Duration linkIdleTimeout = 60s;
+
+/// First and longest time between two attempts to connect.
+inline constexpr Duration minReconnectDelay = 50ms;
+inline constexpr Duration maxReconnectDelay = 1s;
+
+/// Time after which the system gives up on unacknowledged bytes. A link to a VM that has disappeared breaks then.
+inline constexpr Duration linkSendTimeout = 3s;
+
+/// Listener for other processes and the outgoing links, which are opened on demand.
+class PeerLinks {
+public:
+    /// Receives the payload of Forward frames. Returns false when it is malformed.
+    using ForwardHandler = std::function<bool(const VmId& from, std::span<const std::byte> payload)>;
+    /// Told when the outgoing link to a process broke: frames queued for it may be lost.
+    using LostHandler = std::function<void(const VmId& to)>;
+
+    /// Listens on the address; port 0 takes a free port. Errors are those of bind(2).
+    [[nodiscard]] static Result<std::unique_ptr<PeerLinks>> open(
+        event_base& base, const Address& address, const node::Settings& self, PostEvent post);
+
+    ~PeerLinks();
+    PeerLinks(const PeerLinks&) = delete;
+    PeerLinks& operator=(const PeerLinks&) = delete;
+
+    /// Sends a message of the core. It may be lost.
+    void carryOut(const node::SendPeer& effect);
+
+    /// Sends one frame. Returns false when it was dropped at once; true does not mean that it arrives.
+    bool send(const VmId& to, const std::string& address, wire::FrameKind kind, std::span<const std::byte> payload);
+
+    void onForward(ForwardHandler handler);
+    void onLost(LostHandler handler);
+
+    /// Bound address.
+    [[nodiscard]] const Address& address() const noexcept;
+    [[nodiscard]] const LinkCounters& counters() const noexcept;
+    /// Open connections in both directions.
+    [[nodiscard]] std::size_t connections() const noexcept;
+
+private:
+    struct Impl;
+    explicit PeerLinks(std::unique_ptr<Impl> impl) noexcept;
+
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace rosemarymill::runtime
--- /dev/null
+++ b/packages/runtime/src/link/outgoing.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <rosemarymill/core/base/id.hpp>
+#include <rosemarymill/runtime/base/address.hpp>
+#include <rosemarymill/runtime/link/connection.hpp>
+#include <rosemarymill/runtime/link/send_queue.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+struct event_base;
+
+/// Outgoing link to one process.
+namespace rosemarymill::runtime {
+
+/// What an outgoing link needs from its process.
+struct OutgoingContext {
+    event_base& base;
+    wire::link::Hello self;
+    LinkCounters& counters;
+    std::mt19937_64& random;
+    std::function<void(const VmId&, const std::string& reason)> lost;
+};
+
+/// Connects on demand, keeps frames in a bounded queue and reconnects with growing delays while frames are waiting.
+class OutgoingLink {
+public:
+    OutgoingLink(OutgoingContext& context, VmId to, const Address& address);
+
+    /// Queues a frame and connects when needed. Returns false when the frame was dropped.
+    bool send(SendQueue::Frame&& frame, Instant now);
+
+    /// Closes overdue connections and connects again when the delay has passed and frames are waiting.
+    void tick(Instant now);
+
+    /// Whether the link has nothing to do and can be removed.
+    [[nodiscard]] bool idle(Instant now) const;
+
+    [[nodiscard]] bool connected() const noexcept { return m_connection != nullptr; }
+    [[nodiscard]] const Address& address() const noexcept { return m_address; }
+
+private:
+    void connect(Instant now);
+    void flush();
+    void closed(const std::string& reason);
+
+    OutgoingContext& m_context;
+    VmId m_to;
+    Address m_address;
+    SendQueue m_queue;
+    std::unique_ptr<LinkConnection> m_connection;
+    Instant m_lastUse;
+    Instant m_connectAt;
+    Duration m_delay { 0 };
+};
+
+} // namespace rosemarymill::runtime
--- /dev/null
+++ b/packages/wire/include/rosemarymill/wire/codec/codec.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <rosemarymill/core/base/result.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+#include <flatbuffers/flatbuffers.h>
+
+/// Shared parts of the modules' codecs. Each module has a schema `schema/<module>.fbs` and a codec
+/// `<module>/codec.hpp` with `encode(const Message&, Buffer&)` and `decode(std::span<const std::byte>)`.
+namespace rosemarymill::wire {
+
+/// Payload under construction.
+using Buffer = std::vector<std::byte>;
+
+/// Faults of a payload. The link is closed on each of them.
+enum class DecodeError { Malformed = 1, UnexpectedKind };
+
+[[nodiscard]] std::error_code make_error_code(DecodeError error) noexcept; // NOLINT(readability-identifier-naming)
+
+/// Appends a finished table to a buffer.
+inline void appendTable(const flatbuffers::FlatBufferBuilder& builder, Buffer& buf)
+{
+    const auto* data = reinterpret_cast<const std::byte*>(builder.GetBufferPointer());
+    buf.insert(buf.end(), data, data + builder.GetSize());
+}
+
+/// Root table of a payload after verification, or null. Nesting and table count are bounded against forged payloads.
+template <typename Table> [[nodiscard]] const Table* verifiedTable(std::span<const std::byte> payload) noexcept
+{
+    constexpr flatbuffers::uoffset_t maxDepth = 16;
+    constexpr flatbuffers::uoffset_t maxTables = 100'000;
+    const auto* data = reinterpret_cast<const std::uint8_t*>(payload.data());
+    flatbuffers::Verifier verifier(data, payload.size(), maxDepth, maxTables);
+    return verifier.VerifyBuffer<Table>(nullptr) ? flatbuffers::GetRoot<Table>(data) : nullptr;
+}
+
+/// Text of a string field; an absent field is an empty text.
+[[nodiscard]] inline std::string textOf(const flatbuffers::String* field)
+{
+    return field ? field->str() : std::string {};
+}
+
+} // namespace rosemarymill::wire
+
+template <> struct std::is_error_code_enum<rosemarymill::wire::DecodeError> : std::true_type {
+};
--- a/packages/wire/include/rosemarymill/wire/frame/frame.hpp
+++ b/packages/wire/include/rosemarymill/wire/frame/frame.hpp
@@ -48,6 +48,9 @@
 /// Appends a frame to a buffer. The payload must not be longer than maxFramePayloadBytes.
 void appendFrame(FrameKind kind, std::span<const std::byte> payload, std::vector<std::byte>& buf);
 
+/// Judges a frame by its header of frameHeaderBytes and returns the size of the whole frame in bytes, or a FrameError.
+[[nodiscard]] Result<std::size_t> frameSize(std::span<const std::byte> header);
+
 /// Reads the first frame of a buffer. Returns no frame while bytes are missing, or a FrameError.
 [[nodiscard]] Result<std::optional<FrameView>> readFrame(std::span<const std::byte> buf);
 
--- /dev/null
+++ b/packages/wire/include/rosemarymill/wire/link/codec.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <rosemarymill/core/base/id.hpp>
+#include <rosemarymill/core/config/config.hpp>
+#include <rosemarymill/wire/codec/codec.hpp>
+
+#include <cstdint>
+
+/// First message on a link.
+namespace rosemarymill::wire::link {
+
+/// Introduces a process to the other end of a link.
+struct Hello {
+    VmId vm;
+    DataCentreId dataCentre;
+    BootId bootId;
+    std::uint16_t version { config::protocolVersion };
+
+    friend bool operator==(const Hello&, const Hello&) = default;
+};
+
+void encode(const Hello& hello, Buffer& buf);
+
+/// The error is DecodeError::Malformed, also for empty names.
+[[nodiscard]] Result<Hello> decode(std::span<const std::byte> payload);
+
+} // namespace rosemarymill::wire::link
--- a/packages/wire/src/frame/frame.cpp
+++ b/packages/wire/src/frame/frame.cpp
@@ -74,24 +74,32 @@
     buf.insert(buf.end(), payload.begin(), payload.end());
 }
 
-Result<std::optional<FrameView>> readFrame(std::span<const std::byte> buf)
+Result<std::size_t> frameSize(std::span<const std::byte> header)
 {
-    if (buf.size() < frameHeaderBytes)
-        return std::optional<FrameView> {};
-    const auto length = load<std::uint32_t>(buf, lengthOffset);
-    const auto kind = load<std::uint16_t>(buf, kindOffset);
+    const auto length = load<std::uint32_t>(header, lengthOffset);
     if (length > maxFramePayloadBytes)
         return FrameError::PayloadTooLarge;
-    if (load<std::uint16_t>(buf, versionOffset) != config::protocolVersion)
+    if (load<std::uint16_t>(header, versionOffset) != config::protocolVersion)
         return FrameError::VersionMismatch;
-    if (!isKnownKind(kind))
+    if (!isKnownKind(load<std::uint16_t>(header, kindOffset)))
         return FrameError::UnknownKind;
-    if (buf.size() < frameHeaderBytes + length)
+    return frameHeaderBytes + length;
+}
+
+Result<std::optional<FrameView>> readFrame(std::span<const std::byte> buf)
+{
+    if (buf.size() < frameHeaderBytes)
+        return std::optional<FrameView> {};
+    const auto size = frameSize(buf);
+    if (!size)
+        return size.error();
+    if (buf.size() < size.value())
         return std::optional<FrameView> {};
-    const auto payload = buf.subspan(frameHeaderBytes, length);
+    const auto payload = buf.subspan(frameHeaderBytes, size.value() - frameHeaderBytes);
     if (XXH3_64bits(payload.data(), payload.size()) != load<std::uint64_t>(buf, checksumOffset))
         return FrameError::ChecksumMismatch;
-    return std::optional<FrameView>({ static_cast<FrameKind>(kind), payload, frameHeaderBytes + length });
+    const auto kind = static_cast<FrameKind>(load<std::uint16_t>(buf, kindOffset));
+    return std::optional<FrameView>({ kind, payload, size.value() });
 }
 
 } // namespace rosemarymill::wire
--- a/tests/support/http.hpp
+++ b/tests/support/http.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 
