--- a/packages/daemon/include/rosemarymill/daemon/fwd.hpp
+++ b/packages/daemon/include/rosemarymill/daemon/fwd.hpp
@@ -3,7 +3,6 @@
 /// Forward declarations of the daemon's types.
 namespace rosemarymill::daemon {
 
-enum class LogFormat;
 struct Settings;
 struct ParsedSettings;
 
--- a/packages/runtime/include/rosemarymill/runtime/link/links.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/link/links.hpp
@@ -38,7 +38,7 @@
 
     /// Listens on the address; port 0 takes a free port. Errors are those of bind(2).
     [[nodiscard]] static Result<std::unique_ptr<PeerLinks>> open(
-        event_base& base, const Address& address, const node::Settings& self, PostEvent post);
+        event_base& base, const SocketAddress& address, const node::Settings& self, PostEvent post);
 
     ~PeerLinks();
     PeerLinks(const PeerLinks&) = delete;
@@ -54,7 +54,7 @@
     void onLost(LostHandler handler);
 
     /// Bound address.
-    [[nodiscard]] const Address& address() const noexcept;
+    [[nodiscard]] const SocketAddress& address() const noexcept;
     [[nodiscard]] const LinkCounters& counters() const noexcept;
     /// Open connections in both directions.
     [[nodiscard]] std::size_t connections() const noexcept;
--- a/packages/runtime/src/link/links.cpp
+++ b/packages/runtime/src/link/links.cpp
@@ -4,6 +4,7 @@
 #include "socket.hpp"
 
 #include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/wire/node/codec.hpp>
 
 #include <cerrno>
@@ -57,7 +58,7 @@
     OutgoingContext context;
     ForwardHandler forwardHandler;
     LostHandler lostHandler;
-    Address address;
+    SocketAddress address;
     std::map<VmId, std::unique_ptr<OutgoingLink>> outgoing;
     std::list<std::unique_ptr<LinkConnection>> incoming;
     std::unique_ptr<event, FreeEvent> timer;
@@ -65,7 +66,7 @@
 
     void reportLost(const VmId& to, const std::string& reason)
     {
-        (void)reason;
+        writeLog(node::LogLevel::Debug, "link", "Link to " + to.text() + " closed: " + reason + ".");
         if (lostHandler)
             lostHandler(to);
     }
@@ -84,7 +85,13 @@
         handlers.onFrame = [this, place](wire::FrameKind kind, std::span<const std::byte> payload) {
             return receive((*place)->remote()->vm, kind, payload);
         };
-        handlers.onClosed = [this, place](const std::string&) { incoming.erase(place); };
+        handlers.onClosed = [this, place](const std::string& reason) {
+            const auto& remote = (*place)->remote();
+            writeLog(node::LogLevel::Debug, "link",
+                "Link from " + (remote ? remote->vm.text() : std::string("an unknown process")) + " closed: " + reason
+                    + ".");
+            incoming.erase(place);
+        };
         *place = std::make_unique<LinkConnection>(buf, context.self, counters, std::move(handlers));
     }
 
@@ -103,14 +110,14 @@
     {
         SendQueue::Frame frame { kind, {} };
         const auto parsed = parseAddress(target);
-        if (!parsed || payload.size() > wire::maxFramePayloadBytes) {
+        if (!parsed.has_value() || payload.size() > wire::maxFramePayloadBytes) {
             counters.dropped[LinkCounters::slot(kind)].add(payload.size() + wire::frameHeaderBytes);
             return false;
         }
         wire::appendFrame(kind, payload, frame.bytes);
         auto& link = outgoing[to];
-        if (!link || link->address() != *parsed)
-            link = std::make_unique<OutgoingLink>(context, to, *parsed);
+        if (!link || link->address() != target)
+            link = std::make_unique<OutgoingLink>(context, to, target);
         return link->send(std::move(frame), readClock());
     }
 
@@ -137,16 +144,18 @@
 };
 
 Result<std::unique_ptr<PeerLinks>> PeerLinks::open(
-    event_base& base, const Address& address, const node::Settings& self, PostEvent post)
+    event_base& base, const SocketAddress& address, const node::Settings& self, PostEvent post)
 {
     auto impl = std::make_unique<Impl>(base, self, std::move(post));
-    const auto target = socketAddress(address);
     impl->listener.reset(evconnlistener_new_bind(&base, &Impl::onAccept, impl.get(),
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, listenBacklog, target.get(),
-        static_cast<int>(target.length)));
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, listenBacklog, address.get(),
+        static_cast<int>(address.length)));
     if (!impl->listener)
         return std::error_code(errno, std::system_category());
-    impl->address = boundAddress(evconnlistener_get_fd(impl->listener.get())).value_or(address);
+    const auto bound = localAddress(evconnlistener_get_fd(impl->listener.get()));
+    if (!bound)
+        return bound.error();
+    impl->address = bound.value();
     impl->timer.reset(event_new(&base, -1, EV_PERSIST, &Impl::onTimer, impl.get()));
     event_add(impl->timer.get(), &tickInterval);
     return std::unique_ptr<PeerLinks>(new PeerLinks(std::move(impl)));
@@ -176,7 +185,7 @@
 
 void PeerLinks::onLost(LostHandler handler) { m_impl->lostHandler = std::move(handler); }
 
-const Address& PeerLinks::address() const noexcept { return m_impl->address; }
+const SocketAddress& PeerLinks::address() const noexcept { return m_impl->address; }
 
 const LinkCounters& PeerLinks::counters() const noexcept { return m_impl->counters; }
 
--- a/packages/runtime/src/link/outgoing.cpp
+++ b/packages/runtime/src/link/outgoing.cpp
@@ -13,10 +13,10 @@
 
 namespace rosemarymill::runtime {
 
-OutgoingLink::OutgoingLink(OutgoingContext& context, VmId to, const Address& address)
+OutgoingLink::OutgoingLink(OutgoingContext& context, VmId to, std::string address)
     : m_context(context)
     , m_to(std::move(to))
-    , m_address(address)
+    , m_address(std::move(address))
     , m_queue(context.counters)
 {
 }
@@ -34,7 +34,8 @@
 
 void OutgoingLink::connect(Instant now)
 {
-    auto target = socketAddress(m_address);
+    // The address was parsed before the link was made.
+    auto target = parseAddress(m_address).value();
     auto* buf = bufferevent_socket_new(&m_context.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     if (bufferevent_socket_connect(buf, target.get(), static_cast<int>(target.length)) != 0) {
         bufferevent_free(buf);
--- a/packages/runtime/src/link/outgoing.hpp
+++ b/packages/runtime/src/link/outgoing.hpp
@@ -27,7 +27,7 @@
 /// Connects on demand, keeps frames in a bounded queue and reconnects with growing delays while frames are waiting.
 class OutgoingLink {
 public:
-    OutgoingLink(OutgoingContext& context, VmId to, const Address& address);
+    OutgoingLink(OutgoingContext& context, VmId to, std::string address);
 
     /// Queues a frame and connects when needed. Returns false when the frame was dropped.
     bool send(SendQueue::Frame&& frame, Instant now);
@@ -39,7 +39,7 @@
     [[nodiscard]] bool idle(Instant now) const;
 
     [[nodiscard]] bool connected() const noexcept { return m_connection != nullptr; }
-    [[nodiscard]] const Address& address() const noexcept { return m_address; }
+    [[nodiscard]] const std::string& address() const noexcept { return m_address; }
 
 private:
     void connect(Instant now);
@@ -48,7 +48,7 @@
 
     OutgoingContext& m_context;
     VmId m_to;
-    Address m_address;
+    std::string m_address;
     SendQueue m_queue;
     std::unique_ptr<LinkConnection> m_connection;
     Instant m_lastUse;
--- a/tests/runtime/link/links.cpp
+++ b/tests/runtime/link/links.cpp
@@ -37,7 +37,9 @@
         self.vm = VmId { vm };
         self.dataCentre = DataCentreId { "mixco" };
         self.bootId = BootId { "boot-" + vm };
-        links = PeerLinks::open(base, { "127.0.0.1", port }, self, [](node::Event&&) {}).value();
+        links = PeerLinks::open(
+            base, runtime::parseAddress("127.0.0.1:" + std::to_string(port)).value(), self, [](node::Event&&) {
+            }).value();
         links->onForward([this](const VmId& from, std::span<const std::byte> payload) {
             received.push_back(from.text() + " " + std::to_string(payload.size()));
             return true;
@@ -121,7 +123,7 @@
     const test::EventBase base(event_base_new());
     Process a(*base, "a");
     auto b = std::make_unique<Process>(*base, "b");
-    const auto port = b->links->address().port;
+    const auto port = portOf(b->links->address());
     a.send("b", *b, 1);
     REQUIRE(runUntil(*base, [&] { return b->received.size() == 1; }));
     b.reset();
@@ -175,7 +177,7 @@
     const std::vector<std::byte> noise(64, std::byte { 0xff });
     for (const auto& bytes : { wrongKind, damaged, noise, helloFrame(99) }) {
         const auto faults = a.links->counters().faults;
-        const RawClient client(a.links->address().port);
+        const RawClient client(portOf(a.links->address()));
         client.write(bytes);
         CHECK(runUntil(*base, [&] { return client.closed(); }));
         CHECK(a.links->counters().faults == faults + 1);
@@ -191,7 +193,7 @@
     std::vector<std::byte> malformed;
     wire::appendFrame(FrameKind::Agreement, std::vector<std::byte>(40, std::byte { 0x7f }), malformed);
     for (const auto& second : { malformed, helloFrame() }) {
-        const RawClient client(a.links->address().port);
+        const RawClient client(portOf(a.links->address()));
         client.write(helloFrame());
         client.write(second);
         CHECK(runUntil(*base, [&] { return client.closed(); }));
