--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -117,6 +117,9 @@
         listener("operator-address", m_settings.operatorAddress, true);
         readPeers(raw.peers);
         listener("peer-address", m_settings.peerAddress, !m_settings.peers.empty());
+        const auto own = runtime::parseAddress(m_settings.peerAddress);
+        if (own.has_value() && runtime::portOf(own.value()) == 0)
+            fault("peer-address", m_settings.peerAddress, "has no port that peers could name");
         m_settings.configurationVoters = voters("configuration-voter", splitList(raw.configurationVoters), maxVoters);
         m_settings.placementAcceptors = voters("placement-acceptor", splitList(raw.placementAcceptors), maxVoters);
         readLedgerVoters(raw.ledgerVoters);
@@ -146,7 +149,7 @@
             return;
         }
         const auto address = runtime::parseAddress(value);
-        if (!address)
+        if (!address.has_value())
             fault(flag, value, "is not ip:port");
         else if (runtime::portOf(address.value()) != 0 && !m_listeners.insert(value).second)
             fault(flag, value, "is already the address of another listener");
@@ -165,7 +168,7 @@
             const node::PeerSetting peer { VmId { value.substr(0, at) },
                 DataCentreId { value.substr(at + 1, equals - at - 1) }, value.substr(equals + 1) };
             const auto address = runtime::parseAddress(peer.address);
-            if (!wire::isName(peer.vm.text()) || !wire::isName(peer.dataCentre.text()) || !address
+            if (!wire::isName(peer.vm.text()) || !wire::isName(peer.dataCentre.text()) || !address.has_value()
                 || runtime::portOf(address.value()) == 0)
                 fault("peer", value, "is not VM@DATA_CENTRE=IP:PORT");
             else if (!m_known.insert(peer.vm.text()).second)
@@ -230,7 +233,7 @@
     {
         if (raw.logFormat != "text" && raw.logFormat != "json")
             fault("log-format", raw.logFormat, "must be text or json");
-        m_settings.logFormat = raw.logFormat == "json" ? LogFormat::Json : LogFormat::Text;
+        m_settings.logFormat = raw.logFormat == "json" ? runtime::LogFormat::Json : runtime::LogFormat::Text;
         static const std::map<std::string, node::LogLevel> levels { { "debug", node::LogLevel::Debug },
             { "info", node::LogLevel::Info }, { "warning", node::LogLevel::Warning },
             { "error", node::LogLevel::Error } };
