Bound requests by size and time in the HTTP server

Cause: a body of 40 MB crashed the process, a pipelined request was dropped in silence and HTTP/1.0 callers got chunks. Change: bodies are counted while they arrive and answered with 413 above 1 MiB; headers above 16 KiB are answered with 431; the end of a request is handled before libevhtp frees the connection; a connection with a pipelined request is closed after the first answer; HTTP/1.0 streams end with the connection. The stand-in engine survives a closed connection. Conclusion: a probe with malformed, oversized, pipelined and abandoned requests leaves the process running.

--- a/packages/runtime/include/rosemarymill/runtime/http/server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/http/server.hpp
@@ -91,6 +91,7 @@
     evhtp_request_t* m_request;
     std::string m_body;
     bool m_tooLarge { false };
+    bool m_chunked { true };
 };
 
 /// Listener for one address. Requests without a route are answered with 404.
--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -17,9 +17,27 @@
 
 Connection& connectionOf(void* arg) { return *static_cast<Connection*>(arg); }
 
+/// Answers at once with a status line and closes the connection. Used where libevhtp cannot send a reply any more.
+void refuseAndClose(Connection& connection, std::string_view response)
+{
+    // A short first response fits into the empty send buffer; the client is not owed more.
+    (void)send(connection.htp->sock, response.data(), response.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 evhtp_res onHeader(evhtp_request_t*, evhtp_header_t* header, void* arg)
 {
-    connectionOf(arg).headerBytes += header->klen + header->vlen;
+    auto& connection = connectionOf(arg);
+    connection.headerBytes += header->klen + header->vlen;
+    if (connection.headerBytes <= maxHeaderBytes)
+        return EVHTP_RES_OK;
+    refuseAndClose(
+        connection, "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    return EVHTP_RES_ERROR;
+}
+
+evhtp_res onBody(evhtp_request_t*, evbuffer* buf, void* arg)
+{
+    connectionOf(arg).takeBody(buf);
     return EVHTP_RES_OK;
 }
 
@@ -27,6 +45,7 @@
 {
     auto& connection = connectionOf(arg);
     connection.exchange = std::make_unique<Exchange>(connection, request);
+    connection.findHeadEnd(evhtp_header_find(request->headers_in, "Transfer-Encoding") != nullptr);
     return EVHTP_RES_OK;
 }
 
@@ -41,7 +60,7 @@
 void onInput(evbuffer*, const evbuffer_cb_info* info, void* arg)
 {
     if (info->n_added > 0)
-        connectionOf(arg).bytesArrived();
+        connectionOf(arg).bytesArrived(info->n_added);
 }
 
 void onOutput(evbuffer*, const evbuffer_cb_info* info, void* arg)
@@ -59,6 +78,7 @@
 {
     evhtp_connection_set_hook(htp, evhtp_hook_on_header, asHook(onHeader), this);
     evhtp_connection_set_hook(htp, evhtp_hook_on_headers, asHook(onHeaders), this);
+    evhtp_connection_set_hook(htp, evhtp_hook_on_read, asHook(onBody), this);
     evhtp_connection_set_hook(htp, evhtp_hook_on_request_fini, asHook(onRequestEnd), this);
     auto* bev = evhtp_connection_get_bev(htp);
     evbuffer_add_cb(bufferevent_get_input(bev), onInput, this);
@@ -66,14 +86,52 @@
     event_add(timer.get(), &idleTimeout);
 }
 
-void Connection::bytesArrived()
+Connection::~Connection()
 {
+    // libevhtp frees the request after the connection's end was reported, so the request's end is handled here.
+    evhtp_connection_unset_hook(htp, evhtp_hook_on_request_fini);
+    if (auto* bev = evhtp_connection_get_bev(htp)) {
+        evbuffer_remove_cb(bufferevent_get_input(bev), onInput, this);
+        evbuffer_remove_cb(bufferevent_get_output(bev), onOutput, this);
+    }
+    requestEnded();
+}
+
+void Connection::bytesArrived(std::size_t count)
+{
+    arrivedBytes += count;
+    if (answering)
+        pipelined = true;
     if (arriving || answering)
         return;
     arriving = true;
     event_add(timer.get(), &arrivalTimeout);
 }
 
+void Connection::findHeadEnd(bool chunked)
+{
+    constexpr std::string_view emptyLine = "\r\n\r\n";
+    auto* input = bufferevent_get_input(evhtp_connection_get_bev(htp));
+    const auto found = evbuffer_search(input, emptyLine.data(), emptyLine.size(), nullptr);
+    // The buffer holds the bytes of the last read only.
+    const auto before = arrivedBytes - evbuffer_get_length(input);
+    headEnd = chunked || found.pos < 0 ? 0 : before + static_cast<std::size_t>(found.pos) + emptyLine.size();
+}
+
+void Connection::takeBody(evbuffer* buf)
+{
+    const auto size = evbuffer_get_length(buf);
+    bodyBytes += size;
+    if (exchange && exchange->m_body.size() + size <= maxBodyBytes) {
+        const auto begin = exchange->m_body.size();
+        exchange->m_body.resize(begin + size);
+        evbuffer_copyout(buf, exchange->m_body.data() + begin, size);
+    } else if (exchange) {
+        exchange->m_tooLarge = true;
+    }
+    evbuffer_drain(buf, size);
+}
+
 void Connection::requestComplete(evhtp_request_t* request)
 {
     arriving = false;
@@ -81,6 +139,7 @@
     event_del(timer.get());
     if (!exchange)
         exchange = std::make_unique<Exchange>(*this, request);
+    pipelined = headEnd > 0 && arrivedBytes > headEnd + bodyBytes;
 }
 
 void Connection::requestEnded()
@@ -88,7 +147,11 @@
     answering = false;
     arriving = false;
     headerBytes = 0;
-    event_add(timer.get(), &idleTimeout);
+    arrivedBytes = 0;
+    bodyBytes = 0;
+    // libevhtp drops a request that arrives during an answer. Closing the connection tells the client to resend it.
+    constexpr timeval atOnce { 0, 0 };
+    event_add(timer.get(), pipelined ? &atOnce : &idleTimeout);
     const auto ended = std::move(exchange);
     if (ended && ended->onClosed)
         ended->onClosed();
@@ -150,12 +213,29 @@
 void Exchange::begin(int status, std::string_view contentType, const Headers& headers)
 {
     addHeaders(contentType, headers);
-    evhtp_send_reply_chunk_start(m_request, static_cast<evhtp_res>(status));
+    // HTTP/1.0 has no chunks: the end of the connection ends the body.
+    m_chunked = m_request->proto != EVHTP_PROTO_10;
+    if (m_chunked)
+        evhtp_send_reply_chunk_start(m_request, static_cast<evhtp_res>(status));
+    else
+        evhtp_send_reply_start(m_request, static_cast<evhtp_res>(status));
 }
 
-void Exchange::write(evbuffer* buf) { evhtp_send_reply_chunk(m_request, buf); }
+void Exchange::write(evbuffer* buf)
+{
+    if (m_chunked)
+        evhtp_send_reply_chunk(m_request, buf);
+    else
+        evhtp_send_reply_body(m_request, buf);
+}
 
-void Exchange::end() { evhtp_send_reply_chunk_end(m_request); }
+void Exchange::end()
+{
+    if (m_chunked)
+        evhtp_send_reply_chunk_end(m_request);
+    else
+        evhtp_send_reply_end(m_request);
+}
 
 void Exchange::abort() { evhtp_connection_free(m_connection.htp); }
 
@@ -190,9 +270,6 @@
             auto& server = *static_cast<Server*>(arg);
             auto& connection = *server.m_connections.at(request->conn);
             connection.requestComplete(request);
-            auto& body = connection.exchange->m_body;
-            body.resize(evbuffer_get_length(request->buffer_in));
-            evbuffer_remove(request->buffer_in, body.data(), body.size());
             server.dispatch(*connection.exchange);
         },
         this);
@@ -229,6 +306,10 @@
 
 void Server::dispatch(Exchange& exchange)
 {
+    if (exchange.m_tooLarge) {
+        replyProblem(exchange, { 413, "Body too large", "not_run", "the body is longer than 1 MiB", {} });
+        return;
+    }
     const auto path = exchange.path();
     bool pathKnown = false;
     for (const auto& it : m_routes) {
@@ -242,9 +323,9 @@
         }
     }
     if (pathKnown)
-        replyProblem(exchange, { 405, "Method not allowed", "not_run", "the path does not take this method" });
+        replyProblem(exchange, { 405, "Method not allowed", "not_run", "the path does not take this method", {} });
     else
-        replyProblem(exchange, { 404, "Not found", "not_run", "there is no such path" });
+        replyProblem(exchange, { 404, "Not found", "not_run", "there is no such path", {} });
 }
 
 } // namespace rosemarymill::runtime::http
--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -90,7 +90,8 @@
     }
 
     void emit(Stream& stream);
-    void closed(Stream& stream) { remove(stream); }
+    /// The connection is being freed: it must not be used any more.
+    void closed(Stream& stream) { forget(stream); }
 
 private:
     json announcement() const
@@ -270,6 +271,11 @@
     void remove(Stream& stream)
     {
         evhttp_connection_set_closecb(evhttp_request_get_connection(stream.request), nullptr, nullptr);
+        forget(stream);
+    }
+
+    void forget(Stream& stream)
+    {
         event_free(stream.timer);
         m_held -= stream.held;
         m_cancelled += stream.next < stream.end ? 1 : 0;
