Add the replicated log

Cause: configuration and ledgers need a log that survives crashes, partitions and lost disks.

A commit mark is synced before an entry is applied, so a restart never shows an older state. A voter that lost its disk, or runs on an old copy of it, counts only when every voter grants the vote, until it has caught up.

--- /dev/null
+++ b/packages/core/include/rosemarymill/core/agreement/event.hpp
@@ -0,0 +1,149 @@
+#pragma once
+
+#include <rosemarymill/core/agreement/message.hpp>
+#include <rosemarymill/core/base/sink.hpp>
+#include <rosemarymill/core/base/time.hpp>
+
+#include <concepts>
+#include <cstddef>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Events and effects of a replica.
+namespace rosemarymill::agreement {
+
+/// Application state driven by the log. `apply` must depend on nothing but the state and the command. `weight`
+/// estimates the encoded size of a command in bytes.
+template <typename T>
+concept StateMachine
+    = requires(T machine, const T& constMachine, const typename T::Command& command, typename T::Snapshot snapshot)
+{
+    typename T::Answer;
+    {
+        machine.apply(Index {}, command)
+        } -> std::same_as<typename T::Answer>;
+    {
+        constMachine.snapshot()
+        } -> std::same_as<typename T::Snapshot>;
+    machine.restore(std::move(snapshot));
+    {
+        T::weight(command)
+        } -> std::convertible_to<std::size_t>;
+};
+
+enum class Role { Follower, Candidate, Leader };
+
+/// Fixed choices of one replica.
+struct Settings {
+    VmId self;
+    std::vector<VmId> voters;
+    std::uint64_t seed { 0 };
+    /// Differs at each start of the process.
+    std::uint64_t bootNonce { 0 };
+    Duration heartbeat { 150ms };
+    /// A follower that hears no leader for a random time between these limits starts an election. A leader that hears
+    /// no majority for the lower limit steps down.
+    Duration electionMin { 1s };
+    Duration electionMax { 2s };
+    /// Applied entries after which a snapshot is taken.
+    std::uint64_t snapshotInterval { 256 };
+    /// Entries kept behind a snapshot, so that a voter that missed few entries needs no snapshot.
+    std::uint64_t trailingEntries { 64 };
+    /// Largest weight of the entries in one Append, in bytes. A frame holds 1 MiB.
+    std::size_t appendWeight { 256 * 1024 };
+};
+
+/// First event of a replica.
+struct Started {
+    Instant now;
+};
+
+/// Periodic timer, every 100 ms or more often.
+struct Tick {
+    Instant now;
+};
+
+template <typename Command, typename Snapshot> struct Received {
+    Instant now;
+    VmId from;
+    Message<Command, Snapshot> message;
+};
+
+/// A command to replicate. Only the leader takes it.
+template <typename Command> struct Proposed {
+    Instant now;
+    Command command;
+};
+
+/// All records up to this sequence number are synced.
+struct Persisted {
+    Instant now;
+    std::uint64_t sequence { 0 };
+};
+
+/// The disk became full, or writable again. Records that are not yet reported as persisted stay queued in the storage.
+struct StorageChanged {
+    Instant now;
+    bool writable { true };
+};
+
+template <typename Command, typename Snapshot>
+using Event = std::variant<Started, Tick, Received<Command, Snapshot>, Proposed<Command>, Persisted, StorageChanged>;
+
+/// Sends a message to another voter. Delivery is not guaranteed.
+template <typename Command, typename Snapshot> struct Send {
+    VmId to;
+    Message<Command, Snapshot> message;
+};
+
+/// Writes and syncs a record, in order of the sequence numbers.
+template <typename Command, typename Snapshot> struct Persist {
+    std::uint64_t sequence { 0 };
+    Record<Command, Snapshot> record;
+};
+
+/// A committed command was applied; its entry is durable here.
+template <typename Command, typename Answer> struct Applied {
+    Index index { 0 };
+    Term term { 0 };
+    Command command;
+    Answer answer;
+};
+
+/// The state machine was replaced by a snapshot of the leader.
+struct Restored {
+    Index index { 0 };
+};
+
+/// Role, leader or term changed.
+struct RoleChanged {
+    Role role { Role::Follower };
+    Term term { 0 };
+    /// Empty when no leader is known.
+    VmId leader;
+};
+
+enum class ProposalError { NotLeader, StorageFull };
+
+/// A proposed command was not taken and is in no log.
+template <typename Command> struct Refused {
+    ProposalError error { ProposalError::NotLeader };
+    Command command;
+};
+
+/// The data folder is an old copy. The voter votes again once it has caught up.
+struct FolderOutdated {
+    std::uint64_t seenIncarnation { 0 };
+};
+
+/// A committed entry differs from the leader's. The voter no longer takes part, as with a damaged log.
+struct Diverged {
+    Index commit { 0 };
+};
+
+template <typename Command, typename Snapshot, typename Answer>
+using Effect = std::variant<Send<Command, Snapshot>, Persist<Command, Snapshot>, Applied<Command, Answer>, Restored,
+    RoleChanged, Refused<Command>, FolderOutdated, Diverged>;
+
+} // namespace rosemarymill::agreement
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/agreement/log.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <rosemarymill/core/agreement/record.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace rosemarymill::agreement {
+
+/// Entries of a log in memory. Entries up to `base` are dropped and covered by the snapshot.
+template <typename Command, typename Snapshot> class Log {
+public:
+    explicit Log(const Image<Command, Snapshot>& image)
+        : m_snapshot(image.snapshot)
+        , m_entries(image.entries.begin(), image.entries.end())
+    {
+        if (m_snapshot) {
+            m_base = m_snapshot->index;
+            m_baseTerm = m_snapshot->term;
+        }
+    }
+
+    [[nodiscard]] Index base() const noexcept { return m_base; }
+    [[nodiscard]] Index lastIndex() const noexcept { return m_base + m_entries.size(); }
+    [[nodiscard]] Term lastTerm() const noexcept { return m_entries.empty() ? m_baseTerm : m_entries.back().term; }
+    [[nodiscard]] const std::optional<SnapshotImage<Snapshot>>& snapshot() const noexcept { return m_snapshot; }
+    [[nodiscard]] Index snapshotIndex() const noexcept { return m_snapshot ? m_snapshot->index : 0; }
+    [[nodiscard]] const Entry<Command>& at(Index index) const noexcept { return m_entries[index - m_base - 1]; }
+
+    /// Term of an entry; empty when the log does not hold the entry.
+    [[nodiscard]] std::optional<Term> termAt(Index index) const noexcept
+    {
+        if (index < m_base || index > lastIndex())
+            return std::nullopt;
+        return index == m_base ? m_baseTerm : at(index).term;
+    }
+
+    void append(Entry<Command> entry) { m_entries.push_back(std::move(entry)); }
+
+    void truncateFrom(Index index)
+    {
+        if (index <= lastIndex())
+            m_entries.resize(index > m_base ? index - m_base - 1 : 0);
+    }
+
+    /// Last index with another term than the entry at `index`, as a hint for log repair.
+    [[nodiscard]] Index beforeTermOf(Index index) const noexcept
+    {
+        const auto term = at(index).term;
+        while (index > m_base && at(index).term == term)
+            --index;
+        return index;
+    }
+
+    /// Replaces the snapshot by one of the applied state and drops entries except the last `trailing` before it.
+    void compact(SnapshotImage<Snapshot> snapshot, std::uint64_t trailing)
+    {
+        const auto target = snapshot.index > trailing ? snapshot.index - trailing : 0;
+        if (target > m_base) {
+            m_baseTerm = *termAt(target);
+            m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(target - m_base));
+            m_base = target;
+        }
+        m_snapshot = std::move(snapshot);
+    }
+
+    /// Installs a snapshot of the leader. Entries behind it are kept only when they continue it.
+    void install(SnapshotImage<Snapshot> snapshot)
+    {
+        if (termAt(snapshot.index) == snapshot.term) {
+            compact(std::move(snapshot), 0);
+            return;
+        }
+        m_entries.clear();
+        m_base = snapshot.index;
+        m_baseTerm = snapshot.term;
+        m_snapshot = std::move(snapshot);
+    }
+
+private:
+    std::optional<SnapshotImage<Snapshot>> m_snapshot;
+    std::deque<Entry<Command>> m_entries;
+    Index m_base { 0 };
+    Term m_baseTerm { 0 };
+};
+
+} // namespace rosemarymill::agreement
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/agreement/record.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <rosemarymill/core/base/id.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+/// What a voter of a replicated log keeps on disk.
+namespace rosemarymill::agreement {
+
+namespace detail {
+struct LogTag;
+} // namespace detail
+
+/// Name of a log: `configuration` or `ledger-<data centre>`.
+using LogId = Name<detail::LogTag>;
+
+/// Position of an entry. The first entry has index 1.
+using Index = std::uint64_t;
+
+/// Period with at most one leader.
+using Term = std::uint64_t;
+
+/// Entry of the log. A new leader opens its term with an entry without a command.
+template <typename Command> struct Entry {
+    Index index { 0 };
+    Term term { 0 };
+    std::optional<Command> command;
+
+    friend bool operator==(const Entry&, const Entry&) = default;
+};
+
+/// State of the state machine after the entry at `index`.
+template <typename Snapshot> struct SnapshotImage {
+    Index index { 0 };
+    Term term { 0 };
+    Snapshot state;
+
+    friend bool operator==(const SnapshotImage&, const SnapshotImage&) = default;
+};
+
+/// Incarnation of a process at its next start: the number of starts on the data folder in the upper 48 bits, and a
+/// nonce drawn at the start in the lower 16 bits.
+[[nodiscard]] constexpr std::uint64_t nextIncarnation(std::uint64_t last, std::uint64_t nonce) noexcept
+{
+    return ((last >> 16) + 1) << 16 | (nonce & 0xffff);
+}
+
+/// Whether a process runs on an old copy of its data folder: its number of starts is not above the one seen before, and
+/// it is another start.
+[[nodiscard]] constexpr bool isOutdated(std::uint64_t incarnation, std::uint64_t seen) noexcept
+{
+    return incarnation != seen && (incarnation >> 16) <= (seen >> 16);
+}
+
+/// Small part of the persisted state, rewritten as a whole.
+struct HardState {
+    Term term { 0 };
+    /// Candidate voted for in this term; empty when no vote was given.
+    VmId vote;
+    /// Index known to be committed. Only entries up to it are applied after a restart.
+    Index commit { 0 };
+    /// Start of the process on this data folder, see nextIncarnation.
+    std::uint64_t incarnation { 0 };
+    /// Whether this voter has held the whole log since its data folder was created. The vote of any other voter counts
+    /// only when every voter grants it.
+    bool joined { false };
+
+    friend bool operator==(const HardState&, const HardState&) = default;
+};
+
+/// One atomic change of the persisted state.
+template <typename Command, typename Snapshot> struct Record {
+    HardState hard;
+    /// Replaces the snapshot. The entries up to its index are no longer needed.
+    std::optional<SnapshotImage<Snapshot>> snapshot;
+    /// All entries from this index on are removed before the new ones are appended.
+    std::optional<Index> truncateFrom;
+    std::vector<Entry<Command>> entries;
+
+    friend bool operator==(const Record&, const Record&) = default;
+};
+
+/// Everything that a voter reads back from its disk at start.
+template <typename Command, typename Snapshot> struct Image {
+    HardState hard;
+    std::optional<SnapshotImage<Snapshot>> snapshot;
+    /// Consecutive entries after the snapshot.
+    std::vector<Entry<Command>> entries;
+    /// A record in the synced part cannot be read. The voter neither votes nor acknowledges entries.
+    bool damaged { false };
+
+    friend bool operator==(const Image&, const Image&) = default;
+};
+
+/// Applies a record to an image. Storage replays its log with this function.
+template <typename Command, typename Snapshot>
+void applyRecord(Image<Command, Snapshot>& image, const Record<Command, Snapshot>& record)
+{
+    image.hard = record.hard;
+    auto& entries = image.entries;
+    if (record.truncateFrom)
+        std::erase_if(entries, [&](const auto& it) { return it.index >= *record.truncateFrom; });
+    if (record.snapshot) {
+        image.snapshot = record.snapshot;
+        std::erase_if(entries, [&](const auto& it) { return it.index <= record.snapshot->index; });
+    }
+    entries.insert(entries.end(), record.entries.begin(), record.entries.end());
+}
+
+} // namespace rosemarymill::agreement
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/agreement/replica.hpp
@@ -0,0 +1,618 @@
+#pragma once
+
+#include <rosemarymill/core/agreement/event.hpp>
+#include <rosemarymill/core/agreement/log.hpp>
+#include <rosemarymill/core/agreement/rules.hpp>
+#include <rosemarymill/core/base/hash.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+
+namespace rosemarymill::agreement {
+
+/// One voter of a replicated log with its state machine. All inputs arrive by `reduce`; outputs are effects. Equal
+/// settings, images and events give equal effects.
+template <typename M, typename Rules = StandardRules> class Replica {
+    static_assert(StateMachine<M>);
+
+public:
+    using Command = typename M::Command;
+    using Snapshot = typename M::Snapshot;
+    using Answer = typename M::Answer;
+    using Image = agreement::Image<Command, Snapshot>;
+    using Message = agreement::Message<Command, Snapshot>;
+    using Record = agreement::Record<Command, Snapshot>;
+    using Event = agreement::Event<Command, Snapshot>;
+    using Effect = agreement::Effect<Command, Snapshot, Answer>;
+    using Effects = EffectList<Effect>;
+
+    Replica(Settings settings, const Image& image, M machine = M {})
+        : m_settings(std::move(settings))
+        , m_hard(image.hard)
+        , m_damaged(image.damaged)
+        , m_log(image)
+        , m_machine(std::move(machine))
+        , m_random(static_cast<std::minstd_rand::result_type>(
+              hash64(m_settings.self.text(), m_settings.seed + image.hard.incarnation)))
+    {
+        m_durable = m_log.lastIndex();
+        if (!m_damaged)
+            applyTo(m_hard.commit, nullptr);
+    }
+
+    /// Applies one event and appends its effects.
+    void reduce(const Event& event, Effects& effects)
+    {
+        if (m_damaged)
+            return refuseWhenDamaged(event, effects);
+        const auto before = view();
+        std::visit(
+            [&](const auto& it) {
+                m_now = it.now;
+                handle(it, effects);
+            },
+            event);
+        if (m_damaged)
+            effects(Diverged { m_hard.commit });
+        flush(effects);
+        if (const auto after = view(); after != before)
+            effects(RoleChanged { m_role, m_hard.term, m_leader });
+    }
+
+    [[nodiscard]] const M& machine() const noexcept { return m_machine; }
+    [[nodiscard]] Role role() const noexcept { return m_role; }
+    [[nodiscard]] const VmId& leader() const noexcept { return m_leader; }
+    [[nodiscard]] Term term() const noexcept { return m_hard.term; }
+    [[nodiscard]] Index commit() const noexcept { return m_hard.commit; }
+    [[nodiscard]] Index applied() const noexcept { return m_applied; }
+    [[nodiscard]] const Log<Command, Snapshot>& log() const noexcept { return m_log; }
+    [[nodiscard]] bool damaged() const noexcept { return m_damaged; }
+    [[nodiscard]] bool joined() const noexcept { return m_hard.joined; }
+    [[nodiscard]] bool writable() const noexcept { return m_writable; }
+
+    /// Whether everything that the quorum had committed when a leader of the current term last reported is applied.
+    [[nodiscard]] bool caughtUp() const noexcept { return m_caughtUp; }
+
+private:
+    struct Peer {
+        Index next { 1 };
+        Index match { 0 };
+        std::uint64_t incarnation { 0 };
+        Instant heardAt { Duration::min() };
+        Instant snapshotSentAt { Duration::min() };
+    };
+    struct PendingRecord {
+        std::uint64_t sequence { 0 };
+        Index lastIndex { 0 };
+        Index commit { 0 };
+    };
+    struct HeldMessage {
+        std::uint64_t sequence { 0 };
+        VmId to;
+        Body<Command, Snapshot> body;
+    };
+
+    /// A snapshot is not sent again to the same voter within this time, so that heartbeats do not repeat it.
+    static constexpr Duration snapshotResendInterval = 1s;
+
+    // Event handlers
+
+    void handle(const Started&, Effects&)
+    {
+        m_hard.incarnation = nextIncarnation(m_hard.incarnation, m_settings.bootNonce);
+        m_hardChanged = true;
+        resetElectionTimer();
+    }
+
+    void handle(const Tick&, Effects&)
+    {
+        if (m_role == Role::Leader) {
+            if (!hearsMajority())
+                return follow(m_hard.term, {});
+            if (m_now >= m_nextHeartbeat)
+                broadcast();
+        } else if (m_now >= m_electionAt) {
+            startElection(true);
+        }
+    }
+
+    void handle(const Received<Command, Snapshot>& event, Effects& effects)
+    {
+        if (!isVoter(event.from) || event.from == m_settings.self)
+            return;
+        if (const auto* it = std::get_if<OutdatedIncarnation>(&event.message.body))
+            return handleOutdated(*it, effects);
+        auto& peer = m_peers[event.from];
+        if (isOutdated(event.message.incarnation, peer.incarnation)) {
+            send(event.from, OutdatedIncarnation { peer.incarnation }, false);
+            return;
+        }
+        if (event.message.incarnation != peer.incarnation) {
+            peer.incarnation = event.message.incarnation;
+            peer.match = 0;
+        }
+        std::visit(
+            [&](const auto& it) {
+                if constexpr (!std::is_same_v<std::decay_t<decltype(it)>, OutdatedIncarnation>)
+                    handleBody(event.from, it);
+            },
+            event.message.body);
+    }
+
+    void handle(const Proposed<Command>& event, Effects& effects)
+    {
+        if (m_role != Role::Leader || !m_writable) {
+            const auto error = m_role == Role::Leader ? ProposalError::StorageFull : ProposalError::NotLeader;
+            effects(Refused<Command> { error, event.command });
+            return;
+        }
+        appendOwn(event.command);
+        broadcast();
+    }
+
+    void handle(const Persisted& event, Effects& effects)
+    {
+        m_persistedSequence = std::max(m_persistedSequence, event.sequence);
+        Index commit = 0;
+        while (!m_pending.empty() && m_pending.front().sequence <= event.sequence) {
+            m_durable = m_pending.front().lastIndex;
+            commit = std::max(commit, m_pending.front().commit);
+            m_pending.pop_front();
+        }
+        applyTo(std::min(commit, m_durable), &effects);
+        advanceCommit();
+    }
+
+    void handle(const StorageChanged& event, Effects&)
+    {
+        m_writable = event.writable;
+        if (!m_writable && m_role == Role::Leader)
+            follow(m_hard.term, {});
+    }
+
+    // Elections
+
+    void startElection(bool preliminary)
+    {
+        resetElectionTimer();
+        if (!m_writable || !isVoter(m_settings.self))
+            return;
+        m_leader = {};
+        m_role = preliminary ? Role::Follower : Role::Candidate;
+        m_preliminary = preliminary;
+        if (!preliminary) {
+            ++m_hard.term;
+            m_hard.vote = m_settings.self;
+            m_hardChanged = true;
+            m_caughtUp = false;
+        }
+        m_electing = true;
+        m_grants.clear();
+        m_grants[m_settings.self] = m_hard.joined;
+        const auto term = preliminary ? m_hard.term + 1 : m_hard.term;
+        for (const auto& voter : m_settings.voters) {
+            if (voter != m_settings.self)
+                send(voter, VoteRequest { term, m_log.lastIndex(), m_log.lastTerm(), preliminary }, !preliminary);
+        }
+        countGrants();
+    }
+
+    void countGrants()
+    {
+        const auto trusted = std::count_if(
+            m_grants.begin(), m_grants.end(), [](const auto& it) { return it.second || !Rules::distrustsLostDisks; });
+        if (static_cast<std::size_t>(trusted) < majority() && m_grants.size() < m_settings.voters.size())
+            return;
+        m_electing = false;
+        if (m_preliminary)
+            startElection(false);
+        else
+            lead();
+    }
+
+    void lead()
+    {
+        m_role = Role::Leader;
+        m_leader = m_settings.self;
+        m_hard.joined = true;
+        m_hardChanged = true;
+        for (auto& [vm, peer] : m_peers) {
+            peer.next = m_log.lastIndex() + 1;
+            peer.match = 0;
+        }
+        for (const auto& voter : m_settings.voters)
+            m_peers.try_emplace(voter, Peer { m_log.lastIndex() + 1 }).first->second.heardAt = m_now;
+        appendOwn(std::nullopt);
+        broadcast();
+    }
+
+    void follow(Term term, const VmId& leader)
+    {
+        if (term > m_hard.term) {
+            m_hard.term = term;
+            m_hard.vote = {};
+            m_hardChanged = true;
+            m_caughtUp = false;
+        }
+        if (m_role == Role::Leader)
+            resetElectionTimer();
+        m_role = Role::Follower;
+        m_electing = false;
+        m_leader = leader;
+    }
+
+    void handleBody(const VmId& from, const VoteRequest& request)
+    {
+        const bool upToDate = request.lastTerm > m_log.lastTerm()
+            || (request.lastTerm == m_log.lastTerm() && request.lastIndex >= m_log.lastIndex());
+        if (request.preliminary) {
+            const bool quiet
+                = m_role != Role::Leader && (m_leader.empty() || m_now >= m_heardLeaderAt + m_settings.electionMin);
+            const bool granted = quiet && upToDate && m_writable && request.term > m_hard.term;
+            send(from, VoteReply { granted ? request.term : m_hard.term, granted, true, m_hard.joined }, true);
+            return;
+        }
+        if (request.term > m_hard.term)
+            follow(request.term, {});
+        const bool free = m_hard.vote.empty() || m_hard.vote == from || !Rules::oneVotePerTerm;
+        const bool granted = request.term == m_hard.term && m_role == Role::Follower && free && upToDate && m_writable;
+        if (granted) {
+            m_hard.vote = from;
+            m_hardChanged = true;
+            resetElectionTimer();
+        }
+        send(from, VoteReply { m_hard.term, granted, false, m_hard.joined }, true);
+    }
+
+    void handleBody(const VmId& from, const VoteReply& reply)
+    {
+        if (!reply.granted) {
+            if (reply.term > m_hard.term)
+                follow(reply.term, {});
+            return;
+        }
+        const auto wanted = m_preliminary ? m_hard.term + 1 : m_hard.term;
+        if (!m_electing || reply.preliminary != m_preliminary || reply.term != wanted)
+            return;
+        m_grants[from] = reply.joined;
+        countGrants();
+    }
+
+    // Replication at the leader
+
+    void appendOwn(std::optional<Command> command)
+    {
+        Entry<Command> entry { m_log.lastIndex() + 1, m_hard.term, std::move(command) };
+        m_record.entries.push_back(entry);
+        m_log.append(std::move(entry));
+    }
+
+    void broadcast()
+    {
+        m_nextHeartbeat = m_now + m_settings.heartbeat;
+        for (const auto& voter : m_settings.voters) {
+            if (voter != m_settings.self)
+                sendAppend(voter, m_peers[voter]);
+        }
+    }
+
+    [[nodiscard]] bool snapshotDue(const Peer& peer) const
+    {
+        return peer.next <= m_log.base() && m_now >= peer.snapshotSentAt + snapshotResendInterval;
+    }
+
+    void sendAppend(const VmId& to, Peer& peer)
+    {
+        if (snapshotDue(peer)) {
+            peer.snapshotSentAt = m_now;
+            peer.next = m_log.snapshotIndex() + 1;
+            send(to, InstallSnapshot<Snapshot> { m_hard.term, *m_log.snapshot() }, false);
+            return;
+        }
+        const bool heartbeatOnly = peer.next <= m_log.base();
+        Append<Command> append { m_hard.term, std::max(peer.next - 1, m_log.base()), 0, m_hard.commit, peer.incarnation,
+            {} };
+        append.previousTerm = *m_log.termAt(append.previousIndex);
+        if (heartbeatOnly)
+            return send(to, std::move(append), false);
+        std::size_t weight = 0;
+        for (auto index = append.previousIndex + 1; index <= m_log.lastIndex(); ++index) {
+            const auto& entry = m_log.at(index);
+            weight += entry.command ? M::weight(*entry.command) : 0;
+            if (weight > m_settings.appendWeight && !append.entries.empty())
+                break;
+            append.entries.push_back(entry);
+        }
+        peer.next = append.previousIndex + append.entries.size() + 1;
+        send(to, std::move(append), false);
+    }
+
+    void handleBody(const VmId& from, const AppendReply& reply)
+    {
+        if (reply.term > m_hard.term)
+            return follow(reply.term, {});
+        if (m_role != Role::Leader || reply.term != m_hard.term || reply.match > m_log.lastIndex())
+            return;
+        auto& peer = m_peers[from];
+        peer.heardAt = m_now;
+        if (!reply.accepted) {
+            peer.next = std::min(m_log.lastIndex(), std::max(reply.match, peer.match)) + 1;
+            if (peer.next > m_log.base() || snapshotDue(peer))
+                sendAppend(from, peer);
+            return;
+        }
+        peer.match = std::max(peer.match, reply.match);
+        peer.next = std::max(peer.next, peer.match + 1);
+        if (peer.next <= m_log.lastIndex())
+            sendAppend(from, peer);
+        advanceCommit();
+    }
+
+    void advanceCommit()
+    {
+        if (m_role != Role::Leader)
+            return;
+        std::vector<Index> matches;
+        for (const auto& voter : m_settings.voters)
+            matches.push_back(voter == m_settings.self ? m_durable : m_peers[voter].match);
+        std::sort(matches.begin(), matches.end(), std::greater<> {});
+        const auto index = matches[majority() - 1];
+        if (index <= m_hard.commit || (Rules::commitsOnlyOwnTerm && m_log.termAt(index) != m_hard.term))
+            return;
+        setCommit(index);
+        broadcast();
+    }
+
+    [[nodiscard]] bool hearsMajority() const
+    {
+        const auto heard = std::count_if(m_settings.voters.begin(), m_settings.voters.end(), [&](const auto& it) {
+            const auto peer = m_peers.find(it);
+            return it == m_settings.self
+                || (peer != m_peers.end() && m_now < peer->second.heardAt + m_settings.electionMin);
+        });
+        return static_cast<std::size_t>(heard) >= majority();
+    }
+
+    // Replication at a follower
+
+    bool acceptLeader(const VmId& from, Term term)
+    {
+        if (term < m_hard.term) {
+            send(from, AppendReply { m_hard.term, false, 0 }, true);
+            return false;
+        }
+        follow(term, from);
+        m_heardLeaderAt = m_now;
+        resetElectionTimer();
+        return true;
+    }
+
+    void handleBody(const VmId& from, const Append<Command>& append)
+    {
+        if (!acceptLeader(from, append.term))
+            return;
+        const auto held = m_log.termAt(append.previousIndex);
+        if (contradictsCommit(append))
+            return;
+        if (append.previousIndex >= m_log.base() && held != append.previousTerm) {
+            const auto hint = held ? m_log.beforeTermOf(append.previousIndex) : m_log.lastIndex();
+            send(from, AppendReply { m_hard.term, false, hint }, true);
+            return;
+        }
+        if (!m_writable && !append.entries.empty())
+            return;
+        for (const auto& entry : append.entries)
+            accept(entry);
+        const auto match = append.previousIndex + append.entries.size();
+        setCommit(std::min(append.commit, match));
+        if (append.receiverIncarnation == m_hard.incarnation && m_log.termAt(append.commit) == append.term
+            && match >= append.commit) {
+            m_caughtUpAt = append.commit;
+            m_caughtUp = m_caughtUp || m_applied >= m_caughtUpAt;
+            if (!m_hard.joined) {
+                m_hard.joined = true;
+                m_hardChanged = true;
+            }
+        }
+        send(from, AppendReply { m_hard.term, true, match }, true);
+    }
+
+    /// A committed entry that differs from the leader's cannot be repaired. The replica stops taking part.
+    bool contradictsCommit(const Append<Command>& append)
+    {
+        const auto differs = [&](Index index, Term term) {
+            return index <= m_hard.commit && index >= m_log.base() && m_log.termAt(index) != term;
+        };
+        m_damaged = differs(append.previousIndex, append.previousTerm)
+            || std::any_of(append.entries.begin(), append.entries.end(),
+                [&](const auto& it) { return differs(it.index, it.term); });
+        return m_damaged;
+    }
+
+    void accept(const Entry<Command>& entry)
+    {
+        if (entry.index <= m_hard.commit || m_log.termAt(entry.index) == entry.term)
+            return;
+        if (entry.index <= m_log.lastIndex())
+            truncateFrom(entry.index);
+        m_record.entries.push_back(entry);
+        m_log.append(entry);
+    }
+
+    void truncateFrom(Index index)
+    {
+        m_log.truncateFrom(index);
+        m_record.truncateFrom = index;
+        m_durable = std::min(m_durable, index - 1);
+        for (auto& it : m_pending)
+            it.lastIndex = std::min(it.lastIndex, index - 1);
+    }
+
+    void handleBody(const VmId& from, const InstallSnapshot<Snapshot>& install)
+    {
+        if (!acceptLeader(from, install.term))
+            return;
+        const auto index = install.snapshot.index;
+        if (index > m_hard.commit) {
+            if (!m_writable)
+                return;
+            if (m_log.termAt(index) != install.snapshot.term)
+                m_record.truncateFrom = 1;
+            m_log.install(install.snapshot);
+            m_record.snapshot = install.snapshot;
+            setCommit(index);
+        }
+        send(from, AppendReply { m_hard.term, true, index }, true);
+    }
+
+    void handleOutdated(const OutdatedIncarnation& it, Effects& effects)
+    {
+        if (!isOutdated(m_hard.incarnation, it.seen))
+            return;
+        m_hard.incarnation = nextIncarnation(it.seen, m_settings.bootNonce);
+        m_hard.joined = false;
+        m_hardChanged = true;
+        m_caughtUp = false;
+        // Promises made for the old copy must not be sent under the new incarnation.
+        m_outgoing.clear();
+        m_held.clear();
+        follow(m_hard.term, {});
+        effects(FolderOutdated { it.seen });
+    }
+
+    // Commit and application
+
+    void setCommit(Index index)
+    {
+        if (index <= m_hard.commit)
+            return;
+        m_hard.commit = index;
+        m_hardChanged = true;
+    }
+
+    void applyTo(Index limit, Effects* effects)
+    {
+        if (const auto& snapshot = m_log.snapshot();
+            snapshot && snapshot->index > m_applied && snapshot->index <= limit) {
+            m_machine.restore(snapshot->state);
+            m_applied = snapshot->index;
+            if (effects)
+                (*effects)(Restored { m_applied });
+        }
+        // The entries in between are gone when a snapshot was installed that is not synced yet.
+        if (m_applied < m_log.base())
+            return;
+        for (limit = std::min(limit, m_log.lastIndex()); m_applied < limit;) {
+            const auto& entry = m_log.at(++m_applied);
+            if (!entry.command)
+                continue;
+            auto answer = m_machine.apply(entry.index, *entry.command);
+            if (effects)
+                (*effects)(Applied<Command, Answer> { entry.index, entry.term, *entry.command, std::move(answer) });
+        }
+        const bool leads = m_role == Role::Leader && m_log.termAt(m_applied) == m_hard.term;
+        if (leads || (m_caughtUpAt && m_applied >= m_caughtUpAt))
+            m_caughtUp = true;
+        if (effects && m_applied >= m_log.snapshotIndex() + m_settings.snapshotInterval)
+            takeSnapshot();
+    }
+
+    void takeSnapshot()
+    {
+        SnapshotImage<Snapshot> snapshot { m_applied, *m_log.termAt(m_applied), m_machine.snapshot() };
+        m_record.snapshot = snapshot;
+        m_log.compact(std::move(snapshot), m_settings.trailingEntries);
+    }
+
+    // Output
+
+    void send(const VmId& to, Body<Command, Snapshot> body, bool promise)
+    {
+        m_outgoing.push_back({ promise ? 1U : 0U, to, std::move(body) });
+    }
+
+    void flush(Effects& effects)
+    {
+        if (m_hardChanged || m_record.snapshot || m_record.truncateFrom || !m_record.entries.empty()) {
+            m_record.hard = m_hard;
+            m_hardChanged = false;
+            m_pending.push_back({ ++m_sequence, m_log.lastIndex(), m_hard.commit });
+            effects(Persist<Command, Snapshot> { m_sequence, std::exchange(m_record, {}) });
+            if (!Rules::syncsBeforeSending)
+                m_durable = m_log.lastIndex();
+            if (!Rules::appliesOnlyDurable)
+                applyTo(m_hard.commit, &effects);
+        }
+        for (auto& it : m_outgoing) {
+            it.sequence = it.sequence && Rules::syncsBeforeSending ? m_sequence : 0;
+            m_held.push_back(std::move(it));
+        }
+        m_outgoing.clear();
+        std::erase_if(m_held, [&](auto& it) {
+            if (it.sequence > m_persistedSequence)
+                return false;
+            effects(Send<Command, Snapshot> { it.to, { m_hard.incarnation, std::move(it.body) } });
+            return true;
+        });
+    }
+
+    void refuseWhenDamaged(const Event& event, Effects& effects)
+    {
+        if (const auto* it = std::get_if<Proposed<Command>>(&event))
+            effects(Refused<Command> { ProposalError::NotLeader, it->command });
+    }
+
+    // Helpers
+
+    [[nodiscard]] std::size_t majority() const noexcept { return m_settings.voters.size() / 2 + 1; }
+
+    [[nodiscard]] bool isVoter(const VmId& vm) const
+    {
+        return std::find(m_settings.voters.begin(), m_settings.voters.end(), vm) != m_settings.voters.end();
+    }
+
+    void resetElectionTimer()
+    {
+        std::uniform_int_distribution<Duration::rep> range(
+            m_settings.electionMin.count(), m_settings.electionMax.count());
+        m_electionAt = m_now + Duration { range(m_random) };
+    }
+
+    [[nodiscard]] auto view() const { return std::make_tuple(m_role, m_hard.term, m_leader); }
+
+    Settings m_settings;
+    HardState m_hard;
+    bool m_damaged { false };
+    bool m_writable { true };
+    Log<Command, Snapshot> m_log;
+    M m_machine;
+    std::minstd_rand m_random;
+    Instant m_now;
+    Role m_role { Role::Follower };
+    VmId m_leader;
+    Instant m_heardLeaderAt;
+    Instant m_electionAt;
+    Instant m_nextHeartbeat;
+    bool m_electing { false };
+    bool m_preliminary { false };
+    std::map<VmId, bool> m_grants;
+    std::map<VmId, Peer> m_peers;
+    Index m_applied { 0 };
+    Index m_durable { 0 };
+    Index m_caughtUpAt { 0 };
+    bool m_caughtUp { false };
+    Record m_record;
+    bool m_hardChanged { false };
+    std::uint64_t m_sequence { 0 };
+    std::uint64_t m_persistedSequence { 0 };
+    std::deque<PendingRecord> m_pending;
+    std::vector<HeldMessage> m_outgoing;
+    std::deque<HeldMessage> m_held;
+};
+
+} // namespace rosemarymill::agreement
--- /dev/null
+++ b/tests/core/agreement/cluster.hpp
@@ -0,0 +1,254 @@
+#pragma once
+
+#include <rosemarymill/core/agreement/replica.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+/// Message harness in virtual time: voters, a network that loses, delays, reorders and duplicates, and disks that lose
+/// unsynced writes at a crash. Checks run after every event.
+namespace rosemarymill::tests {
+
+/// State machine that remembers all commands.
+struct Register {
+    using Command = std::uint64_t;
+    using Snapshot = std::vector<std::uint64_t>;
+    using Answer = std::size_t;
+
+    std::vector<std::uint64_t> values;
+
+    Answer apply(agreement::Index, const Command& command)
+    {
+        values.push_back(command);
+        return values.size();
+    }
+    [[nodiscard]] Snapshot snapshot() const { return values; }
+    void restore(Snapshot snapshot) { values = std::move(snapshot); }
+    [[nodiscard]] static std::size_t weight(const Command&) { return 100; }
+};
+
+template <typename M, typename Rules> class Cluster {
+public:
+    using Replica = agreement::Replica<M, Rules>;
+    using Message = typename Replica::Message;
+    using Record = typename Replica::Record;
+
+    struct Node {
+        VmId vm;
+        typename Replica::Image disk;
+        std::unique_ptr<Replica> replica;
+        std::vector<std::pair<std::uint64_t, Record>> unsynced;
+        bool paused { false };
+        bool writable { true };
+        agreement::Index shown { 0 };
+    };
+
+    Cluster(std::size_t size, std::uint64_t seed)
+        : m_random(seed)
+        , m_seed(seed)
+    {
+        for (std::size_t i = 0; i < size; ++i) {
+            m_voters.push_back(VmId { "voter-" + std::to_string(i) });
+            nodes.emplace_back().vm = m_voters.back();
+        }
+        for (auto& node : nodes)
+            start(node);
+    }
+
+    void start(Node& node)
+    {
+        agreement::Settings settings;
+        settings.self = node.vm;
+        settings.voters = m_voters;
+        settings.seed = m_seed;
+        settings.bootNonce = ++m_starts;
+        settings.snapshotInterval = 20;
+        settings.trailingEntries = 5;
+        settings.appendWeight = appendWeight;
+        node.replica = std::make_unique<Replica>(settings, node.disk);
+        if (node.replica->applied() < node.shown)
+            fail("reverted: " + node.vm.text() + " restarted at " + std::to_string(node.replica->applied()) + " after "
+                + std::to_string(node.shown));
+        deliver(node, agreement::Started { now });
+        if (!node.writable)
+            deliver(node, agreement::StorageChanged { now, false });
+    }
+
+    void crash(Node& node)
+    {
+        node.replica.reset();
+        node.unsynced.clear();
+        node.paused = false;
+    }
+
+    void loseDisk(Node& node)
+    {
+        crash(node);
+        node.disk = {};
+        node.shown = 0;
+    }
+
+    void setWritable(Node& node, bool writable)
+    {
+        node.writable = writable;
+        if (node.replica)
+            deliver(node, agreement::StorageChanged { now, writable });
+    }
+
+    /// Advances the time by one step of 10 ms: syncs, messages, timers.
+    void step()
+    {
+        now += 10ms;
+        for (auto& node : nodes) {
+            if (!node.replica || node.paused)
+                continue;
+            if (node.writable && chance(syncChance))
+                sync(node);
+            deliver(node, agreement::Tick { now });
+        }
+        for (auto it = m_network.begin(); it != m_network.end() && it->first <= now; it = m_network.erase(it)) {
+            auto& node = *find(it->second.to);
+            if (node.paused)
+                m_network.emplace(now + 10ms, it->second);
+            else if (node.replica && !cut(it->second.from, it->second.to))
+                deliver(node,
+                    agreement::Received<typename M::Command, typename M::Snapshot> {
+                        now, it->second.from, it->second.message });
+        }
+    }
+
+    void run(Duration duration)
+    {
+        for (const auto end = now + duration; now < end && !failure;)
+            step();
+    }
+
+    /// Offers a command to every process that takes itself for the leader.
+    bool propose(const typename M::Command& command)
+    {
+        bool taken = false;
+        for (auto& node : nodes) {
+            if (!node.replica || node.paused || node.replica->role() != agreement::Role::Leader)
+                continue;
+            taken = true;
+            deliver(node, agreement::Proposed<typename M::Command> { now, command });
+        }
+        return taken;
+    }
+
+    [[nodiscard]] Node* leader()
+    {
+        for (auto& node : nodes) {
+            if (node.replica && !node.paused && node.replica->role() == agreement::Role::Leader)
+                return &node;
+        }
+        return nullptr;
+    }
+
+    [[nodiscard]] bool chance(double probability)
+    {
+        return std::uniform_real_distribution<> { 0, 1 }(m_random) < probability;
+    }
+    [[nodiscard]] std::size_t pick(std::size_t size)
+    {
+        return std::uniform_int_distribution<std::size_t> { 0, size - 1 }(m_random);
+    }
+    [[nodiscard]] Node* find(const VmId& vm)
+    {
+        return &*std::find_if(nodes.begin(), nodes.end(), [&](const auto& it) { return it.vm == vm; });
+    }
+    [[nodiscard]] bool cut(const VmId& from, const VmId& to) const { return cuts.contains({ from, to }); }
+
+    std::vector<Node> nodes;
+    std::set<std::pair<VmId, VmId>> cuts;
+    Instant now { 1s };
+    double loss { 0 };
+    double duplication { 0 };
+    double syncChance { 0.7 };
+    Duration maxDelay { 20ms };
+    std::size_t appendWeight { 256 * 1024 };
+    std::optional<std::string> failure;
+    /// Commands by index as first applied anywhere.
+    std::map<agreement::Index, typename M::Command> committed;
+    std::size_t messages { 0 };
+
+private:
+    struct InFlight {
+        VmId from;
+        VmId to;
+        Message message;
+    };
+
+    void fail(std::string text)
+    {
+        if (!failure)
+            failure = std::move(text);
+    }
+
+    void sync(Node& node)
+    {
+        if (node.unsynced.empty())
+            return;
+        const auto count = 1 + pick(node.unsynced.size());
+        for (std::size_t i = 0; i < count; ++i)
+            agreement::applyRecord(node.disk, node.unsynced[i].second);
+        const auto sequence = node.unsynced[count - 1].first;
+        node.unsynced.erase(node.unsynced.begin(), node.unsynced.begin() + static_cast<std::ptrdiff_t>(count));
+        deliver(node, agreement::Persisted { now, sequence });
+    }
+
+    void deliver(Node& node, const typename Replica::Event& event)
+    {
+        typename Replica::Effects effects;
+        node.replica->reduce(event, effects);
+        for (auto& it : effects)
+            std::visit([&](auto& effect) { carryOut(node, effect); }, it);
+        if (node.replica->role() == agreement::Role::Leader) {
+            const auto known = m_leaders.try_emplace(node.replica->term(), node.vm).first->second;
+            if (known != node.vm)
+                fail("two leaders in term " + std::to_string(node.replica->term()));
+        }
+    }
+
+    void carryOut(Node& node, agreement::Send<typename M::Command, typename M::Snapshot>& send)
+    {
+        ++messages;
+        for (int copies = chance(duplication) ? 2 : 1; copies > 0; --copies) {
+            if (!chance(loss) && !cut(node.vm, send.to))
+                m_network.emplace(
+                    now + Duration { std::uniform_int_distribution<Duration::rep> { 1, maxDelay.count() }(m_random) },
+                    InFlight { node.vm, send.to, send.message });
+        }
+    }
+
+    void carryOut(Node& node, agreement::Persist<typename M::Command, typename M::Snapshot>& persist)
+    {
+        node.unsynced.emplace_back(persist.sequence, std::move(persist.record));
+    }
+
+    void carryOut(Node& node, agreement::Applied<typename M::Command, typename M::Answer>& applied)
+    {
+        const auto [it, isNew] = committed.try_emplace(applied.index, applied.command);
+        if (!isNew && it->second != applied.command)
+            fail("logs differ at index " + std::to_string(applied.index));
+        node.shown = std::max(node.shown, applied.index);
+    }
+
+    void carryOut(Node& node, agreement::Restored& restored) { node.shown = std::max(node.shown, restored.index); }
+
+    template <typename Other> void carryOut(Node&, Other&) { }
+
+    std::mt19937_64 m_random;
+    std::uint64_t m_seed;
+    std::uint64_t m_starts { 0 };
+    std::vector<VmId> m_voters;
+    std::multimap<Instant, InFlight> m_network;
+    std::map<agreement::Term, VmId> m_leaders;
+};
+
+} // namespace rosemarymill::tests
--- /dev/null
+++ b/tests/core/agreement/recovery.cpp
@@ -0,0 +1,144 @@
+#include "cluster.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemarymill;
+using namespace rosemarymill::agreement;
+
+namespace {
+
+using RegisterCluster = tests::Cluster<tests::Register, StandardRules>;
+
+RegisterCluster::Node& follower(RegisterCluster& cluster)
+{
+    const auto* leader = cluster.leader();
+    REQUIRE(leader);
+    return *std::find_if(cluster.nodes.begin(), cluster.nodes.end(), [&](const auto& it) { return &it != leader; });
+}
+
+void commit(RegisterCluster& cluster, std::uint64_t first, std::uint64_t count)
+{
+    for (std::uint64_t i = 0; i < count; ++i) {
+        REQUIRE(cluster.propose(first + i));
+        cluster.run(50ms);
+    }
+    cluster.run(1s);
+}
+
+} // namespace
+
+TEST_CASE("A voter that missed hundreds of entries catches up by a snapshot", "[agreement]")
+{
+    RegisterCluster cluster(3, 7);
+    cluster.run(4s);
+    auto& late = follower(cluster);
+    cluster.crash(late);
+    commit(cluster, 1, 300);
+    cluster.start(late);
+    cluster.run(3s);
+    CHECK(late.replica->machine().values.size() == 300);
+    CHECK(late.replica->caughtUp());
+    CHECK(late.disk.snapshot.has_value());
+}
+
+TEST_CASE("A voter with a damaged log neither votes nor acknowledges, and the others go on", "[agreement]")
+{
+    RegisterCluster cluster(3, 8);
+    cluster.run(4s);
+    commit(cluster, 1, 10);
+    auto& damaged = follower(cluster);
+    cluster.crash(damaged);
+    damaged.disk = {};
+    damaged.disk.damaged = true;
+    damaged.shown = 0;
+    cluster.start(damaged);
+    commit(cluster, 11, 10);
+    CHECK(cluster.committed.size() == 20);
+    // Its acknowledgement would let the leader commit what only one intact disk holds.
+    auto& intact = *std::find_if(cluster.nodes.begin(), cluster.nodes.end(),
+        [&](const auto& it) { return &it != cluster.leader() && &it != &damaged; });
+    cluster.crash(intact);
+    cluster.propose(99);
+    cluster.run(5s);
+    CHECK(cluster.committed.size() == 20);
+    CHECK_FALSE(cluster.leader());
+}
+
+TEST_CASE("A leader whose disk is full hands over, and its voter goes on afterwards", "[agreement]")
+{
+    RegisterCluster cluster(3, 9);
+    cluster.run(4s);
+    auto& full = *cluster.leader();
+    cluster.setWritable(full, false);
+    cluster.run(5s);
+    REQUIRE(cluster.leader());
+    CHECK(cluster.leader() != &full);
+    commit(cluster, 1, 5);
+    cluster.setWritable(full, true);
+    cluster.run(2s);
+    CHECK(full.replica->machine().values.size() == 5);
+}
+
+TEST_CASE("A restart with a copy of an old data folder is detected and healed", "[agreement]")
+{
+    RegisterCluster cluster(3, 10);
+    cluster.run(4s);
+    commit(cluster, 1, 5);
+    auto& copied = follower(cluster);
+    const auto old = copied.disk;
+    cluster.crash(copied);
+    cluster.start(copied);
+    commit(cluster, 6, 5);
+    cluster.crash(copied);
+    copied.disk = old;
+    copied.shown = 0;
+    cluster.start(copied);
+    cluster.run(3s);
+    CHECK(copied.replica->machine().values.size() == 10);
+    CHECK(copied.replica->joined());
+    CHECK(copied.disk.hard.incarnation >> 16 > (old.hard.incarnation >> 16) + 1);
+}
+
+TEST_CASE("A voter that returns from a partition does not depose the leader", "[agreement]")
+{
+    RegisterCluster cluster(3, 11);
+    cluster.run(4s);
+    const auto term = cluster.leader()->replica->term();
+    auto& away = follower(cluster);
+    for (const auto& other : cluster.nodes) {
+        cluster.cuts.insert({ away.vm, other.vm });
+        cluster.cuts.insert({ other.vm, away.vm });
+    }
+    cluster.run(30s);
+    cluster.cuts.clear();
+    cluster.run(3s);
+    CHECK(cluster.leader()->replica->term() == term);
+    CHECK(away.replica->term() == term);
+}
+
+TEST_CASE("A leader that hears no majority steps down within two seconds", "[agreement]")
+{
+    RegisterCluster cluster(5, 12);
+    cluster.run(4s);
+    auto& old = *cluster.leader();
+    for (const auto& other : cluster.nodes) {
+        // One-way loss: the leader's heartbeats still arrive, the replies do not.
+        cluster.cuts.insert({ other.vm, old.vm });
+    }
+    cluster.run(2s);
+    CHECK(old.replica->role() != Role::Leader);
+    cluster.run(4s);
+    REQUIRE(cluster.leader());
+    CHECK(cluster.leader() != &old);
+}
+
+TEST_CASE("A first election needs every voter when none holds the log yet", "[agreement]")
+{
+    RegisterCluster cluster(3, 13);
+    cluster.crash(cluster.nodes[2]);
+    cluster.run(10s);
+    CHECK_FALSE(cluster.leader());
+    cluster.start(cluster.nodes[2]);
+    cluster.run(5s);
+    CHECK(cluster.leader());
+}
