Add the configuration state machine

Cause: manifests and availability changes need one order, original answers for resends, and small updates.

Change: core/configuration holds the state machine of the configuration log, the entry table that yields changed entries per revision, the messages and the readiness rules. A manifest conflicts only with a manifest accepted after the expected revision, so an availability change does not disturb a submission under way.

--- /dev/null
+++ b/packages/core/include/rosemarymill/core/configuration/entry_table.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <rosemarymill/core/configuration/command.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// The configuration as entries with revisions, so that only changed entries are distributed.
+namespace rosemarymill::configuration {
+
+/// Parts of the manifest that belong to no single entry, and its origin.
+struct General {
+    std::vector<DataCentreId> dataCentres;
+    std::vector<DataCentreId> ledgerHomes;
+    std::uint64_t weightStoreBytesPerSecond { 0 };
+    /// Revision that the manifest became.
+    Revision manifestRevision;
+    std::string submissionId;
+    std::string digest;
+
+    friend bool operator==(const General&, const General&) = default;
+};
+
+using EntryValue = std::variant<std::monostate, General, ModelSpec, ClientAccount, ServiceSpec, TakeOut>;
+
+/// Entry in the revision that changed it last. A removed entry has no value.
+struct VersionedEntry {
+    std::string key;
+    Revision revision;
+    EntryValue value;
+
+    friend bool operator==(const VersionedEntry&, const VersionedEntry&) = default;
+};
+
+/// All entries of the configuration.
+class EntryTable {
+public:
+    [[nodiscard]] Revision revision() const noexcept { return m_revision; }
+    [[nodiscard]] const General& general() const noexcept { return m_general; }
+    [[nodiscard]] Manifest manifest() const;
+    [[nodiscard]] std::vector<TakeOut> takeOuts() const;
+
+    /// Entries that changed after a revision.
+    [[nodiscard]] std::vector<VersionedEntry> changesSince(Revision revision) const;
+
+    /// Applies changed entries that lead from a revision to a higher one. Returns false and changes nothing when the
+    /// target is not higher than the revision held, or when changes in between are missing.
+    bool apply(Revision from, Revision to, const std::vector<VersionedEntry>& changes);
+
+    /// Replaces the manifest in a new revision. Entries that are equal keep their revision.
+    void setManifest(Revision revision, const SubmitManifest& submission);
+    void addTakeOut(Revision revision, const TakeOut& takeOut);
+    void removeTakeOut(Revision revision, const TakeOutId& id);
+
+    friend bool operator==(const EntryTable&, const EntryTable&) = default;
+
+private:
+    void set(Revision revision, const std::string& key, EntryValue value);
+    void remove(Revision revision, const std::string& key);
+
+    Revision m_revision;
+    General m_general;
+    std::map<std::string, VersionedEntry> m_entries;
+};
+
+/// Key of a take-out in the table.
+[[nodiscard]] std::string takeOutKey(const TakeOutId& id);
+
+} // namespace rosemarymill::configuration
--- a/packages/core/include/rosemarymill/core/configuration/fwd.hpp
+++ b/packages/core/include/rosemarymill/core/configuration/fwd.hpp
@@ -11,5 +11,10 @@
 struct Route;
 struct ServiceSpec;
 struct Manifest;
+struct TakeOut;
+struct Answer;
+class EntryTable;
+class Machine;
+class Readiness;
 
 } // namespace rosemarymill::configuration
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/configuration/readiness.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <rosemarymill/core/base/time.hpp>
+#include <rosemarymill/core/configuration/message.hpp>
+
+#include <set>
+
+namespace rosemarymill::configuration {
+
+/// Decides after a start when the revision held is recent enough to serve callers. A process that is ready once stays
+/// ready.
+class Readiness {
+public:
+    /// Time after which the revision of a single reachable peer suffices.
+    static constexpr Duration singlePeerDelay = 10s;
+
+    Readiness(Instant startedAt, std::size_t dataCentrePeers) noexcept
+        : m_startedAt(startedAt)
+        , m_peers(dataCentrePeers)
+    {
+    }
+
+    /// The own disk holds the state up to the last commit mark.
+    void recoveredFromDisk() noexcept { m_ready = true; }
+
+    /// A peer reported its revision, and this process now holds that revision or a higher one.
+    void heard(const VmId& from, bool sameDataCentre, Standing standing);
+
+    /// Applies the rules that depend on time.
+    void tick(Instant now);
+
+    [[nodiscard]] bool ready() const noexcept { return m_ready; }
+
+    /// Only one peer has confirmed the revision.
+    [[nodiscard]] bool unconfirmed() const noexcept { return m_unconfirmed; }
+
+private:
+    Instant m_startedAt;
+    std::size_t m_peers { 0 };
+    std::set<VmId> m_readyPeers;
+    bool m_ready { false };
+    bool m_unconfirmed { false };
+};
+
+} // namespace rosemarymill::configuration
--- /dev/null
+++ b/tests/core/configuration/machine.cpp
@@ -0,0 +1,155 @@
+#include <rosemarymill/core/configuration/machine.hpp>
+#include <rosemarymill/core/configuration/readiness.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace rosemarymill;
+using namespace rosemarymill::configuration;
+
+namespace {
+
+SubmitManifest submission(const std::string& id, std::optional<std::uint64_t> expected, std::uint32_t models = 1)
+{
+    SubmitManifest command { id, "digest-" + id, std::nullopt, {} };
+    if (expected)
+        command.expected = Revision { *expected };
+    command.manifest.dataCentres = { DataCentreId { "mixco" } };
+    for (std::uint32_t i = 0; i < models; ++i) {
+        ModelSpec model;
+        model.name = ModelName { "model-" + std::to_string(i) };
+        model.version = "1";
+        command.manifest.models.push_back(model);
+    }
+    return command;
+}
+
+AddTakeOut takeOut(const std::string& id, const std::string& vm, TakeOutId local = {})
+{
+    return { id, { std::move(local), Unit::Vm, vm } };
+}
+
+} // namespace
+
+TEST_CASE("Of two submissions under one expected revision one wins, and the conflict names it", "[configuration]")
+{
+    Machine machine;
+    CHECK(machine.apply(1, submission("first", 0)).result == Result::Accepted);
+    const auto answer = machine.apply(2, submission("second", 0));
+    CHECK(answer.result == Result::Conflict);
+    CHECK(answer.revision == Revision { 1 });
+    CHECK(answer.detail == "expected revision 0, but submission 'first' became revision 1");
+    CHECK(machine.table().general().submissionId == "first");
+}
+
+TEST_CASE("A resend gets its original answer and is not applied again", "[configuration]")
+{
+    Machine machine;
+    machine.apply(1, submission("first", 0));
+    machine.apply(2, submission("second", 1));
+    const auto answer = machine.apply(3, submission("first", 0));
+    CHECK(answer.result == Result::AlreadyAccepted);
+    CHECK(answer.detail == "accepted as revision 1, superseded by 2");
+    CHECK(machine.table().revision() == Revision { 2 });
+    CHECK(machine.table().general().submissionId == "second");
+    auto reused = submission("first", 2);
+    reused.digest = "other";
+    CHECK(machine.apply(4, reused).result == Result::Conflict);
+}
+
+TEST_CASE("An availability change does not make a manifest submission conflict", "[configuration]")
+{
+    Machine machine;
+    machine.apply(1, submission("first", 0));
+    machine.apply(2, takeOut("out", "vm-1"));
+    CHECK(machine.apply(3, submission("second", 1)).result == Result::Accepted);
+    CHECK(machine.table().takeOuts().size() == 1);
+}
+
+TEST_CASE("A bring-back cancels only the take-outs that it names", "[configuration]")
+{
+    Machine machine;
+    machine.apply(1, takeOut("out-1", "vm-1"));
+    const auto seen = machine.table().takeOuts().front().id;
+    const TakeOutId local { DataCentreId { "mixco" }, BootId { "boot" }, 1 };
+    machine.apply(2, takeOut("out-2", "vm-1", local));
+    machine.apply(3, BringBack { "back-1", Unit::Vm, "vm-1", { seen } });
+    REQUIRE(machine.table().takeOuts().size() == 1);
+    CHECK(machine.table().takeOuts().front().id == local);
+    machine.apply(4, BringBack { "back-2", Unit::Vm, "vm-1", { local } });
+    CHECK(machine.table().takeOuts().empty());
+}
+
+TEST_CASE("A local take-out that was cancelled before its merge is not applied by the merge", "[configuration]")
+{
+    Machine machine;
+    const TakeOutId local { DataCentreId { "mixco" }, BootId { "boot" }, 1 };
+    machine.apply(1, BringBack { "back", Unit::Vm, "vm-1", { local } });
+    CHECK(machine.apply(2, takeOut("merge", "vm-1", local)).result == Result::AlreadyAccepted);
+    CHECK(machine.table().takeOuts().empty());
+}
+
+TEST_CASE("A snapshot restores the whole state", "[configuration]")
+{
+    Machine machine;
+    machine.apply(1, submission("first", 0, 3));
+    machine.apply(2, takeOut("out", "vm-1"));
+    machine.apply(3, submission("second", 1, 1));
+    Machine copy;
+    copy.restore(machine.snapshot());
+    CHECK(copy.table() == machine.table());
+    CHECK(copy.snapshot() == machine.snapshot());
+    CHECK(copy.apply(4, submission("first", 0, 3)).result == Result::AlreadyAccepted);
+}
+
+TEST_CASE("Changed entries bring a table up to date and never to a lower revision", "[configuration]")
+{
+    Machine machine;
+    machine.apply(1, submission("first", 0, 3));
+    EntryTable follower;
+    REQUIRE(follower.apply({}, machine.table().revision(), machine.table().changesSince({})));
+    const auto old = machine.table();
+    machine.apply(2, submission("second", 1, 2));
+    const auto changes = machine.table().changesSince(Revision { 1 });
+    // The general entry and the removed model; the two models kept are not sent again.
+    CHECK(changes.size() == 2);
+    EntryTable empty;
+    CHECK_FALSE(empty.apply(Revision { 1 }, Revision { 2 }, changes));
+    REQUIRE(follower.apply(Revision { 1 }, Revision { 2 }, changes));
+    CHECK(follower == machine.table());
+    CHECK_FALSE(follower.apply({}, old.revision(), old.changesSince({})));
+    CHECK(follower.manifest().models.size() == 2);
+}
+
+TEST_CASE("A process is ready by the quorum, a majority of its peers or its disk", "[configuration]")
+{
+    const Instant start { 1s };
+    Readiness quorum(start, 4);
+    quorum.heard(VmId { "far" }, false, Standing::Ready);
+    CHECK_FALSE(quorum.ready());
+    quorum.heard(VmId { "far" }, false, Standing::Quorum);
+    CHECK(quorum.ready());
+
+    Readiness peers(start, 4);
+    peers.heard(VmId { "a" }, true, Standing::Ready);
+    peers.heard(VmId { "a" }, true, Standing::Ready);
+    peers.heard(VmId { "b" }, true, Standing::NotReady);
+    peers.heard(VmId { "c" }, true, Standing::Ready);
+    CHECK_FALSE(peers.ready());
+    peers.heard(VmId { "d" }, true, Standing::Ready);
+    CHECK(peers.ready());
+    CHECK_FALSE(peers.unconfirmed());
+}
+
+TEST_CASE("A single ready peer suffices after 10 s, with a warning", "[configuration]")
+{
+    const Instant start { 1s };
+    Readiness readiness(start, 4);
+    readiness.tick(start + 20s);
+    CHECK_FALSE(readiness.ready());
+    readiness.heard(VmId { "a" }, true, Standing::Ready);
+    readiness.tick(start + 9s);
+    CHECK_FALSE(readiness.ready());
+    readiness.tick(start + 10s);
+    CHECK(readiness.ready());
+    CHECK(readiness.unconfirmed());
+}
