--- a/packages/core/include/rosemarymill/core/node/policy.hpp
+++ b/packages/core/include/rosemarymill/core/node/policy.hpp
@@ -3,6 +3,7 @@
 #include <rosemarymill/core/admission/home.hpp>
 #include <rosemarymill/core/admission/lease.hpp>
 #include <rosemarymill/core/admission/queue.hpp>
+#include <rosemarymill/core/call/request.hpp>
 #include <rosemarymill/core/lifecycle/lifecycle.hpp>
 #include <rosemarymill/core/quarantine/quarantine.hpp>
 #include <rosemarymill/core/retry/budget.hpp>
--- a/packages/core/src/node/calls.cpp
+++ b/packages/core/src/node/calls.cpp
@@ -26,20 +26,21 @@
 bool beginKey(State& state, Call& call, Effects& effects)
 {
     const auto key = keyOf(call);
+    const auto id = call.id;
     const auto refuse = [&](RefusalReason reason, Outcome outcome, const char* detail) {
-        state.calls.active.erase(call.id);
-        effects(RefuseCall { call.id, { reason, outcome, {}, detail } });
+        state.calls.active.erase(id);
+        effects(RefuseCall { id, { reason, outcome, {}, detail } });
         return false;
     };
-    switch (state.calls.keys.begin(key, call.request.fingerprint, call.id)) {
+    switch (state.calls.keys.begin(key, call.request.fingerprint, id)) {
     case KeyDecision::Run:
         return true;
     case KeyDecision::Wait:
         call.resend = true;
         return false;
     case KeyDecision::Answered:
-        effects(FinishCall { call.id, state.calls.keys.find(key)->answer });
-        state.calls.active.erase(call.id);
+        effects(FinishCall { id, state.calls.keys.find(key)->answer });
+        state.calls.active.erase(id);
         return false;
     case KeyDecision::Unknown:
         return refuse(RefusalReason::AnswerLost, Outcome::Unknown, "the first call under this key may have run");
@@ -49,7 +50,7 @@
     return false;
 }
 
-Call makeCall(const State& state, const CallArrived& event, const CallTerms& terms)
+Call makeCall(const CallArrived& event, const CallTerms& terms)
 {
     Call call;
     call.id = event.call;
@@ -62,7 +63,6 @@
     call.idempotent = terms.idempotent;
     call.weight = terms.weight;
     call.worth = terms.worth;
-    (void)state;
     return call;
 }
 
@@ -119,7 +119,7 @@
         return;
     }
     auto& call = state.calls.active[event.call];
-    call = makeCall(state, event, std::get<CallTerms>(checked));
+    call = makeCall(event, std::get<CallTerms>(checked));
     if (!call.idempotent && !beginKey(state, call, effects))
         return;
     if (auto refusal = checkQueue(state, call)) {
--- a/packages/core/src/node/crashes.cpp
+++ b/packages/core/src/node/crashes.cpp
@@ -1,6 +1,7 @@
 #include "call_parts.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace rosemarymill::node {
 
@@ -51,12 +52,14 @@
     requeue(state, call);
 }
 
-/// Applies the verdicts to calls that wait or run elsewhere.
-void enforce(State& state, const Crash& crash, Effects& effects)
+/// Applies the verdicts to the reported requests that wait or run elsewhere.
+void enforce(State& state, const CrashReport& report, Effects& effects)
 {
+    const auto& crash = report.crash;
+    const std::set<Fingerprint> reported(report.fingerprints.begin(), report.fingerprints.end());
     for (const auto id : activeCalls(state)) {
         const auto it = state.calls.active.find(id);
-        if (it == state.calls.active.end() || it->second.resend)
+        if (it == state.calls.active.end() || it->second.resend || !reported.contains(it->second.request.fingerprint))
             continue;
         auto& call = it->second;
         const auto verdict = quarantine::verdictOf(state.policy.quarantine, call.request.fingerprint);
@@ -97,7 +100,7 @@
         "Server " + crash.server.text() + " may have crashed with " + std::to_string(report.fingerprints.size())
             + " requests in flight." });
     broadcast(state, report, effects);
-    enforce(state, crash, effects);
+    enforce(state, report, effects);
 }
 
 void reportCleared(State& state, const Fingerprint& fingerprint, Effects& effects)
@@ -119,7 +122,7 @@
     if (!quarantine::reduce(state.policy.quarantine, message, state.now))
         return;
     if (message.kind == ReportKind::Crashed)
-        enforce(state, message.crash, effects);
+        enforce(state, message, effects);
     startWaitingCalls(state, effects);
 }
 
--- a/packages/core/src/node/parts.hpp
+++ b/packages/core/src/node/parts.hpp
@@ -29,9 +29,6 @@
 
 // scheduling.cpp
 
-/// Calls that wait for a model in this process.
-[[nodiscard]] std::size_t waitingCalls(const State& state, const ModelName& model);
-
 /// Starts waiting calls for which a server has a free slot.
 void startWaitingCalls(State& state, Effects& effects);
 
--- a/packages/core/src/node/scheduling.cpp
+++ b/packages/core/src/node/scheduling.cpp
@@ -1,6 +1,7 @@
 #include "call_parts.hpp"
 
 #include <rosemarymill/core/base/hash.hpp>
+#include <rosemarymill/core/node/load.hpp>
 
 #include <algorithm>
 
@@ -441,6 +442,18 @@
     }
 }
 
+std::size_t waitingCalls(const State& state)
+{
+    return std::visit(
+        [](const auto& scheduler) {
+            std::size_t count = 0;
+            for (const auto& [key, pool] : scheduler.pools)
+                count += pool.order.size();
+            return count;
+        },
+        state.policy.scheduler);
+}
+
 std::size_t waitingCalls(const State& state, const ModelName& model)
 {
     return std::visit(
@@ -455,4 +468,10 @@
         state.policy.scheduler);
 }
 
+std::uint32_t requestsInFlight(const State& state, const ServerId& server)
+{
+    const auto it = state.policy.leases.find(server);
+    return it == state.policy.leases.end() ? 0 : it->second.inUse;
+}
+
 } // namespace rosemarymill::node
--- a/packages/runtime/src/operator/pages.cpp
+++ b/packages/runtime/src/operator/pages.cpp
@@ -1,5 +1,7 @@
 #include <rosemarymill/runtime/operator/pages.hpp>
 
+#include <rosemarymill/core/node/load.hpp>
+
 #include <nlohmann/json.hpp>
 
 namespace rosemarymill::runtime {
@@ -51,13 +53,11 @@
     for (const auto& [id, record] : state.servers) {
         const auto& it = record.announcement;
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(state.now - record.lastSeen);
-        const auto inFlight = state.calls.inFlight.find(id);
         servers.push_back({ { "id", id.text() }, { "vm", it.vm.text() }, { "address", it.address },
             { "kind", it.kind == backend::Kind::Engine ? "engine" : "service" }, { "service", it.service.text() },
             { "fabric_domain", it.fabricDomain.text() }, { "cold", it.cold }, { "leaving", it.leaving },
             { "running", it.load.running }, { "queued", it.load.queued },
-            { "in_flight", inFlight == state.calls.inFlight.end() ? 0 : inFlight->second },
-            { "age_ms", age.count() } });
+            { "in_flight", node::requestsInFlight(state, id) }, { "age_ms", age.count() } });
     }
     return servers;
 }
@@ -80,7 +80,7 @@
         { "data_centre", state.settings.dataCentre.text() }, { "boot_id", state.settings.bootId.text() },
         { "ready", ready.ready }, { "reason", ready.reason }, { "shutting_down", state.shuttingDown },
         { "configuration", configurationOf(state) },
-        { "calls", { { "active", state.calls.active.size() }, { "waiting", state.calls.waiting.size() } } },
+        { "calls", { { "active", state.calls.active.size() }, { "waiting", node::waitingCalls(state) } } },
         { "groups", groupsOf(state) }, { "servers", serversOf(state) } };
     return document.dump();
 }
