--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -5,11 +5,11 @@
 #include <rosemarymill/runtime/backend/order_sender.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/caller/listener.hpp>
+#include <rosemarymill/runtime/link/links.hpp>
 #include <rosemarymill/runtime/loop/process.hpp>
 #include <rosemarymill/runtime/operator/listener.hpp>
 #include <rosemarymill/runtime/operator/pages.hpp>
 
-#include <random>
 #include <sstream>
 
 namespace rosemarymill::daemon {
@@ -18,19 +18,6 @@
 
 using runtime::Process;
 
-node::Settings nodeSettings(const Settings& settings)
-{
-    std::random_device device;
-    std::ostringstream bootId;
-    bootId << std::hex << device() << device();
-    node::Settings node;
-    node.vm = VmId { settings.vm };
-    node.dataCentre = DataCentreId { settings.dataCentre };
-    node.seed = device();
-    node.bootId = BootId { bootId.str() };
-    return node;
-}
-
 /// Adapters of one process. Members are destroyed in reverse order, servers last.
 struct Adapters {
     Adapters(Process& process, const Settings& settings)
@@ -47,6 +34,10 @@
                   return metrics();
               }).value())
     {
+        if (!settings.peerAddress.empty())
+            links = runtime::PeerLinks::open(*process.base(), runtime::parseAddress(settings.peerAddress).value(),
+                process.state().settings, postTo(process))
+                        .value();
         for (const auto* path : { "/healthz", "/readyz", "/metrics" }) {
             callerServer.route("GET", path, [this, &process](runtime::http::Exchange& exchange) {
                 const auto page
@@ -78,6 +69,8 @@
     runtime::backend::Client client;
     runtime::backend::OrderSender orders;
     std::unique_ptr<runtime::OperatorListener> operators;
+    /// Null without a peer address.
+    std::unique_ptr<runtime::PeerLinks> links;
 };
 
 void connectCallEffects(Process& process, Adapters& adapters)
@@ -97,7 +90,7 @@
 
 int run(const Settings& settings)
 {
-    runtime::setUpLog(node::LogLevel::Info);
+    runtime::setUpLog(settings.logLevel, settings.logFormat);
     Process process(nodeSettings(settings));
     Adapters adapters(process, settings);
     const auto announceAddress = runtime::formatAddress(adapters.callerServer.address());
@@ -106,6 +99,10 @@
     process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
     process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
     process.onEffect<node::ReplyOperator>([&](auto& it) { adapters.operators->carryOut(it); });
+    process.onEffect<node::SendPeer>([&](auto& it) {
+        if (adapters.links)
+            adapters.links->carryOut(it);
+    });
     process.onEffect<node::WriteLog>([](auto& it) { runtime::writeLog(it.level, it.part, it.text); });
     process.onEffect<node::Exit>([&](auto&) {
         if (adapters.callers.calls() == 0)
