--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -7,6 +7,8 @@
 #include <rosemarymill/runtime/caller/listener.hpp>
 #include <rosemarymill/runtime/link/links.hpp>
 #include <rosemarymill/runtime/loop/process.hpp>
+#include <rosemarymill/runtime/metrics/calls.hpp>
+#include <rosemarymill/runtime/metrics/process.hpp>
 #include <rosemarymill/runtime/operator/listener.hpp>
 #include <rosemarymill/runtime/operator/pages.hpp>
 
@@ -59,9 +61,14 @@
             << "\n# TYPE rosemarymill_attempts gauge\nrosemarymill_attempts " << client.inFlight()
             << "\n# TYPE rosemarymill_connections gauge\nrosemarymill_connections " << callerServer.connections()
             << '\n';
+        callMetrics.write(out);
+        if (links)
+            runtime::writeLinkMetrics(out, links->counters());
+        runtime::writeProcessMetrics(out);
         return out.str();
     }
 
+    runtime::CallMetrics callMetrics;
     runtime::http::Server callerServer;
     runtime::backend::ConnectionPool pool;
     runtime::backend::Announcements announcements;
@@ -96,6 +103,9 @@
     const auto announceAddress = runtime::formatAddress(adapters.callerServer.address());
     process.setAnnounceAddress(announceAddress);
     connectCallEffects(process, adapters);
+    process.observe([&](const node::Event& event, const node::State& state, const node::Effects& effects) {
+        adapters.callMetrics.observe(event, state, effects);
+    });
     process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
     process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
     process.onEffect<node::ReplyOperator>([&](auto& it) { adapters.operators->carryOut(it); });
--- a/packages/runtime/include/rosemarymill/runtime/loop/process.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/loop/process.hpp
@@ -46,6 +46,12 @@
         std::get<std::function<void(Effect&)>>(m_handlers) = std::move(handler);
     }
 
+    /// Sees each event after its reduction, before the effects are carried out.
+    using Observer = std::function<void(const node::Event&, const node::State&, const node::Effects&)>;
+
+    /// Registers the observer. A second registration replaces the first.
+    void observe(Observer observer) { m_observer = std::move(observer); }
+
     /// Reduces an event and carries out its effects. An event posted meanwhile is queued and reduced afterwards.
     void post(node::Event&& event);
 
@@ -63,6 +69,7 @@
     node::Effects m_effects;
     std::deque<node::Event> m_queue;
     bool m_reducing { false };
+    Observer m_observer;
     detail::HandlersOf<node::Effect>::Type m_handlers;
 };
 
--- a/packages/runtime/src/loop/process.cpp
+++ b/packages/runtime/src/loop/process.cpp
@@ -47,6 +47,8 @@
 {
     m_effects.clear();
     node::reduce(m_state, event, m_effects);
+    if (m_observer)
+        m_observer(event, m_state, m_effects);
     for (auto& effect : m_effects) {
         std::visit(
             [this](auto& it) {
