Run non-idempotent calls through the ledger

Cause: the call lifecycle kept idempotency keys in a table of its own process. Change: each non-idempotent call reserves its key at the ledger's home before it is dispatched; its answer is recorded and a resend is answered from the record. A process without peers and voters keeps the home in memory. Result: five tests of the top reducer (resend after the answer, while running, after a lost answer, another request under the key, caller gone after the dispatch) pass; 84 core tests pass. Conclusion: the replicated homes only need to be driven by the replicated log.

--- a/packages/core/include/rosemarymill/core/node/calls.hpp
+++ b/packages/core/include/rosemarymill/core/node/calls.hpp
@@ -3,7 +3,6 @@
 #include <rosemarymill/core/base/id.hpp>
 #include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/core/call/request.hpp>
-#include <rosemarymill/core/node/key_table.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -56,8 +55,8 @@
     std::uint32_t attemptCount { 0 };
     /// The caller closed its connection; the call runs on because its key has to be settled.
     bool callerGone { false };
-    /// The call is a resend that waits for the call running under its key.
-    bool resend { false };
+    /// The call waits for the ledger's decision on its key and must not be dispatched.
+    bool keyPending { false };
 };
 
 /// All calls of one process.
@@ -67,7 +66,6 @@
     AttemptId lastAttempt;
     /// Arrivals so far, for the order of arrival.
     std::uint64_t arrivals { 0 };
-    KeyTable keys;
 };
 
 } // namespace rosemarymill::node
--- a/packages/core/include/rosemarymill/core/node/effect.hpp
+++ b/packages/core/include/rosemarymill/core/node/effect.hpp
@@ -42,6 +42,8 @@
     FencingNumber fencing;
     /// First token index wanted; above zero after a broken stream.
     std::uint64_t resumeFrom { 0 };
+    /// The answer has to be handed back with ResponseFinished, for the ledger.
+    bool captureAnswer { false };
 };
 
 /// Sends a call's request to an entry VM of another data centre, which runs it there and streams the answer back. The
@@ -53,6 +55,8 @@
     /// Address of the entry VM's peer listener, "ip:port".
     std::string address;
     std::uint64_t resumeFrom { 0 };
+    /// As in Dispatch.
+    bool captureAnswer { false };
 };
 
 /// Ends an attempt: the stream is cancelled at the server and later answers are dropped.
@@ -82,6 +86,14 @@
     AttemptId attempt;
 };
 
+/// Answers a caller with an answer recorded earlier.
+struct AnswerCall {
+    CallId call;
+    int status { 0 };
+    std::string contentType;
+    std::string body;
+};
+
 /// Answers a caller with a refusal. A stream that has begun is ended with an error event instead.
 struct RefuseCall {
     CallId call;
@@ -129,7 +141,7 @@
 struct Exit { };
 
 using Effect = std::variant<ReplyAnnouncement, SendOrder, Dispatch, ForwardCall, CancelAttempt, BeginResponse,
-    ForwardToken, FinishCall, RefuseCall, SetReading, ReplyOperator, SendPeer, WriteLog, Exit>;
+    ForwardToken, FinishCall, AnswerCall, RefuseCall, SetReading, ReplyOperator, SendPeer, WriteLog, Exit>;
 
 using Effects = EffectList<Effect>;
 
--- a/packages/core/include/rosemarymill/core/node/event.hpp
+++ b/packages/core/include/rosemarymill/core/node/event.hpp
@@ -4,6 +4,7 @@
 #include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/core/call/request.hpp>
 #include <rosemarymill/core/configuration/manifest.hpp>
+#include <rosemarymill/core/ledger/record.hpp>
 #include <rosemarymill/core/node/peer_message.hpp>
 
 #include <cstdint>
@@ -80,6 +81,8 @@
 struct ResponseFinished {
     Instant now;
     AttemptId attempt;
+    /// The answer, when the dispatch asked for it and its body is at most ledger::maxKeptBodyBytes long.
+    std::optional<ledger::Answer> answer {};
 };
 
 /// Why an attempt ended without a complete response.
--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -5,6 +5,7 @@
 #include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/core/configuration/manifest.hpp>
 #include <rosemarymill/core/node/calls.hpp>
+#include <rosemarymill/core/node/ledger.hpp>
 #include <rosemarymill/core/node/policy.hpp>
 #include <rosemarymill/core/placement/group.hpp>
 
@@ -57,10 +58,14 @@
     configuration::Manifest manifest;
 };
 
+/// Builds the ledger's state from the settings.
+[[nodiscard]] Ledger makeLedger(const Settings& settings);
+
 /// State of one process.
 struct State {
     explicit State(Settings fixed)
         : settings(std::move(fixed))
+        , ledger(makeLedger(settings))
         , policy(makePolicy(settings.policy, settings.seed))
     {
     }
@@ -73,6 +78,7 @@
     GroupId lastGroup;
     std::uint64_t lastOrder { 0 };
     Calls calls;
+    Ledger ledger;
     Policy policy;
     bool shuttingDown { false };
 };
--- a/packages/core/src/node/attempts.cpp
+++ b/packages/core/src/node/attempts.cpp
@@ -171,7 +171,7 @@
     clearSuspicion(state, *call, attempt, effects);
     if (attempt.stream)
         correctCost(state, *call, static_cast<double>(call->request.promptTokens + call->nextToken));
-    finishCall(state, id, event.attempt, effects);
+    finishCall(state, id, event.attempt, event.answer, effects);
     servePool(state, pool, effects);
 }
 
--- a/packages/core/src/node/call_parts.hpp
+++ b/packages/core/src/node/call_parts.hpp
@@ -89,15 +89,42 @@
 /// Ends a call without an effect towards its caller.
 void endCall(State& state, CallId id);
 
-/// Refuses a call and the resends that wait for it.
+/// Refuses a call.
 void refuseCall(State& state, CallId id, call::Refusal refusal, Effects& effects);
 
-/// Finishes a call and the resends that wait for it with the answer of an attempt.
-void finishCall(State& state, CallId id, AttemptId attempt, Effects& effects);
+/// Finishes a call with the answer of an attempt.
+void finishCall(
+    State& state, CallId id, AttemptId attempt, const std::optional<ledger::Answer>& answer, Effects& effects);
+
+/// Queues a call that may run, or refuses it.
+void admitCall(State& state, Call& call, Effects& effects);
 
 /// Queues a call again after a failed attempt.
 void requeue(State& state, Call& call);
 
+// ledger.cpp
+
+/// Whether this process keeps the call's key. A forwarded call's key is kept by the entry VM that forwarded it.
+[[nodiscard]] bool ownsKey(const Call& call);
+
+/// Asks the ledger whether a non-idempotent call may run. The call is queued, answered or refused on its decision.
+void beginKey(State& state, Call& call, Effects& effects);
+
+/// Gives the key of a call back that has not run, or records that the answer of a call is lost.
+void settleKey(State& state, const Call& call, call::Outcome outcome, Effects& effects);
+
+/// Records the answer of a call under its key.
+void recordAnswer(State& state, const Call& call, const std::optional<ledger::Answer>& answer, Effects& effects);
+
+/// Hands an event to the dispatcher's side of the ledger and carries out its effects.
+void applyLedger(State& state, const ledger::ClientEvent& event, Effects& effects);
+
+/// Repeats what is due. Called on each tick.
+void advanceLedger(State& state, Effects& effects);
+
+/// Whether answers or given-up keys are not yet committed by their homes.
+[[nodiscard]] bool hasUnsettledKeys(const State& state);
+
 // slots.cpp
 
 /// Weight of an account in the manifest.
--- a/packages/core/src/node/crashes.cpp
+++ b/packages/core/src/node/crashes.cpp
@@ -59,7 +59,8 @@
     const std::set<Fingerprint> reported(report.fingerprints.begin(), report.fingerprints.end());
     for (const auto id : activeCalls(state)) {
         const auto it = state.calls.active.find(id);
-        if (it == state.calls.active.end() || it->second.resend || !reported.contains(it->second.request.fingerprint))
+        if (it == state.calls.active.end() || it->second.keyPending
+            || !reported.contains(it->second.request.fingerprint))
             continue;
         auto& call = it->second;
         const auto verdict = quarantine::verdictOf(state.policy.quarantine, call.request.fingerprint);
--- a/packages/core/src/node/dispatch.cpp
+++ b/packages/core/src/node/dispatch.cpp
@@ -30,7 +30,7 @@
     attempt.alone = alone;
     admission::take(*server.lease, call.account, attempt.tokens);
     effects(Dispatch { attempt.id, call.id, server.server, server.located->entry.address, server.group, server.fencing,
-        call.nextToken });
+        call.nextToken, ownsKey(call) });
     return attempt;
 }
 
@@ -91,7 +91,7 @@
         return;
     auto attempt = startAttempt(state, call);
     attempt.dataCentre = dataCentre;
-    effects(ForwardCall { attempt.id, call.id, remote.vm, peer->address, call.nextToken });
+    effects(ForwardCall { attempt.id, call.id, remote.vm, peer->address, call.nextToken, ownsKey(call) });
     routing::countSent(state.policy.remotes, dataCentre, call.pool);
     ++state.policy.counters.forwards;
     call.attempt = std::move(attempt);
--- a/packages/core/src/node/peers.cpp
+++ b/packages/core/src/node/peers.cpp
@@ -10,7 +10,10 @@
     const auto take = [&](const auto& message) {
         std::visit([&](const auto& it) { receive(state, event.from, it, effects); }, message);
     };
-    std::visit(Overloaded { ignore, take }, event.message);
+    const auto takeLedger = [&](const ledger::Message& message) {
+        applyLedger(state, ledger::HomeMessage { event.now, event.from, message }, effects);
+    };
+    std::visit(Overloaded { ignore, takeLedger, take }, event.message);
 }
 
 } // namespace rosemarymill::node
--- a/packages/core/src/node/policy_timer.cpp
+++ b/packages/core/src/node/policy_timer.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Time after a shutdown request for which the process stays to record answers at a ledger home that does not reply.
+constexpr Duration keySettleTimeout = 10s;
+
 admission::DigestEntry describe(const State& state, const backend::Announcement& it)
 {
     admission::DigestEntry entry;
@@ -102,11 +105,15 @@
     refuseExpiredCalls(state, effects);
     startWaitingCalls(state, effects);
     hedgeLateCalls(state, effects);
+    advanceLedger(state, effects);
     sendReports(state, effects);
     sendGrants(state, false, effects);
     sendHomeDigest(state, effects);
     sendCapacityDigests(state, effects);
-    if (lifecycle::exitNow(policy.shutdown, state.now, state.calls.active.size()))
+    const bool settling = hasUnsettledKeys(state) && policy.shutdown.requestedAt
+        && state.now - *policy.shutdown.requestedAt < keySettleTimeout;
+    const auto open = state.calls.active.size() + (settling ? 1 : 0);
+    if (lifecycle::exitNow(policy.shutdown, state.now, open))
         effects(Exit {});
 }
 
