--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -3,6 +3,7 @@
 #include <rosemarymill/runtime/backend/announcements.hpp>
 #include <rosemarymill/runtime/backend/client.hpp>
 #include <rosemarymill/runtime/backend/order_sender.hpp>
+#include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/caller/listener.hpp>
 #include <rosemarymill/runtime/link/links.hpp>
@@ -11,8 +12,15 @@
 #include <rosemarymill/runtime/metrics/process.hpp>
 #include <rosemarymill/runtime/operator/listener.hpp>
 #include <rosemarymill/runtime/operator/pages.hpp>
+#include <rosemarymill/runtime/trace/recorder.hpp>
+#include <rosemarymill/runtime/trace/spans.hpp>
 
+#include <chrono>
+#include <fstream>
+#include <optional>
+#include <random>
 #include <sstream>
+#include <stdexcept>
 
 namespace rosemarymill::daemon {
 
@@ -103,8 +111,25 @@
     const auto announceAddress = runtime::formatAddress(adapters.callerServer.address());
     process.setAnnounceAddress(announceAddress);
     connectCallEffects(process, adapters);
+    std::unique_ptr<runtime::TraceRecorder> recorder;
+    if (!settings.traceFile.empty())
+        recorder = runtime::TraceRecorder::open(settings.traceFile, process.state().settings).value();
+    std::ofstream spanFile;
+    std::optional<runtime::SpanRecorder> spans;
+    if (!settings.spanFile.empty()) {
+        spanFile.open(settings.spanFile, std::ios::binary | std::ios::app);
+        if (!spanFile)
+            throw std::runtime_error(settings.spanFile + " cannot be opened");
+        const auto epochOffset = std::chrono::duration_cast<Duration>(
+            std::chrono::system_clock::now().time_since_epoch() - runtime::readClock().time_since_epoch());
+        spans.emplace(spanFile, settings.vm, epochOffset, std::random_device {}());
+    }
     process.observe([&](const node::Event& event, const node::State& state, const node::Effects& effects) {
         adapters.callMetrics.observe(event, state, effects);
+        if (recorder)
+            recorder->record(event, effects);
+        if (spans)
+            spans->observe(event, effects);
     });
     process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
     process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
--- a/tests/process/operators.cpp
+++ b/tests/process/operators.cpp
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-using namespace rosemarymill::test;
+using namespace rosemarymill::test::program;
 using nlohmann::json;
 
 namespace {
@@ -14,8 +14,9 @@
 /// One entry VM and commands to it.
 struct Fixture {
     Fixture()
-        : daemon({ binaries + "daemon/rosemarymilld", "--vm", "entry-1", "--data-centre", "mixco", "--caller-address",
-                     "127.0.0.1:0", "--operator-address", "127.0.0.1:0", "--log-format", "json" },
+        : daemon(
+            { binaries + "daemon/rosemarymilld", "--vm", "entry-1", "--data-centre", "mixco", "--caller-address",
+                "127.0.0.1:0", "--operator-address", "127.0.0.1:0", "--log-format", "json", "--trace-file", trace },
             log)
         , address(waitFor(log, R"(Operators at ([0-9.:]+[0-9]))"))
     {
@@ -29,6 +30,7 @@
     }
 
     TemporaryFolder folder;
+    std::string trace { folder.file("trace") };
     std::string log { folder.file("log") };
     std::string output { folder.file("output") };
     Child daemon;
@@ -56,6 +58,10 @@
     it.daemon.terminate();
     CHECK(it.daemon.wait() == 0);
     CHECK(it.ctl({ "status", "--timeout-ms", "2000" }) == 6);
+    // The recorded process can be replayed: equal events give equal effects.
+    const auto replayed = Child({ ROSEMARYMILL_BINARY_DIR "/bench/bench-replay", it.trace }, it.output).wait();
+    CAPTURE(readFile(it.output));
+    CHECK(replayed == 0);
 }
 
 TEST_CASE("A daemon with faulty settings prints them and does not start", "[process]")
--- a/tests/process/support.hpp
+++ b/tests/process/support.hpp
@@ -19,7 +19,7 @@
 extern char** environ; // NOLINT(readability-redundant-declaration)
 
 /// Programs of the build as child processes of a test.
-namespace rosemarymill::test {
+namespace rosemarymill::test::program {
 
 /// Temporary folder that is removed at the end.
 class TemporaryFolder {
@@ -62,6 +62,7 @@
     Child(std::vector<std::string> words, const std::string& output)
     {
         std::vector<char*> arguments;
+        arguments.reserve(words.size() + 1);
         for (auto& word : words)
             arguments.push_back(word.data());
         arguments.push_back(nullptr);
@@ -113,4 +114,4 @@
     throw std::runtime_error("'" + expression + "' not found in:\n" + readFile(path));
 }
 
-} // namespace rosemarymill::test
+} // namespace rosemarymill::test::program
