--- a/packages/wire/src/node/codec.cpp
+++ b/packages/wire/src/node/codec.cpp
@@ -14,7 +14,7 @@
     (void)payload;
     return std::visit(
         Overloaded {
-            [](std::monostate) -> std::optional<FrameKind> { return std::nullopt; },
+            [](const auto&) -> std::optional<FrameKind> { return std::nullopt; },
         },
         message);
 }
