--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -3,14 +3,24 @@
 #include <rosemarymill/runtime/backend/announcements.hpp>
 #include <rosemarymill/runtime/backend/client.hpp>
 #include <rosemarymill/runtime/backend/order_sender.hpp>
+#include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/caller/listener.hpp>
 #include <rosemarymill/runtime/link/links.hpp>
 #include <rosemarymill/runtime/loop/process.hpp>
+#include <rosemarymill/runtime/metrics/calls.hpp>
+#include <rosemarymill/runtime/metrics/process.hpp>
 #include <rosemarymill/runtime/operator/listener.hpp>
 #include <rosemarymill/runtime/operator/pages.hpp>
+#include <rosemarymill/runtime/trace/recorder.hpp>
+#include <rosemarymill/runtime/trace/spans.hpp>
 
+#include <chrono>
+#include <fstream>
+#include <optional>
+#include <random>
 #include <sstream>
+#include <stdexcept>
 
 namespace rosemarymill::daemon {
 
@@ -59,9 +69,14 @@
             << "\n# TYPE rosemarymill_attempts gauge\nrosemarymill_attempts " << client.inFlight()
             << "\n# TYPE rosemarymill_connections gauge\nrosemarymill_connections " << callerServer.connections()
             << '\n';
+        callMetrics.write(out);
+        if (links)
+            runtime::writeLinkMetrics(out, links->counters());
+        runtime::writeProcessMetrics(out);
         return out.str();
     }
 
+    runtime::CallMetrics callMetrics;
     runtime::http::Server callerServer;
     runtime::backend::ConnectionPool pool;
     runtime::backend::Announcements announcements;
@@ -96,6 +111,26 @@
     const auto announceAddress = runtime::formatAddress(adapters.callerServer.address());
     process.setAnnounceAddress(announceAddress);
     connectCallEffects(process, adapters);
+    std::unique_ptr<runtime::TraceRecorder> recorder;
+    if (!settings.traceFile.empty())
+        recorder = runtime::TraceRecorder::open(settings.traceFile, process.state().settings).value();
+    std::ofstream spanFile;
+    std::optional<runtime::SpanRecorder> spans;
+    if (!settings.spanFile.empty()) {
+        spanFile.open(settings.spanFile, std::ios::binary | std::ios::app);
+        if (!spanFile)
+            throw std::runtime_error(settings.spanFile + " cannot be opened");
+        const auto epochOffset = std::chrono::duration_cast<Duration>(
+            std::chrono::system_clock::now().time_since_epoch() - runtime::readClock().time_since_epoch());
+        spans.emplace(spanFile, settings.vm, epochOffset, std::random_device {}());
+    }
+    process.observe([&](const node::Event& event, const node::State& state, const node::Effects& effects) {
+        adapters.callMetrics.observe(event, state, effects);
+        if (recorder)
+            recorder->record(event, effects);
+        if (spans)
+            spans->observe(event, effects);
+    });
     process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
     process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
     process.onEffect<node::ReplyOperator>([&](auto& it) { adapters.operators->carryOut(it); });
