Integrate the configuration log into the process

Cause: manifests were accepted by each process alone.

Change: core/node feeds the replica, passes submissions on to the leader, answers operators, distributes changed entries over two relays per data centre and repairs by pull. runtime/storage carries out PersistConfiguration. /readyz follows the readiness rule. Without voters a manifest is still accepted locally.

--- a/packages/core/include/rosemarymill/core/node/effect.hpp
+++ b/packages/core/include/rosemarymill/core/node/effect.hpp
@@ -127,6 +127,12 @@
     PeerMessage message;
 };
 
+/// Writes and syncs a record of the configuration log. Answered by ConfigurationPersisted.
+struct PersistConfiguration {
+    std::uint64_t sequence { 0 };
+    configuration::LogRecord record;
+};
+
 /// Severity of a log line.
 enum class LogLevel { Debug, Info, Warning, Error };
 
@@ -141,7 +147,7 @@
 struct Exit { };
 
 using Effect = std::variant<ReplyAnnouncement, SendOrder, Dispatch, ForwardCall, CancelAttempt, BeginResponse,
-    ForwardToken, FinishCall, AnswerCall, RefuseCall, SetReading, ReplyOperator, SendPeer, WriteLog, Exit>;
+    ForwardToken, FinishCall, AnswerCall, RefuseCall, SetReading, ReplyOperator, SendPeer, PersistConfiguration, WriteLog, Exit>;
 
 using Effects = EffectList<Effect>;
 
--- a/packages/core/include/rosemarymill/core/node/event.hpp
+++ b/packages/core/include/rosemarymill/core/node/event.hpp
@@ -136,6 +136,18 @@
     PeerMessage message;
 };
 
+/// All records of the configuration log up to this sequence number are synced.
+struct ConfigurationPersisted {
+    Instant now;
+    std::uint64_t sequence { 0 };
+};
+
+/// The data folder became full, or writable again.
+struct ConfigurationStorageChanged {
+    Instant now;
+    bool writable { true };
+};
+
 /// The process was asked to shut down gracefully.
 struct ShutdownRequested {
     Instant now;
@@ -143,6 +155,6 @@
 
 using Event = std::variant<Started, Tick, AnnouncementReceived, OrderAnswered, CallArrived, CallerGone,
     CallerBacklogChanged, ResponseStarted, TokenReceived, ResponseFinished, AttemptFailed, ManifestSubmitted,
-    AvailabilityCommand, PeerMessageReceived, ShutdownRequested>;
+    AvailabilityCommand, PeerMessageReceived, ConfigurationPersisted, ConfigurationStorageChanged, ShutdownRequested>;
 
 } // namespace rosemarymill::node
--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -6,6 +6,7 @@
 #include <rosemarymill/core/configuration/manifest.hpp>
 #include <rosemarymill/core/node/calls.hpp>
 #include <rosemarymill/core/node/ledger.hpp>
+#include <rosemarymill/core/node/configuration_log.hpp>
 #include <rosemarymill/core/node/policy.hpp>
 #include <rosemarymill/core/placement/group.hpp>
 
@@ -56,6 +57,8 @@
     std::string submissionId;
     std::string digest;
     configuration::Manifest manifest;
+    /// Data centres and VMs that operators took out of service.
+    std::vector<configuration::TakeOut> takeOuts;
 };
 
 /// Builds the ledger's state from the settings.
@@ -73,6 +76,7 @@
     Settings settings;
     Instant now;
     ConfigurationInForce configuration;
+    ConfigurationLog configurationLog;
     backend::Registry servers;
     placement::GroupTable groups;
     GroupId lastGroup;
--- /dev/null
+++ b/packages/core/src/node/distribution.cpp
@@ -0,0 +1,163 @@
+#include "configuration.hpp"
+
+#include <rosemarymill/core/base/hash.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace rosemarymill::node {
+
+namespace {
+
+using configuration::Push;
+using configuration::Standing;
+
+/// Time between two requests for missing changes. A lost push is repaired within it.
+constexpr Duration pullInterval = 1s;
+
+/// Processes per data centre that pass changes on. The second covers the loss of the first.
+constexpr std::size_t relaysPerDataCentre = 2;
+
+Standing standingOf(const State& state)
+{
+    const auto& log = state.configurationLog;
+    if (leadsConfiguration(state) && log.replica->caughtUp())
+        return Standing::Quorum;
+    return log.readiness && log.readiness->ready() ? Standing::Ready : Standing::NotReady;
+}
+
+Push changesSince(const State& state, Revision from)
+{
+    const auto& table = state.configurationLog.table;
+    return { from, table.revision(), table.changesSince(from), standingOf(state), false };
+}
+
+std::vector<VmId> relays(const State& state, const DataCentreId& dataCentre)
+{
+    std::vector<std::pair<std::uint64_t, VmId>> weighted;
+    const auto add = [&](const VmId& vm) { weighted.emplace_back(rendezvousWeight(dataCentre.text(), vm.text()), vm); };
+    if (state.settings.dataCentre == dataCentre)
+        add(state.settings.vm);
+    for (const auto& peer : state.settings.peers) {
+        if (peer.dataCentre == dataCentre && peer.vm != state.settings.vm)
+            add(peer.vm);
+    }
+    std::sort(weighted.begin(), weighted.end(), std::greater<> {});
+    std::vector<VmId> chosen;
+    for (std::size_t i = 0; i < std::min(relaysPerDataCentre, weighted.size()); ++i)
+        chosen.push_back(weighted[i].second);
+    return chosen;
+}
+
+void sendInDataCentre(State& state, const Push& push, Effects& effects)
+{
+    for (const auto& peer : state.settings.peers) {
+        if (peer.dataCentre == state.settings.dataCentre && peer.vm != state.settings.vm)
+            sendTo(state, peer.vm, configuration::Message { push }, effects);
+    }
+}
+
+/// Processes to ask: those of the own data centre, and the voters.
+std::vector<VmId> pullTargets(const State& state)
+{
+    std::set<VmId> targets(state.settings.configurationVoters.begin(), state.settings.configurationVoters.end());
+    for (const auto& peer : state.settings.peers) {
+        if (peer.dataCentre == state.settings.dataCentre)
+            targets.insert(peer.vm);
+    }
+    targets.erase(state.settings.vm);
+    return { targets.begin(), targets.end() };
+}
+
+} // namespace
+
+void sendTo(const State& state, const VmId& to, PeerMessage message, Effects& effects)
+{
+    const auto& peers = state.settings.peers;
+    const auto it = std::find_if(peers.begin(), peers.end(), [&](const auto& peer) { return peer.vm == to; });
+    if (it != peers.end())
+        effects(SendPeer { to, it->address, std::move(message) });
+}
+
+void putInForce(State& state, Effects& effects)
+{
+    const auto& table = state.configurationLog.table;
+    auto& held = state.configuration;
+    if (table.revision() <= held.revision)
+        return;
+    const auto& general = table.general();
+    held = { table.revision(), general.submissionId, general.digest, table.manifest(), table.takeOuts() };
+    effects(
+        WriteLog { LogLevel::Info, "configuration", "Revision " + std::to_string(held.revision.value) + " in force." });
+    updateGroups(state, effects);
+}
+
+void distribute(State& state, Revision from, Effects& effects)
+{
+    if (!leadsConfiguration(state))
+        return;
+    auto push = changesSince(state, from);
+    push.relay = true;
+    std::set<DataCentreId> dataCentres { state.settings.dataCentre };
+    for (const auto& peer : state.settings.peers)
+        dataCentres.insert(peer.dataCentre);
+    for (const auto& dataCentre : dataCentres) {
+        for (const auto& vm : relays(state, dataCentre)) {
+            if (vm == state.settings.vm)
+                sendInDataCentre(state, changesSince(state, from), effects);
+            else
+                sendTo(state, vm, configuration::Message { push }, effects);
+        }
+    }
+}
+
+void advancePulls(State& state, Effects& effects)
+{
+    auto& log = state.configurationLog;
+    const bool follows = log.replica && !log.replica->damaged();
+    if (state.now < log.nextPull || (follows && log.readiness->ready()))
+        return;
+    log.nextPull = state.now + pullInterval;
+    const auto targets = pullTargets(state);
+    const configuration::Message pull { configuration::Pull { log.table.revision() } };
+    if (log.readiness->ready() && !targets.empty()) {
+        sendTo(state, targets[log.pullTarget++ % targets.size()], pull, effects);
+        return;
+    }
+    for (const auto& vm : targets)
+        sendTo(state, vm, pull, effects);
+}
+
+void receive(State& state, const VmId& from, const Push& message, Effects& effects)
+{
+    auto& log = state.configurationLog;
+    const bool follows = log.replica && !log.replica->damaged();
+    if (!log.readiness)
+        return;
+    if (!follows && log.table.apply(message.from, message.to, message.changes))
+        putInForce(state, effects);
+    if (message.relay) {
+        auto copy = message;
+        copy.relay = false;
+        copy.standing = standingOf(state);
+        sendInDataCentre(state, copy, effects);
+    }
+    if (log.table.revision() < message.to) {
+        if (!follows)
+            sendTo(state, from, configuration::Message { configuration::Pull { log.table.revision() } }, effects);
+        return;
+    }
+    const auto& peers = state.settings.peers;
+    const bool sameDataCentre = std::any_of(peers.begin(), peers.end(),
+        [&](const auto& it) { return it.vm == from && it.dataCentre == state.settings.dataCentre; });
+    if (!follows)
+        log.readiness->heard(from, sameDataCentre, message.standing);
+}
+
+void receive(State& state, const VmId& from, const configuration::Pull& message, Effects& effects)
+{
+    if (message.have <= state.configurationLog.table.revision())
+        sendTo(state, from, configuration::Message { changesSince(state, message.have) }, effects);
+}
+
+} // namespace rosemarymill::node
--- a/packages/core/src/node/parts.hpp
+++ b/packages/core/src/node/parts.hpp
@@ -46,6 +46,16 @@
 void handle(State& state, const ManifestSubmitted& event, Effects& effects);
 void handle(State& state, const AvailabilityCommand& event, Effects& effects);
 
+// configuration_log.cpp
+void handle(State& state, const ConfigurationPersisted& event, Effects& effects);
+void handle(State& state, const ConfigurationStorageChanged& event, Effects& effects);
+
+/// Starts the part in the configuration log. Called once, by the first event.
+void startConfiguration(State& state, Effects& effects);
+
+/// Advances the log, its distribution and the commands that wait. Called on each tick.
+void advanceConfiguration(State& state, Effects& effects);
+
 // peers.cpp
 void handle(State& state, const PeerMessageReceived& event, Effects& effects);
 
--- a/packages/core/src/node/peers.cpp
+++ b/packages/core/src/node/peers.cpp
@@ -1,4 +1,5 @@
 #include "call_parts.hpp"
+#include "configuration.hpp"
 
 namespace rosemarymill::node {
 
@@ -13,7 +14,8 @@
     const auto takeLedger = [&](const ledger::Message& message) {
         applyLedger(state, ledger::HomeMessage { event.now, event.from, message }, effects);
     };
-    std::visit(Overloaded { ignore, takeLedger, take }, event.message);
+    const auto takeLog = [&](const configuration::LogMessage& it) { receive(state, event.from, it, effects); };
+    std::visit(Overloaded { ignore, takeLedger, takeLog, take }, event.message);
 }
 
 } // namespace rosemarymill::node
--- a/packages/core/src/node/reduce.cpp
+++ b/packages/core/src/node/reduce.cpp
@@ -6,10 +6,15 @@
 
 namespace {
 
-void handle(State&, const Started&, Effects& effects) { effects(WriteLog { LogLevel::Info, "node", "Started." }); }
+void handle(State& state, const Started&, Effects& effects)
+{
+    effects(WriteLog { LogLevel::Info, "node", "Started." });
+    startConfiguration(state, effects);
+}
 
 void handle(State& state, const Tick&, Effects& effects)
 {
+    advanceConfiguration(state, effects);
     updateGroups(state, effects);
     advancePolicy(state, effects);
 }
--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -14,6 +14,7 @@
 #include <rosemarymill/runtime/operator/pages.hpp>
 #include <rosemarymill/runtime/trace/recorder.hpp>
 #include <rosemarymill/runtime/trace/spans.hpp>
+#include <rosemarymill/runtime/storage/storage.hpp>
 
 #include <chrono>
 #include <fstream>
@@ -131,6 +132,15 @@
         if (spans)
             spans->observe(event, effects);
     });
+    std::unique_ptr<runtime::storage::Storage> storage;
+    if (!settings.dataFolder.empty()) {
+        auto opened = runtime::storage::Storage::open(process.base(), settings.dataFolder, Adapters::postTo(process));
+        if (!opened)
+            throw std::runtime_error("data folder " + settings.dataFolder + ": " + opened.error().message());
+        storage = std::move(opened.value());
+        process.recoverConfiguration(storage->takeImage());
+        process.onEffect<node::PersistConfiguration>([&](auto& it) { storage->carryOut(it); });
+    }
     process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
     process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
     process.onEffect<node::ReplyOperator>([&](auto& it) { adapters.operators->carryOut(it); });
--- a/packages/runtime/include/rosemarymill/runtime/loop/process.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/loop/process.hpp
@@ -40,6 +40,9 @@
     /// Sets the address at which backend servers announce themselves. It is known only once the listener is bound.
     void setAnnounceAddress(std::string address) { m_state.settings.announceAddress = std::move(address); }
 
+    /// Hands over the configuration log read from the data folder, before run().
+    void recoverConfiguration(configuration::LogImage image) { m_state.configurationLog.image = std::move(image); }
+
     /// Registers the handler of one effect type. A second registration replaces the first.
     template <typename Effect> void onEffect(std::function<void(Effect&)> handler)
     {
--- a/packages/wire/src/node/codec.cpp
+++ b/packages/wire/src/node/codec.cpp
@@ -1,28 +1,60 @@
 #include <rosemarymill/wire/node/codec.hpp>
 
 #include <rosemarymill/core/base/sink.hpp>
+#include <rosemarymill/wire/agreement/codec.hpp>
+#include <rosemarymill/wire/configuration/codec.hpp>
+
+#include <boost/outcome/try.hpp>
 
 #include <variant>
 
 namespace rosemarymill::wire::node {
 
 using rosemarymill::node::PeerMessage;
+using ConfigurationCodec = wire::configuration::Codec;
+
+namespace {
+
+Result<PeerMessage> decodeLogMessage(std::span<const std::byte> payload)
+{
+    BOOST_OUTCOME_TRY(raw, agreement::decode(payload));
+    if (raw.log.text() != rosemarymill::configuration::logName)
+        return DecodeError::UnexpectedKind;
+    BOOST_OUTCOME_TRY(message, agreement::fromRaw<ConfigurationCodec>(raw.message));
+    return PeerMessage { std::move(message) };
+}
+
+} // namespace
 
 // Each module adds one handler here and one case below.
 std::optional<FrameKind> encode(const PeerMessage& message, Buffer& payload)
 {
-    (void)payload;
-    return std::visit(
-        Overloaded {
-            [](const auto&) -> std::optional<FrameKind> { return std::nullopt; },
-        },
+    return std::visit(Overloaded {
+                          [&](const rosemarymill::configuration::LogMessage& it) -> std::optional<FrameKind> {
+                              agreement::encode(
+                                  agreement::LogMessage { agreement::LogId { rosemarymill::configuration::logName },
+                                      agreement::toRaw<ConfigurationCodec>(it) },
+                                  payload);
+                              return FrameKind::Agreement;
+                          },
+                          [&](const rosemarymill::configuration::Message& it) -> std::optional<FrameKind> {
+                              wire::configuration::encode(it, payload);
+                              return FrameKind::Configuration;
+                          },
+                          [](const auto&) -> std::optional<FrameKind> { return std::nullopt; },
+                      },
         message);
 }
 
 Result<PeerMessage> decode(FrameKind kind, std::span<const std::byte> payload)
 {
-    (void)payload;
     switch (kind) {
+    case FrameKind::Agreement:
+        return decodeLogMessage(payload);
+    case FrameKind::Configuration: {
+        BOOST_OUTCOME_TRY(message, wire::configuration::decode(payload));
+        return PeerMessage { std::move(message) };
+    }
     default:
         // Hello and Forward never reach this codec: the link and the forwarder handle them.
         return DecodeError::UnexpectedKind;
