--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -101,6 +101,50 @@
     process.onEffect<node::RefuseCall>([&](auto& it) { callers.refuse(it); });
 }
 
+/// Metrics, trace and spans, fed by all events and effects. It must outlive the process's run.
+class Observers {
+public:
+    Observers(Process& process, runtime::CallMetrics& metrics, const Settings& settings)
+        : m_metrics(metrics)
+    {
+        if (!settings.traceFile.empty())
+            m_recorder = runtime::TraceRecorder::open(settings.traceFile, process.state().settings).value();
+        if (!settings.spanFile.empty())
+            openSpans(settings);
+        process.observe([this](const node::Event& event, const node::State& state, const node::Effects& effects) {
+            observe(event, state, effects);
+        });
+    }
+
+    Observers(const Observers&) = delete;
+    Observers& operator=(const Observers&) = delete;
+
+private:
+    void openSpans(const Settings& settings)
+    {
+        m_spanFile.open(settings.spanFile, std::ios::binary | std::ios::app);
+        if (!m_spanFile)
+            throw std::runtime_error(settings.spanFile + " cannot be opened");
+        const auto epochOffset = std::chrono::duration_cast<Duration>(
+            std::chrono::system_clock::now().time_since_epoch() - runtime::readClock().time_since_epoch());
+        m_spans.emplace(m_spanFile, settings.vm, epochOffset, std::random_device {}());
+    }
+
+    void observe(const node::Event& event, const node::State& state, const node::Effects& effects)
+    {
+        m_metrics.observe(event, state, effects);
+        if (m_recorder)
+            m_recorder->record(event, effects);
+        if (m_spans)
+            m_spans->observe(event, effects);
+    }
+
+    runtime::CallMetrics& m_metrics;
+    std::unique_ptr<runtime::TraceRecorder> m_recorder;
+    std::ofstream m_spanFile;
+    std::optional<runtime::SpanRecorder> m_spans;
+};
+
 } // namespace
 
 int run(const Settings& settings)
@@ -111,29 +155,16 @@
     const auto announceAddress = runtime::formatAddress(adapters.callerServer.address());
     process.setAnnounceAddress(announceAddress);
     connectCallEffects(process, adapters);
-    std::unique_ptr<runtime::TraceRecorder> recorder;
-    if (!settings.traceFile.empty())
-        recorder = runtime::TraceRecorder::open(settings.traceFile, process.state().settings).value();
-    std::ofstream spanFile;
-    std::optional<runtime::SpanRecorder> spans;
-    if (!settings.spanFile.empty()) {
-        spanFile.open(settings.spanFile, std::ios::binary | std::ios::app);
-        if (!spanFile)
-            throw std::runtime_error(settings.spanFile + " cannot be opened");
-        const auto epochOffset = std::chrono::duration_cast<Duration>(
-            std::chrono::system_clock::now().time_since_epoch() - runtime::readClock().time_since_epoch());
-        spans.emplace(spanFile, settings.vm, epochOffset, std::random_device {}());
-    }
-    process.observe([&](const node::Event& event, const node::State& state, const node::Effects& effects) {
-        adapters.callMetrics.observe(event, state, effects);
-        if (recorder)
-            recorder->record(event, effects);
-        if (spans)
-            spans->observe(event, effects);
-    });
+    const Observers observers(process, adapters.callMetrics, settings);
     process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
     process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
     process.onEffect<node::ReplyOperator>([&](auto& it) { adapters.operators->carryOut(it); });
+    // Calls are not yet carried to other data centres. The core is told that nothing was sent, so it serves or refuses
+    // the call itself.
+    process.onEffect<node::ForwardCall>([&](auto& it) {
+        process.post(
+            node::AttemptFailed { runtime::readClock(), it.attempt, node::AttemptError::ConnectFailed, false });
+    });
     process.onEffect<node::SendPeer>([&](auto& it) {
         if (adapters.links)
             adapters.links->carryOut(it);
