Carry calls to entry VMs of other data centres

Cause: ForwardCall effects were answered as not sent. Conclusion: an attempt is reported as not sent only when the server says so or the request was never queued.

--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -6,6 +6,7 @@
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/caller/listener.hpp>
+#include <rosemarymill/runtime/forward/forwarder.hpp>
 #include <rosemarymill/runtime/link/links.hpp>
 #include <rosemarymill/runtime/loop/process.hpp>
 #include <rosemarymill/runtime/metrics/calls.hpp>
@@ -15,6 +16,7 @@
 #include <rosemarymill/runtime/trace/recorder.hpp>
 #include <rosemarymill/runtime/trace/spans.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <optional>
@@ -27,6 +29,7 @@
 namespace {
 
 using runtime::Process;
+using runtime::forward::Forwarder;
 
 /// Adapters of one process. Members are destroyed in reverse order, servers last.
 struct Adapters {
@@ -36,7 +39,7 @@
         , announcements(callerServer, postTo(process))
         , callers(process.base(), callerServer, postTo(process))
         , client(
-              process.base(), pool, postTo(process), [this](CallId call) { return callers.find(call); },
+              process.base(), pool, postTo(process), [this](CallId call) { return findRequest(call); },
               process.state().settings.vm.text() + "-" + process.state().settings.bootId.text())
         , orders(process.base(), postTo(process))
         , operators(runtime::OperatorListener::open(
@@ -45,9 +48,7 @@
               }).value())
     {
         if (!settings.peerAddress.empty())
-            links = runtime::PeerLinks::open(*process.base(), runtime::parseAddress(settings.peerAddress).value(),
-                process.state().settings, postTo(process))
-                        .value();
+            openLinks(process, settings);
         for (const auto* path : { "/healthz", "/readyz", "/metrics" }) {
             callerServer.route("GET", path, [this, &process](runtime::http::Exchange& exchange) {
                 const auto page
@@ -57,6 +58,36 @@
         }
     }
 
+    void openLinks(Process& process, const Settings& settings)
+    {
+        links = runtime::PeerLinks::open(*process.base(), runtime::parseAddress(settings.peerAddress).value(),
+            process.state().settings, postTo(process))
+                    .value();
+        forwarder = std::make_unique<Forwarder>(
+            process.base(), *links, process.state().settings, settings.peerAddress, postTo(process),
+            [this](CallId call) { return findRequest(call); },
+            [&process](CallId call) { return factsOf(process.state(), call); });
+    }
+
+    /// Request of a caller's own call or of one that another data centre forwarded.
+    [[nodiscard]] const runtime::backend::OutgoingRequest* findRequest(CallId call) const
+    {
+        const auto* forwarded = forwarder ? forwarder->find(call) : nullptr;
+        return forwarded ? forwarded : callers.find(call);
+    }
+
+    /// Facts of an active call with the deadline that is left.
+    static std::optional<call::Request> factsOf(const node::State& state, CallId call)
+    {
+        const auto it = state.calls.active.find(call);
+        if (it == state.calls.active.end())
+            return std::nullopt;
+        auto request = it->second.request;
+        if (it->second.deadline)
+            request.deadline = std::max(*it->second.deadline - state.now, Duration { 1ms });
+        return request;
+    }
+
     static runtime::PostEvent postTo(Process& process)
     {
         return [&process](node::Event&& event) { process.post(std::move(event)); };
@@ -86,6 +117,7 @@
     std::unique_ptr<runtime::OperatorListener> operators;
     /// Null without a peer address.
     std::unique_ptr<runtime::PeerLinks> links;
+    std::unique_ptr<Forwarder> forwarder;
 };
 
 void connectCallEffects(Process& process, Adapters& adapters)
@@ -93,6 +125,8 @@
     auto& client = adapters.client;
     auto& callers = adapters.callers;
     process.onEffect<node::Dispatch>([&](auto& it) { client.dispatch(it); });
+    if (adapters.forwarder)
+        return;
     process.onEffect<node::CancelAttempt>([&](auto& it) { client.cancel(it); });
     process.onEffect<node::SetReading>([&](auto& it) { client.setReading(it); });
     process.onEffect<node::BeginResponse>([&](auto& it) { callers.begin(it); });
@@ -101,6 +135,31 @@
     process.onEffect<node::RefuseCall>([&](auto& it) { callers.refuse(it); });
 }
 
+/// The same effects where a call can have arrived from another data centre and an attempt can run in one.
+void connectForwardedCallEffects(Process& process, Adapters& adapters)
+{
+    auto& client = adapters.client;
+    auto& callers = adapters.callers;
+    auto& forwarder = *adapters.forwarder;
+    process.onEffect<node::ForwardCall>([&](auto& it) { forwarder.forward(it); });
+    process.onEffect<node::CancelAttempt>(
+        [&](auto& it) { forwarder.owns(it.attempt) ? forwarder.cancel(it) : client.cancel(it); });
+    process.onEffect<node::SetReading>(
+        [&](auto& it) { forwarder.owns(it.attempt) ? forwarder.setReading(it) : client.setReading(it); });
+    process.onEffect<node::BeginResponse>(
+        [&](auto& it) { forwarder.owns(it.call) ? forwarder.begin(it) : callers.begin(it); });
+    process.onEffect<node::ForwardToken>([&](auto& it) {
+        const auto token = forwarder.owns(it.attempt) ? forwarder.currentToken() : client.currentToken(it.attempt);
+        forwarder.owns(it.call) ? forwarder.append(it.call, token) : callers.append(it.call, token);
+    });
+    process.onEffect<node::FinishCall>([&](auto& it) {
+        const auto answer = forwarder.owns(it.attempt) ? forwarder.answer(it.attempt) : client.answer(it.attempt);
+        forwarder.owns(it.call) ? forwarder.finish(it.call, answer) : callers.finish(it.call, answer);
+    });
+    process.onEffect<node::RefuseCall>(
+        [&](auto& it) { forwarder.owns(it.call) ? forwarder.refuse(it) : callers.refuse(it); });
+}
+
 /// Metrics, trace and spans, fed by all events and effects. It must outlive the process's run.
 class Observers {
 public:
@@ -155,23 +214,19 @@
     const auto announceAddress = runtime::formatAddress(adapters.callerServer.address());
     process.setAnnounceAddress(announceAddress);
     connectCallEffects(process, adapters);
+    if (adapters.forwarder)
+        connectForwardedCallEffects(process, adapters);
     const Observers observers(process, adapters.callMetrics, settings);
     process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
     process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
     process.onEffect<node::ReplyOperator>([&](auto& it) { adapters.operators->carryOut(it); });
-    // Calls are not yet carried to other data centres. The core is told that nothing was sent, so it serves or refuses
-    // the call itself.
-    process.onEffect<node::ForwardCall>([&](auto& it) {
-        process.post(
-            node::AttemptFailed { runtime::readClock(), it.attempt, node::AttemptError::ConnectFailed, false });
-    });
     process.onEffect<node::SendPeer>([&](auto& it) {
         if (adapters.links)
             adapters.links->carryOut(it);
     });
     process.onEffect<node::WriteLog>([](auto& it) { runtime::writeLog(it.level, it.part, it.text); });
     process.onEffect<node::Exit>([&](auto&) {
-        if (adapters.callers.calls() == 0)
+        if (adapters.callers.calls() == 0 && (!adapters.forwarder || adapters.forwarder->calls() == 0))
             process.stop();
     });
     runtime::writeLog(node::LogLevel::Info, "daemon", "Callers at " + announceAddress + ".");
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/forward/forwarder.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <rosemarymill/core/node/effect.hpp>
+#include <rosemarymill/core/node/state.hpp>
+#include <rosemarymill/runtime/backend/client.hpp>
+#include <rosemarymill/runtime/backend/outgoing_request.hpp>
+#include <rosemarymill/runtime/base/handles.hpp>
+#include <rosemarymill/runtime/link/links.hpp>
+#include <rosemarymill/runtime/loop/post_event.hpp>
+#include <rosemarymill/wire/forward/codec.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
+
+/// Calls served by another data centre.
+namespace rosemarymill::runtime::forward {
+
+/// Time between two checks of the attempts at one server.
+inline constexpr Duration checkInterval = 2s;
+
+/// Time without any message of a server after which its attempts count as lost.
+inline constexpr Duration silenceTimeout = 10s;
+
+/// Largest answer that is not a stream, in bytes. It has to fit into one frame.
+inline constexpr std::size_t maxForwardedAnswerBytes = wire::maxFramePayloadBytes - 4096;
+
+/// Facts of a caller's request, with the deadline counted from now; nothing when the call has ended.
+using FindFacts = std::function<std::optional<call::Request>(CallId)>;
+
+/// Carries out ForwardCall at the origin and runs arriving calls at the server.
+class Forwarder {
+public:
+    Forwarder(event_base* base, PeerLinks& links, const node::Settings& self, std::string replyAddress, PostEvent post,
+        backend::FindRequest find, FindFacts facts);
+    ~Forwarder();
+    Forwarder(const Forwarder&) = delete;
+    Forwarder& operator=(const Forwarder&) = delete;
+
+    // Origin.
+    void forward(const node::ForwardCall& effect);
+    /// Whether the attempt runs in another data centre.
+    [[nodiscard]] bool owns(AttemptId attempt) const { return m_attempts.contains(attempt); }
+    void cancel(const node::CancelAttempt& effect);
+    void setReading(const node::SetReading& effect);
+    /// Bytes of the token event whose TokenReceived is being reduced.
+    [[nodiscard]] std::string_view currentToken() const noexcept { return m_currentToken; }
+    /// Answer of the attempt whose ResponseFinished is being reduced.
+    [[nodiscard]] backend::WholeAnswer answer(AttemptId attempt) noexcept;
+
+    // Server.
+    /// Whether the call arrived from another data centre.
+    [[nodiscard]] bool owns(CallId call) const { return m_calls.contains(call); }
+    /// Request of a call from another data centre; null when there is none.
+    [[nodiscard]] const backend::OutgoingRequest* find(CallId call) const;
+    void begin(const node::BeginResponse& effect);
+    void append(CallId call, std::string_view token);
+    void finish(CallId call, const backend::WholeAnswer& answer);
+    void refuse(const node::RefuseCall& effect);
+    /// Calls of other data centres in progress.
+    [[nodiscard]] std::size_t calls() const noexcept { return m_calls.size(); }
+
+private:
+    using Key = std::tuple<VmId, BootId, AttemptId>;
+
+    struct Attempt {
+        VmId server;
+        std::string address;
+        int status { 0 };
+        std::string contentType;
+        BufferHandle body;
+    };
+
+    struct Server {
+        Instant lastHeard;
+        Instant lastCheck;
+    };
+
+    struct Call {
+        Key key;
+        std::string replyAddress;
+        backend::OutgoingRequest request;
+        std::uint64_t resumeFrom { 0 };
+        std::uint64_t nextToken { 0 };
+        bool begun { false };
+    };
+
+    bool receive(const VmId& from, std::span<const std::byte> payload);
+    bool send(const VmId& to, const std::string& address, wire::forward::Message&& message);
+    bool reply(const Call& call, decltype(wire::forward::Message::body)&& body);
+    void lost(const VmId& vm);
+    void failAttempt(AttemptId id, bool mayHaveRun);
+    void failAttemptsAt(const VmId& server);
+    void abandon(CallId id);
+    void tick();
+
+    // Messages to the server.
+    void handle(const VmId& from, const BootId& boot, wire::forward::Open&& message);
+    void handle(const VmId& from, const BootId& boot, const wire::forward::Cancel& message);
+    void handle(const VmId& from, const BootId& boot, const wire::forward::Flow& message);
+    void handle(const VmId& from, const BootId& boot, const wire::forward::Check& message);
+    // Messages to the origin.
+    void handle(const VmId& from, const BootId& boot, const wire::forward::Alive& message);
+    void handle(const VmId& from, const BootId& boot, wire::forward::Head&& message);
+    void handle(const VmId& from, const BootId& boot, const wire::forward::Chunk& message);
+    void handle(const VmId& from, const BootId& boot, const wire::forward::Close& message);
+    [[nodiscard]] Attempt* attemptOf(const VmId& from, const BootId& boot, AttemptId id);
+
+    PeerLinks& m_links;
+    BootId m_boot;
+    std::string m_replyAddress;
+    PostEvent m_post;
+    backend::FindRequest m_find;
+    FindFacts m_facts;
+    EventHandle m_timer;
+    std::unordered_map<AttemptId, Attempt> m_attempts;
+    std::map<VmId, Server> m_servers;
+    std::string_view m_currentToken;
+    std::unordered_map<CallId, Call> m_calls;
+    std::map<Key, CallId> m_byKey;
+    CallId m_lastCall;
+};
+
+} // namespace rosemarymill::runtime::forward
--- /dev/null
+++ b/packages/runtime/src/forward/forwarder.cpp
@@ -0,0 +1,332 @@
+#include <rosemarymill/runtime/forward/forwarder.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace rosemarymill::runtime::forward {
+
+namespace {
+
+using namespace wire::forward;
+
+// Numbers of forwarded calls start here, so that they never equal the number of a caller's own call.
+constexpr std::uint64_t firstForwardedCall = std::uint64_t { 1 } << 62;
+constexpr timeval tickInterval { 1, 0 };
+// Any value above the core's high water mark stops the stream.
+constexpr std::uint64_t stoppedBacklogBytes = std::uint64_t { 1 } << 30;
+
+} // namespace
+
+Forwarder::Forwarder(event_base* base, PeerLinks& links, const node::Settings& self, std::string replyAddress,
+    PostEvent post, backend::FindRequest find, FindFacts facts)
+    : m_links(links)
+    , m_boot(self.bootId)
+    , m_replyAddress(std::move(replyAddress))
+    , m_post(std::move(post))
+    , m_find(std::move(find))
+    , m_facts(std::move(facts))
+    , m_timer(event_new(
+          base, -1, EV_PERSIST, [](evutil_socket_t, short, void* it) { static_cast<Forwarder*>(it)->tick(); }, this))
+    , m_lastCall { firstForwardedCall }
+{
+    event_add(m_timer.get(), &tickInterval);
+    links.onForward([this](const VmId& from, std::span<const std::byte> payload) { return receive(from, payload); });
+    links.onLost([this](const VmId& vm) { lost(vm); });
+}
+
+Forwarder::~Forwarder()
+{
+    m_links.onForward({});
+    m_links.onLost({});
+}
+
+bool Forwarder::send(const VmId& to, const std::string& address, Message&& message)
+{
+    wire::Buffer payload;
+    encode(message, payload);
+    return m_links.send(to, address, wire::FrameKind::Forward, payload);
+}
+
+bool Forwarder::receive(const VmId& from, std::span<const std::byte> payload)
+{
+    auto message = decode(payload);
+    if (!message)
+        return false;
+    std::visit([&](auto&& it) { handle(from, message.value().originBoot, std::forward<decltype(it)>(it)); },
+        std::move(message.value().body));
+    return true;
+}
+
+// Origin.
+
+void Forwarder::forward(const node::ForwardCall& effect)
+{
+    const auto* outgoing = m_find(effect.call);
+    const auto facts = m_facts(effect.call);
+    bool sent = false;
+    if (outgoing && facts)
+        sent = send(effect.vm, effect.address,
+            { m_boot,
+                Open { effect.attempt, m_replyAddress, effect.resumeFrom, *facts,
+                    static_cast<std::uint32_t>(outgoing->method), outgoing->target, outgoing->contentType,
+                    outgoing->accept, outgoing->body } });
+    if (!sent) {
+        m_post(node::AttemptFailed { readClock(), effect.attempt, node::AttemptError::ConnectFailed, false });
+        return;
+    }
+    m_attempts[effect.attempt] = { effect.vm, effect.address, 0, {}, BufferHandle(evbuffer_new()) };
+    m_servers.try_emplace(effect.vm, Server { readClock(), readClock() });
+}
+
+void Forwarder::cancel(const node::CancelAttempt& effect)
+{
+    const auto it = m_attempts.find(effect.attempt);
+    if (it == m_attempts.end())
+        return;
+    const auto attempt = std::move(it->second);
+    m_attempts.erase(it);
+    if (effect.notifyServer)
+        (void)send(attempt.server, attempt.address, { m_boot, Cancel { effect.attempt } });
+}
+
+void Forwarder::setReading(const node::SetReading& effect)
+{
+    if (const auto it = m_attempts.find(effect.attempt); it != m_attempts.end())
+        (void)send(it->second.server, it->second.address, { m_boot, Flow { effect.attempt, effect.enabled } });
+}
+
+backend::WholeAnswer Forwarder::answer(AttemptId attempt) noexcept
+{
+    const auto it = m_attempts.find(attempt);
+    if (it == m_attempts.end())
+        return {};
+    return { it->second.status, it->second.contentType, it->second.body.get() };
+}
+
+Forwarder::Attempt* Forwarder::attemptOf(const VmId& from, const BootId& boot, AttemptId id)
+{
+    const auto it = m_attempts.find(id);
+    if (boot != m_boot || it == m_attempts.end() || it->second.server != from)
+        return nullptr;
+    m_servers[from].lastHeard = readClock();
+    return &it->second;
+}
+
+void Forwarder::handle(const VmId& from, const BootId& boot, const Alive&)
+{
+    if (const auto it = m_servers.find(from); boot == m_boot && it != m_servers.end())
+        it->second.lastHeard = readClock();
+}
+
+void Forwarder::handle(const VmId& from, const BootId& boot, Head&& message)
+{
+    auto* attempt = attemptOf(from, boot, message.attempt);
+    if (!attempt)
+        return;
+    attempt->status = message.status;
+    attempt->contentType = std::move(message.contentType);
+    m_post(node::ResponseStarted { readClock(), message.attempt, message.status, message.stream });
+}
+
+void Forwarder::handle(const VmId& from, const BootId& boot, const Chunk& message)
+{
+    if (!attemptOf(from, boot, message.attempt))
+        return;
+    m_currentToken = message.bytes;
+    m_post(node::TokenReceived {
+        readClock(), message.attempt, message.index, static_cast<std::uint32_t>(message.bytes.size()) });
+    m_currentToken = {};
+}
+
+void Forwarder::handle(const VmId& from, const BootId& boot, const Close& message)
+{
+    auto* attempt = attemptOf(from, boot, message.attempt);
+    if (!attempt)
+        return;
+    if (!message.complete) {
+        failAttempt(message.attempt, message.mayHaveRun);
+        return;
+    }
+    evbuffer_add(attempt->body.get(), message.body.data(), message.body.size());
+    m_post(node::ResponseFinished { readClock(), message.attempt });
+    m_attempts.erase(message.attempt);
+}
+
+void Forwarder::failAttempt(AttemptId id, bool mayHaveRun)
+{
+    m_attempts.erase(id);
+    const auto error = mayHaveRun ? node::AttemptError::ConnectionLost : node::AttemptError::ConnectFailed;
+    m_post(node::AttemptFailed { readClock(), id, error, mayHaveRun });
+}
+
+void Forwarder::failAttemptsAt(const VmId& server)
+{
+    std::vector<AttemptId> failed;
+    for (const auto& [id, attempt] : m_attempts) {
+        if (attempt.server == server)
+            failed.push_back(id);
+    }
+    m_servers.erase(server);
+    // The request may have arrived before the link broke.
+    for (const auto id : failed)
+        failAttempt(id, true);
+}
+
+// Server.
+
+const backend::OutgoingRequest* Forwarder::find(CallId call) const
+{
+    const auto it = m_calls.find(call);
+    return it == m_calls.end() ? nullptr : &it->second.request;
+}
+
+void Forwarder::handle(const VmId& from, const BootId& boot, Open&& message)
+{
+    const Key key { from, boot, message.attempt };
+    if (m_byKey.contains(key))
+        return;
+    m_lastCall = m_lastCall.next();
+    backend::OutgoingRequest request { static_cast<evhttp_cmd_type>(message.httpMethod), std::move(message.httpTarget),
+        std::move(message.contentType), std::move(message.accept), message.request.idempotencyKey,
+        message.request.traceparent, std::move(message.body) };
+    m_calls[m_lastCall] = { key, std::move(message.replyAddress), std::move(request), message.resumeFrom, 0, false };
+    m_byKey[key] = m_lastCall;
+    m_post(node::CallArrived { readClock(), m_lastCall, std::move(message.request) });
+}
+
+void Forwarder::handle(const VmId& from, const BootId& boot, const Cancel& message)
+{
+    if (const auto it = m_byKey.find({ from, boot, message.attempt }); it != m_byKey.end())
+        abandon(it->second);
+}
+
+void Forwarder::handle(const VmId& from, const BootId& boot, const Flow& message)
+{
+    if (const auto it = m_byKey.find({ from, boot, message.attempt }); it != m_byKey.end())
+        m_post(node::CallerBacklogChanged { readClock(), it->second, message.reading ? 0 : stoppedBacklogBytes });
+}
+
+void Forwarder::handle(const VmId& from, const BootId& boot, const Check& message)
+{
+    (void)send(from, message.replyAddress, { boot, Alive {} });
+    for (const auto attempt : message.attempts) {
+        if (!m_byKey.contains({ from, boot, attempt }))
+            (void)send(from, message.replyAddress, { boot, Close { attempt, false, true, {} } });
+    }
+}
+
+bool Forwarder::reply(const Call& call, decltype(Message::body)&& body)
+{
+    const auto& [vm, boot, attempt] = call.key;
+    return send(vm, call.replyAddress, { boot, std::move(body) });
+}
+
+void Forwarder::abandon(CallId id)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end())
+        return;
+    m_byKey.erase(it->second.key);
+    m_calls.erase(it);
+    m_post(node::CallerGone { readClock(), id });
+}
+
+void Forwarder::begin(const node::BeginResponse& effect)
+{
+    const auto it = m_calls.find(effect.call);
+    if (it == m_calls.end())
+        return;
+    it->second.begun = true;
+    const auto attempt = std::get<AttemptId>(it->second.key);
+    if (!reply(it->second, Head { attempt, effect.status, effect.stream, "text/event-stream" }))
+        abandon(effect.call);
+}
+
+void Forwarder::append(CallId call, std::string_view token)
+{
+    const auto it = m_calls.find(call);
+    if (it == m_calls.end())
+        return;
+    // The core passes token events on without gaps, from index 0.
+    const auto index = it->second.nextToken++;
+    if (index < it->second.resumeFrom)
+        return;
+    // A stream with a gap must not go on. The origin learns by its next check that the call has ended.
+    if (!reply(it->second, Chunk { std::get<AttemptId>(it->second.key), index, std::string(token) }))
+        abandon(call);
+}
+
+void Forwarder::finish(CallId call, const backend::WholeAnswer& answer)
+{
+    const auto it = m_calls.find(call);
+    if (it == m_calls.end())
+        return;
+    const auto attempt = std::get<AttemptId>(it->second.key);
+    Close close { attempt, true, true, {} };
+    if (!it->second.begun) {
+        const auto size = answer.body ? evbuffer_get_length(answer.body) : 0;
+        if (size <= maxForwardedAnswerBytes) {
+            close.body.resize(size);
+            if (size > 0)
+                evbuffer_copyout(answer.body, close.body.data(), size);
+            (void)reply(it->second, Head { attempt, answer.status, false, answer.contentType });
+        } else {
+            close.complete = false;
+        }
+    }
+    (void)reply(it->second, std::move(close));
+    m_byKey.erase(it->second.key);
+    m_calls.erase(it);
+}
+
+void Forwarder::refuse(const node::RefuseCall& effect)
+{
+    const auto it = m_calls.find(effect.call);
+    if (it == m_calls.end())
+        return;
+    const bool mayHaveRun = effect.refusal.outcome != call::Outcome::NotRun;
+    (void)reply(it->second, Close { std::get<AttemptId>(it->second.key), false, mayHaveRun, {} });
+    m_byKey.erase(it->second.key);
+    m_calls.erase(it);
+}
+
+// Both.
+
+void Forwarder::lost(const VmId& vm)
+{
+    failAttemptsAt(vm);
+    std::vector<CallId> abandoned;
+    for (const auto& [id, call] : m_calls) {
+        if (std::get<VmId>(call.key) == vm)
+            abandoned.push_back(id);
+    }
+    for (const auto id : abandoned)
+        abandon(id);
+}
+
+void Forwarder::tick()
+{
+    const auto now = readClock();
+    std::map<VmId, Check> checks;
+    std::map<VmId, std::string> addresses;
+    for (const auto& [id, attempt] : m_attempts) {
+        auto& check = checks[attempt.server];
+        check.replyAddress = m_replyAddress;
+        check.attempts.push_back(id);
+        addresses[attempt.server] = attempt.address;
+    }
+    std::erase_if(m_servers, [&](const auto& entry) { return !checks.contains(entry.first); });
+    for (auto& [vm, check] : checks) {
+        auto& server = m_servers[vm];
+        if (now - server.lastHeard > silenceTimeout) {
+            failAttemptsAt(vm);
+        } else if (now - server.lastCheck >= checkInterval) {
+            server.lastCheck = now;
+            (void)send(vm, addresses[vm], { m_boot, std::move(check) });
+        }
+    }
+}
+
+} // namespace rosemarymill::runtime::forward
--- a/tests/process/relay.cpp
+++ b/tests/process/relay.cpp
@@ -46,8 +46,8 @@
 /// Process a that reaches process b only through the relay.
 struct Fixture {
     Fixture()
-        : relay({ ROSEMARYMILL_BINARY_DIR "/standin/standin-relay", "--listen", loopback(relayPort), "--target",
-                    formatAddress(b->address()), "--control", loopback(controlPort) },
+        : relay({ std::string(ROSEMARYMILL_BINARY_DIR) + "/standin/standin-relay", "--listen", loopback(relayPort),
+                    "--target", formatAddress(b->address()), "--control", loopback(controlPort) },
             folder.file("relay"))
     {
         b->onForward([this](const VmId&, std::span<const std::byte>) {
--- /dev/null
+++ b/tests/wire/forward/codec.cpp
@@ -0,0 +1,50 @@
+#include <rosemarymill/wire/forward/codec.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace rosemarymill;
+using namespace rosemarymill::wire::forward;
+
+namespace {
+
+wire::Buffer sampleOpen()
+{
+    call::Request request;
+    request.tokenDigest = "digest";
+    request.model = ModelName { "planner" };
+    request.fingerprint = { 1, 2 };
+    request.prefixHashes = { 3 };
+    wire::Buffer payload;
+    encode(
+        { BootId { "b" }, Open { AttemptId { 7 }, "127.0.0.1:1", 4, request, 2, "/v1", "t", "a", "body" } }, payload);
+    return payload;
+}
+
+} // namespace
+
+TEST_CASE("A forwarded call survives the wire", "[forward]")
+{
+    const auto message = wire::forward::decode(sampleOpen());
+    REQUIRE(message.has_value());
+    const auto& open = std::get<Open>(message.value().body);
+    CHECK(message.value().originBoot == BootId { "b" });
+    CHECK(open.attempt == AttemptId { 7 });
+    CHECK(open.resumeFrom == 4);
+    CHECK(open.body == "body");
+    CHECK(open.request.model == ModelName { "planner" });
+    CHECK(open.request.fingerprint == Fingerprint { 1, 2 });
+    CHECK(open.request.forwarded);
+}
+
+// A forged payload must neither crash the process nor be read beyond its end.
+TEST_CASE("Cut and damaged forward messages are refused or decoded without a fault", "[forward]")
+{
+    const auto payload = sampleOpen();
+    for (std::size_t n = 0; n < payload.size(); ++n)
+        CHECK_FALSE(wire::forward::decode(std::span(payload).first(n)).has_value());
+    for (std::size_t i = 0; i < payload.size(); ++i) {
+        auto damaged = payload;
+        damaged[i] ^= std::byte { 0x81 };
+        (void)wire::forward::decode(damaged);
+    }
+}
