Route forwarded calls by interceptors; trace kept answers

Change: Process::interceptEffect lets the forwarder take the effects of its own calls and leaves the handlers of callers' calls as they are.

--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -125,8 +125,6 @@
     auto& client = adapters.client;
     auto& callers = adapters.callers;
     process.onEffect<node::Dispatch>([&](auto& it) { client.dispatch(it); });
-    if (adapters.forwarder)
-        return;
     process.onEffect<node::CancelAttempt>([&](auto& it) { client.cancel(it); });
     process.onEffect<node::SetReading>([&](auto& it) { client.setReading(it); });
     process.onEffect<node::BeginResponse>([&](auto& it) { callers.begin(it); });
@@ -135,29 +133,37 @@
     process.onEffect<node::RefuseCall>([&](auto& it) { callers.refuse(it); });
 }
 
-/// The same effects where a call can have arrived from another data centre and an attempt can run in one.
-void connectForwardedCallEffects(Process& process, Adapters& adapters)
+/// Takes over the effects of calls that arrived from another data centre and of attempts that run in one.
+void interceptForwardedCalls(Process& process, Adapters& adapters)
 {
     auto& client = adapters.client;
     auto& callers = adapters.callers;
     auto& forwarder = *adapters.forwarder;
+    const auto ifOwned = [&forwarder](const auto& owner, auto&& action) {
+        const bool owned = forwarder.owns(owner);
+        if (owned)
+            action();
+        return owned;
+    };
     process.onEffect<node::ForwardCall>([&](auto& it) { forwarder.forward(it); });
-    process.onEffect<node::CancelAttempt>(
-        [&](auto& it) { forwarder.owns(it.attempt) ? forwarder.cancel(it) : client.cancel(it); });
-    process.onEffect<node::SetReading>(
-        [&](auto& it) { forwarder.owns(it.attempt) ? forwarder.setReading(it) : client.setReading(it); });
-    process.onEffect<node::BeginResponse>(
-        [&](auto& it) { forwarder.owns(it.call) ? forwarder.begin(it) : callers.begin(it); });
-    process.onEffect<node::ForwardToken>([&](auto& it) {
-        const auto token = forwarder.owns(it.attempt) ? forwarder.currentToken() : client.currentToken(it.attempt);
-        forwarder.owns(it.call) ? forwarder.append(it.call, token) : callers.append(it.call, token);
+    process.interceptEffect<node::CancelAttempt>(
+        [&, ifOwned](auto& it) { return ifOwned(it.attempt, [&] { forwarder.cancel(it); }); });
+    process.interceptEffect<node::SetReading>(
+        [&, ifOwned](auto& it) { return ifOwned(it.attempt, [&] { forwarder.setReading(it); }); });
+    process.interceptEffect<node::BeginResponse>(
+        [&, ifOwned](auto& it) { return ifOwned(it.call, [&] { forwarder.begin(it); }); });
+    process.interceptEffect<node::AnswerCall>(
+        [&, ifOwned](auto& it) { return ifOwned(it.call, [&] { forwarder.answer(it); }); });
+    process.interceptEffect<node::RefuseCall>(
+        [&, ifOwned](auto& it) { return ifOwned(it.call, [&] { forwarder.refuse(it); }); });
+    process.interceptEffect<node::ForwardToken>([&, ifOwned](auto& it) {
+        return ifOwned(it.call, [&] { forwarder.append(it.call, client.currentToken(it.attempt)); })
+            || ifOwned(it.attempt, [&] { callers.append(it.call, forwarder.currentToken()); });
     });
-    process.onEffect<node::FinishCall>([&](auto& it) {
-        const auto answer = forwarder.owns(it.attempt) ? forwarder.answer(it.attempt) : client.answer(it.attempt);
-        forwarder.owns(it.call) ? forwarder.finish(it.call, answer) : callers.finish(it.call, answer);
+    process.interceptEffect<node::FinishCall>([&, ifOwned](auto& it) {
+        return ifOwned(it.call, [&] { forwarder.finish(it.call, client.answer(it.attempt)); })
+            || ifOwned(it.attempt, [&] { callers.finish(it.call, forwarder.answer(it.attempt)); });
     });
-    process.onEffect<node::RefuseCall>(
-        [&](auto& it) { forwarder.owns(it.call) ? forwarder.refuse(it) : callers.refuse(it); });
 }
 
 /// Metrics, trace and spans, fed by all events and effects. It must outlive the process's run.
@@ -215,7 +221,7 @@
     process.setAnnounceAddress(announceAddress);
     connectCallEffects(process, adapters);
     if (adapters.forwarder)
-        connectForwardedCallEffects(process, adapters);
+        interceptForwardedCalls(process, adapters);
     const Observers observers(process, adapters.callMetrics, settings);
     process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
     process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
--- a/packages/runtime/include/rosemarymill/runtime/forward/forwarder.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/forward/forwarder.hpp
@@ -60,6 +60,8 @@
     void begin(const node::BeginResponse& effect);
     void append(CallId call, std::string_view token);
     void finish(CallId call, const backend::WholeAnswer& answer);
+    /// Sends an answer that the ledger has kept.
+    void answer(const node::AnswerCall& effect);
     void refuse(const node::RefuseCall& effect);
     /// Calls of other data centres in progress.
     [[nodiscard]] std::size_t calls() const noexcept { return m_calls.size(); }
@@ -73,6 +75,7 @@
         int status { 0 };
         std::string contentType;
         BufferHandle body;
+        bool captureAnswer { false };
     };
 
     struct Server {
@@ -91,6 +94,7 @@
 
     bool receive(const VmId& from, std::span<const std::byte> payload);
     bool send(const VmId& to, const std::string& address, wire::forward::Message&& message);
+    void end(std::unordered_map<CallId, Call>::iterator call);
     bool reply(const Call& call, decltype(wire::forward::Message::body)&& body);
     void lost(const VmId& vm);
     void failAttempt(AttemptId id, bool mayHaveRun);
--- a/packages/runtime/include/rosemarymill/runtime/loop/process.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/loop/process.hpp
@@ -19,6 +19,7 @@
 template <typename Variant> struct HandlersOf;
 template <typename... Effects> struct HandlersOf<std::variant<Effects...>> {
     using Type = std::tuple<std::function<void(Effects&)>...>;
+    using Interceptors = std::tuple<std::function<bool(Effects&)>...>;
 };
 
 } // namespace detail
@@ -46,6 +47,12 @@
         std::get<std::function<void(Effect&)>>(m_handlers) = std::move(handler);
     }
 
+    /// Registers a function that sees the effects of one type first and returns true for those it has carried out.
+    template <typename Effect> void interceptEffect(std::function<bool(Effect&)> interceptor)
+    {
+        std::get<std::function<bool(Effect&)>>(m_interceptors) = std::move(interceptor);
+    }
+
     /// Sees each event after its reduction, before the effects are carried out.
     using Observer = std::function<void(const node::Event&, const node::State&, const node::Effects&)>;
 
@@ -71,6 +78,7 @@
     bool m_reducing { false };
     Observer m_observer;
     detail::HandlersOf<node::Effect>::Type m_handlers;
+    detail::HandlersOf<node::Effect>::Interceptors m_interceptors;
 };
 
 } // namespace rosemarymill::runtime
--- a/packages/runtime/src/forward/forwarder.cpp
+++ b/packages/runtime/src/forward/forwarder.cpp
@@ -76,7 +76,8 @@
         m_post(node::AttemptFailed { readClock(), effect.attempt, node::AttemptError::ConnectFailed, false });
         return;
     }
-    m_attempts[effect.attempt] = { effect.vm, effect.address, 0, {}, BufferHandle(evbuffer_new()) };
+    m_attempts[effect.attempt]
+        = { effect.vm, effect.address, 0, {}, BufferHandle(evbuffer_new()), effect.captureAnswer };
     m_servers.try_emplace(effect.vm, Server { readClock(), readClock() });
 }
 
@@ -150,7 +151,10 @@
         return;
     }
     evbuffer_add(attempt->body.get(), message.body.data(), message.body.size());
-    m_post(node::ResponseFinished { readClock(), message.attempt });
+    std::optional<ledger::Answer> captured;
+    if (attempt->captureAnswer && message.body.size() <= ledger::maxKeptBodyBytes)
+        captured = ledger::Answer { attempt->status, attempt->contentType, message.body };
+    m_post(node::ResponseFinished { readClock(), message.attempt, std::move(captured) });
     m_attempts.erase(message.attempt);
 }
 
@@ -223,13 +227,18 @@
     return send(vm, call.replyAddress, { boot, std::move(body) });
 }
 
+void Forwarder::end(std::unordered_map<CallId, Call>::iterator call)
+{
+    m_byKey.erase(call->second.key);
+    m_calls.erase(call);
+}
+
 void Forwarder::abandon(CallId id)
 {
     const auto it = m_calls.find(id);
     if (it == m_calls.end())
         return;
-    m_byKey.erase(it->second.key);
-    m_calls.erase(it);
+    end(it);
     m_post(node::CallerGone { readClock(), id });
 }
 
@@ -277,8 +286,18 @@
         }
     }
     (void)reply(it->second, std::move(close));
-    m_byKey.erase(it->second.key);
-    m_calls.erase(it);
+    end(it);
+}
+
+void Forwarder::answer(const node::AnswerCall& effect)
+{
+    const auto it = m_calls.find(effect.call);
+    if (it == m_calls.end())
+        return;
+    const auto attempt = std::get<AttemptId>(it->second.key);
+    (void)reply(it->second, Head { attempt, effect.status, false, effect.contentType });
+    (void)reply(it->second, Close { attempt, true, true, effect.body });
+    end(it);
 }
 
 void Forwarder::refuse(const node::RefuseCall& effect)
@@ -288,8 +307,7 @@
         return;
     const bool mayHaveRun = effect.refusal.outcome != call::Outcome::NotRun;
     (void)reply(it->second, Close { std::get<AttemptId>(it->second.key), false, mayHaveRun, {} });
-    m_byKey.erase(it->second.key);
-    m_calls.erase(it);
+    end(it);
 }
 
 // Both.
--- a/packages/runtime/src/loop/process.cpp
+++ b/packages/runtime/src/loop/process.cpp
@@ -52,8 +52,10 @@
     for (auto& effect : m_effects) {
         std::visit(
             [this](auto& it) {
-                auto& handler = std::get<std::function<void(std::remove_reference_t<decltype(it)>&)>>(m_handlers);
-                if (handler)
+                using Effect = std::remove_reference_t<decltype(it)>;
+                auto& interceptor = std::get<std::function<bool(Effect&)>>(m_interceptors);
+                auto& handler = std::get<std::function<void(Effect&)>>(m_handlers);
+                if (!(interceptor && interceptor(it)) && handler)
                     handler(it);
             },
             effect);
--- a/packages/runtime/src/metrics/calls.cpp
+++ b/packages/runtime/src/metrics/calls.cpp
@@ -82,6 +82,7 @@
         [&](const node::ForwardCall& it) { dispatched(it.call, now); },
         [&](const node::ForwardToken& it) { token(it.call, now); },
         [&](const node::FinishCall& it) { end(it.call, End::Finished); },
+        [&](const node::AnswerCall& it) { end(it.call, End::Finished); },
         [&](const node::RefuseCall& it) { end(it.call, endOf(it.refusal.outcome)); },
         [](const auto&) {},
     };
--- a/packages/runtime/src/trace/spans.cpp
+++ b/packages/runtime/src/trace/spans.cpp
@@ -164,6 +164,7 @@
         [&](const node::ForwardCall& it) { dispatched(it.attempt, it.call, "forward", it.vm.text(), now); },
         [&](const node::CancelAttempt& it) { attemptEnded(it.attempt, now, true); },
         [&](const node::FinishCall& it) { callEnded(it.call, now, false); },
+        [&](const node::AnswerCall& it) { callEnded(it.call, now, false); },
         [&](const node::RefuseCall& it) { callEnded(it.call, now, true); },
         [](const auto&) {},
     };
--- a/packages/wire/src/trace/fields.hpp
+++ b/packages/wire/src/trace/fields.hpp
@@ -130,6 +130,19 @@
 
 } // namespace rosemarymill::call
 
+namespace rosemarymill::ledger {
+
+template <typename Archive, typename T>
+requires std::same_as<std::remove_const_t<T>, Answer>
+void fields(Archive& archive, T& it)
+{
+    archive("status", it.status);
+    archive("content_type", it.contentType);
+    archive("body", it.body);
+}
+
+} // namespace rosemarymill::ledger
+
 namespace rosemarymill::node {
 
 template <typename Archive, typename T>
@@ -238,6 +251,7 @@
 {
     archive("now", it.now);
     archive("attempt", it.attempt);
+    archive("answer", it.answer);
 }
 
 template <typename Archive, typename T>
@@ -318,6 +332,7 @@
     archive("group", it.group);
     archive("fencing", it.fencing);
     archive("resume_from", it.resumeFrom);
+    archive("capture_answer", it.captureAnswer);
 }
 
 template <typename Archive, typename T>
@@ -329,6 +344,7 @@
     archive("vm", it.vm);
     archive("address", it.address);
     archive("resume_from", it.resumeFrom);
+    archive("capture_answer", it.captureAnswer);
 }
 
 template <typename Archive, typename T>
@@ -365,6 +381,16 @@
     archive("attempt", it.attempt);
 }
 
+template <typename Archive, typename T>
+requires std::same_as<std::remove_const_t<T>, AnswerCall>
+void fields(Archive& archive, T& it)
+{
+    archive("call", it.call);
+    archive("status", it.status);
+    archive("content_type", it.contentType);
+    archive("body", it.body);
+}
+
 template <typename Archive, typename T>
 requires std::same_as<std::remove_const_t<T>, RefuseCall>
 void fields(Archive& archive, T& it)
