--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -6,16 +6,18 @@
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/caller/listener.hpp>
+#include <rosemarymill/runtime/forward/forwarder.hpp>
 #include <rosemarymill/runtime/link/links.hpp>
 #include <rosemarymill/runtime/loop/process.hpp>
 #include <rosemarymill/runtime/metrics/calls.hpp>
 #include <rosemarymill/runtime/metrics/process.hpp>
 #include <rosemarymill/runtime/operator/listener.hpp>
 #include <rosemarymill/runtime/operator/pages.hpp>
+#include <rosemarymill/runtime/storage/storage.hpp>
 #include <rosemarymill/runtime/trace/recorder.hpp>
 #include <rosemarymill/runtime/trace/spans.hpp>
-#include <rosemarymill/runtime/storage/storage.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <fstream>
 #include <optional>
@@ -28,6 +30,7 @@
 namespace {
 
 using runtime::Process;
+using runtime::forward::Forwarder;
 
 /// Adapters of one process. Members are destroyed in reverse order, servers last.
 struct Adapters {
@@ -37,7 +40,7 @@
         , announcements(callerServer, postTo(process))
         , callers(process.base(), callerServer, postTo(process))
         , client(
-              process.base(), pool, postTo(process), [this](CallId call) { return callers.find(call); },
+              process.base(), pool, postTo(process), [this](CallId call) { return findRequest(call); },
               process.state().settings.vm.text() + "-" + process.state().settings.bootId.text())
         , orders(process.base(), postTo(process))
         , operators(runtime::OperatorListener::open(
@@ -46,9 +49,7 @@
               }).value())
     {
         if (!settings.peerAddress.empty())
-            links = runtime::PeerLinks::open(*process.base(), runtime::parseAddress(settings.peerAddress).value(),
-                process.state().settings, postTo(process))
-                        .value();
+            openLinks(process, settings);
         for (const auto* path : { "/healthz", "/readyz", "/metrics" }) {
             callerServer.route("GET", path, [this, &process](runtime::http::Exchange& exchange) {
                 const auto page
@@ -58,6 +59,36 @@
         }
     }
 
+    void openLinks(Process& process, const Settings& settings)
+    {
+        links = runtime::PeerLinks::open(*process.base(), runtime::parseAddress(settings.peerAddress).value(),
+            process.state().settings, postTo(process))
+                    .value();
+        forwarder = std::make_unique<Forwarder>(
+            process.base(), *links, process.state().settings, settings.peerAddress, postTo(process),
+            [this](CallId call) { return findRequest(call); },
+            [&process](CallId call) { return factsOf(process.state(), call); });
+    }
+
+    /// Request of a caller's own call or of one that another data centre forwarded.
+    [[nodiscard]] const runtime::backend::OutgoingRequest* findRequest(CallId call) const
+    {
+        const auto* forwarded = forwarder ? forwarder->find(call) : nullptr;
+        return forwarded ? forwarded : callers.find(call);
+    }
+
+    /// Facts of an active call with the deadline that is left.
+    static std::optional<call::Request> factsOf(const node::State& state, CallId call)
+    {
+        const auto it = state.calls.active.find(call);
+        if (it == state.calls.active.end())
+            return std::nullopt;
+        auto request = it->second.request;
+        if (it->second.deadline)
+            request.deadline = std::max(*it->second.deadline - state.now, Duration { 1ms });
+        return request;
+    }
+
     static runtime::PostEvent postTo(Process& process)
     {
         return [&process](node::Event&& event) { process.post(std::move(event)); };
@@ -87,6 +118,7 @@
     std::unique_ptr<runtime::OperatorListener> operators;
     /// Null without a peer address.
     std::unique_ptr<runtime::PeerLinks> links;
+    std::unique_ptr<Forwarder> forwarder;
 };
 
 void connectCallEffects(Process& process, Adapters& adapters)
@@ -102,6 +134,83 @@
     process.onEffect<node::RefuseCall>([&](auto& it) { callers.refuse(it); });
 }
 
+/// Takes over the effects of calls that arrived from another data centre and of attempts that run in one.
+void interceptForwardedCalls(Process& process, Adapters& adapters)
+{
+    auto& client = adapters.client;
+    auto& callers = adapters.callers;
+    auto& forwarder = *adapters.forwarder;
+    const auto ifOwned = [&forwarder](const auto& owner, auto&& action) {
+        const bool owned = forwarder.owns(owner);
+        if (owned)
+            action();
+        return owned;
+    };
+    process.onEffect<node::ForwardCall>([&](auto& it) { forwarder.forward(it); });
+    process.interceptEffect<node::CancelAttempt>(
+        [&, ifOwned](auto& it) { return ifOwned(it.attempt, [&] { forwarder.cancel(it); }); });
+    process.interceptEffect<node::SetReading>(
+        [&, ifOwned](auto& it) { return ifOwned(it.attempt, [&] { forwarder.setReading(it); }); });
+    process.interceptEffect<node::BeginResponse>(
+        [&, ifOwned](auto& it) { return ifOwned(it.call, [&] { forwarder.begin(it); }); });
+    process.interceptEffect<node::AnswerCall>(
+        [&, ifOwned](auto& it) { return ifOwned(it.call, [&] { forwarder.answer(it); }); });
+    process.interceptEffect<node::RefuseCall>(
+        [&, ifOwned](auto& it) { return ifOwned(it.call, [&] { forwarder.refuse(it); }); });
+    process.interceptEffect<node::ForwardToken>([&, ifOwned](auto& it) {
+        return ifOwned(it.call, [&] { forwarder.append(it.call, client.currentToken(it.attempt)); })
+            || ifOwned(it.attempt, [&] { callers.append(it.call, forwarder.currentToken()); });
+    });
+    process.interceptEffect<node::FinishCall>([&, ifOwned](auto& it) {
+        return ifOwned(it.call, [&] { forwarder.finish(it.call, client.answer(it.attempt)); })
+            || ifOwned(it.attempt, [&] { callers.finish(it.call, forwarder.answer(it.attempt)); });
+    });
+}
+
+/// Metrics, trace and spans, fed by all events and effects. It must outlive the process's run.
+class Observers {
+public:
+    Observers(Process& process, runtime::CallMetrics& metrics, const Settings& settings)
+        : m_metrics(metrics)
+    {
+        if (!settings.traceFile.empty())
+            m_recorder = runtime::TraceRecorder::open(settings.traceFile, process.state().settings).value();
+        if (!settings.spanFile.empty())
+            openSpans(settings);
+        process.observe([this](const node::Event& event, const node::State& state, const node::Effects& effects) {
+            observe(event, state, effects);
+        });
+    }
+
+    Observers(const Observers&) = delete;
+    Observers& operator=(const Observers&) = delete;
+
+private:
+    void openSpans(const Settings& settings)
+    {
+        m_spanFile.open(settings.spanFile, std::ios::binary | std::ios::app);
+        if (!m_spanFile)
+            throw std::runtime_error(settings.spanFile + " cannot be opened");
+        const auto epochOffset = std::chrono::duration_cast<Duration>(
+            std::chrono::system_clock::now().time_since_epoch() - runtime::readClock().time_since_epoch());
+        m_spans.emplace(m_spanFile, settings.vm, epochOffset, std::random_device {}());
+    }
+
+    void observe(const node::Event& event, const node::State& state, const node::Effects& effects)
+    {
+        m_metrics.observe(event, state, effects);
+        if (m_recorder)
+            m_recorder->record(event, effects);
+        if (m_spans)
+            m_spans->observe(event, effects);
+    }
+
+    runtime::CallMetrics& m_metrics;
+    std::unique_ptr<runtime::TraceRecorder> m_recorder;
+    std::ofstream m_spanFile;
+    std::optional<runtime::SpanRecorder> m_spans;
+};
+
 } // namespace
 
 int run(const Settings& settings)
@@ -112,26 +221,9 @@
     const auto announceAddress = runtime::formatAddress(adapters.callerServer.address());
     process.setAnnounceAddress(announceAddress);
     connectCallEffects(process, adapters);
-    std::unique_ptr<runtime::TraceRecorder> recorder;
-    if (!settings.traceFile.empty())
-        recorder = runtime::TraceRecorder::open(settings.traceFile, process.state().settings).value();
-    std::ofstream spanFile;
-    std::optional<runtime::SpanRecorder> spans;
-    if (!settings.spanFile.empty()) {
-        spanFile.open(settings.spanFile, std::ios::binary | std::ios::app);
-        if (!spanFile)
-            throw std::runtime_error(settings.spanFile + " cannot be opened");
-        const auto epochOffset = std::chrono::duration_cast<Duration>(
-            std::chrono::system_clock::now().time_since_epoch() - runtime::readClock().time_since_epoch());
-        spans.emplace(spanFile, settings.vm, epochOffset, std::random_device {}());
-    }
-    process.observe([&](const node::Event& event, const node::State& state, const node::Effects& effects) {
-        adapters.callMetrics.observe(event, state, effects);
-        if (recorder)
-            recorder->record(event, effects);
-        if (spans)
-            spans->observe(event, effects);
-    });
+    if (adapters.forwarder)
+        interceptForwardedCalls(process, adapters);
+    const Observers observers(process, adapters.callMetrics, settings);
     std::unique_ptr<runtime::storage::Storage> storage;
     if (!settings.dataFolder.empty()) {
         auto opened = runtime::storage::Storage::open(process.base(), settings.dataFolder, Adapters::postTo(process));
@@ -150,7 +242,7 @@
     });
     process.onEffect<node::WriteLog>([](auto& it) { runtime::writeLog(it.level, it.part, it.text); });
     process.onEffect<node::Exit>([&](auto&) {
-        if (adapters.callers.calls() == 0)
+        if (adapters.callers.calls() == 0 && (!adapters.forwarder || adapters.forwarder->calls() == 0))
             process.stop();
     });
     runtime::writeLog(node::LogLevel::Info, "daemon", "Callers at " + announceAddress + ".");
--- a/tests/process/configuration.cpp
+++ b/tests/process/configuration.cpp
@@ -39,8 +39,9 @@
     for (std::size_t voter = 0; voter < 3; ++voter) {
         cluster.stop(voter, SIGKILL);
         const auto id = "killed-" + std::to_string(voter);
-        REQUIRE(ConfigurationCluster::eventually(
-            [&] { return cluster.apply(ConfigurationCluster::diskless, manifest(10 + voter), id, revision).status == 200; }));
+        REQUIRE(ConfigurationCluster::eventually([&] {
+            return cluster.apply(ConfigurationCluster::diskless, manifest(10 + voter), id, revision).status == 200;
+        }));
         ++revision;
         cluster.start(voter);
         CHECK(allReach(cluster, revision));
@@ -48,8 +49,9 @@
     for (std::size_t voter = 0; voter < 3; ++voter) {
         cluster.signal(voter, SIGSTOP);
         const auto id = "paused-" + std::to_string(voter);
-        REQUIRE(ConfigurationCluster::eventually(
-            [&] { return cluster.apply(ConfigurationCluster::diskless, manifest(20 + voter), id, revision).status == 200; }));
+        REQUIRE(ConfigurationCluster::eventually([&] {
+            return cluster.apply(ConfigurationCluster::diskless, manifest(20 + voter), id, revision).status == 200;
+        }));
         ++revision;
         cluster.signal(voter, SIGCONT);
         CHECK(allReach(cluster, revision));
@@ -78,7 +80,8 @@
     ConfigurationCluster cluster;
     REQUIRE(cluster.applyFirst(manifest(1)));
     for (std::uint64_t i = 2; i <= changes; ++i)
-        REQUIRE(cluster.apply(i % ConfigurationCluster::size, manifest(i), "change-" + std::to_string(i), i - 1).status == 200);
+        REQUIRE(cluster.apply(i % ConfigurationCluster::size, manifest(i), "change-" + std::to_string(i), i - 1).status
+            == 200);
     REQUIRE(allReach(cluster, changes));
     for (std::size_t i = 0; i < ConfigurationCluster::size; ++i)
         cluster.stop(i, SIGKILL);
