--- a/packages/core/include/rosemarymill/core/node/effect.hpp
+++ b/packages/core/include/rosemarymill/core/node/effect.hpp
@@ -146,8 +146,9 @@
 /// All callers are answered and all slots are returned: the process can exit.
 struct Exit { };
 
-using Effect = std::variant<ReplyAnnouncement, SendOrder, Dispatch, ForwardCall, CancelAttempt, BeginResponse,
-    ForwardToken, FinishCall, AnswerCall, RefuseCall, SetReading, ReplyOperator, SendPeer, PersistConfiguration, WriteLog, Exit>;
+using Effect
+    = std::variant<ReplyAnnouncement, SendOrder, Dispatch, ForwardCall, CancelAttempt, BeginResponse, ForwardToken,
+        FinishCall, AnswerCall, RefuseCall, SetReading, ReplyOperator, SendPeer, PersistConfiguration, WriteLog, Exit>;
 
 using Effects = EffectList<Effect>;
 
--- a/packages/core/include/rosemarymill/core/node/peer_message.hpp
+++ b/packages/core/include/rosemarymill/core/node/peer_message.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <rosemarymill/core/admission/message.hpp>
-#include <rosemarymill/core/ledger/message.hpp>
 #include <rosemarymill/core/configuration/message.hpp>
 #include <rosemarymill/core/configuration/replica.hpp>
+#include <rosemarymill/core/ledger/message.hpp>
 #include <rosemarymill/core/quarantine/quarantine.hpp>
 
 #include <variant>
@@ -12,6 +12,7 @@
 namespace rosemarymill::node {
 
 /// Message of any module. Each module adds its own Message variant here.
-using PeerMessage = std::variant<std::monostate, configuration::LogMessage, configuration::Message, admission::Message, quarantine::Message, ledger::Message>;
+using PeerMessage = std::variant<std::monostate, configuration::LogMessage, configuration::Message, admission::Message,
+    quarantine::Message, ledger::Message>;
 
 } // namespace rosemarymill::node
--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -5,8 +5,8 @@
 #include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/core/configuration/manifest.hpp>
 #include <rosemarymill/core/node/calls.hpp>
-#include <rosemarymill/core/node/ledger.hpp>
 #include <rosemarymill/core/node/configuration_log.hpp>
+#include <rosemarymill/core/node/ledger.hpp>
 #include <rosemarymill/core/node/policy.hpp>
 #include <rosemarymill/core/placement/group.hpp>
 
--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -12,9 +12,9 @@
 #include <rosemarymill/runtime/metrics/process.hpp>
 #include <rosemarymill/runtime/operator/listener.hpp>
 #include <rosemarymill/runtime/operator/pages.hpp>
+#include <rosemarymill/runtime/storage/storage.hpp>
 #include <rosemarymill/runtime/trace/recorder.hpp>
 #include <rosemarymill/runtime/trace/spans.hpp>
-#include <rosemarymill/runtime/storage/storage.hpp>
 
 #include <chrono>
 #include <fstream>
