--- a/bench/policy/scenarios.cpp
+++ b/bench/policy/scenarios.cpp
@@ -333,15 +333,14 @@
     std::vector<std::string> keys;
     std::uint64_t last = 0;
     for (std::size_t node = 0; node < 3; ++node) {
-        fleet.load(node, 5.0, loadFrom, 50s, [&] {
+        fleet.load(node, 5.0, loadFrom, 50s, [&, node] {
             auto order = draft(fleet, "a");
             order.service = "kit-desk";
             order.method = "PUT";
             order.key = "key-" + std::to_string(++last);
             keys.push_back(order.key);
             // The caller resends after half a second whatever the answer was.
-            const auto node2 = node;
-            fleet.at(fleet.now() - Instant { 1000s } + 500ms, [&fleet, order, node2] { fleet.send(node2, order); });
+            fleet.at(fleet.now() - Instant { 1000s } + 500ms, [&fleet, order, node] { fleet.send(node, order); });
             return order;
         });
         fleet.load(node, 10.0, loadFrom, 50s, [&] {
