Keep server limits while leases shrink and provoke the policy's failures under virtual time

Cause: moving single slots between entry VMs, restored slots of draining leases and grants that crossed a return let a server exceed its limit by one; latency was reported only at the end of answers, so a cold server was noticed late; a suspect chose the crashed server for its lone run; a stream that broke before its first token was not resumed. Change: slots move only for differences above one, nothing is reused while more is counted than the limit, grants for reports before a return are void, started answers are reported, blocked servers take no suspects, wire codecs added.

--- a/bench/policy/fleet.cpp
+++ b/bench/policy/fleet.cpp
@@ -376,6 +376,9 @@
         slowness *= coldSlowness;
     const auto scaled = [&](Duration time) { return Duration { static_cast<std::int64_t>(time.count() * slowness) }; };
     const auto first = scaled(server.spec.first);
+    // Answers differ in length. Equal lengths would let all slots of a full server become free at the same time.
+    const auto length = std::uniform_real_distribution<double> { 0.4, 1.6 }(m_random);
+    slowness *= length;
     const auto total = std::max(first, scaled(server.spec.total));
     const auto boot = server.boot;
     if (std::bernoulli_distribution { server.spec.breakChance }(m_random)) {
--- a/bench/policy/fleet.hpp
+++ b/bench/policy/fleet.hpp
@@ -109,6 +109,7 @@
     [[nodiscard]] const std::deque<CallResult>& results() const { return m_results; }
     [[nodiscard]] const Totals& totals() const { return m_totals; }
     [[nodiscard]] std::mt19937_64& random() { return m_random; }
+    [[nodiscard]] const node::State& stateOf(std::size_t node) const { return *m_nodes[node].state; }
     [[nodiscard]] std::uint64_t executionsOf(const std::string& key) const;
 
 private:
--- a/packages/core/include/rosemarymill/core/admission/division.hpp
+++ b/packages/core/include/rosemarymill/core/admission/division.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <string_view>
 #include <vector>
 
 /// Division of a server's slots between entry VMs so that client accounts get shares by weight over the data centre.
@@ -22,8 +23,10 @@
 using DemandTable = std::map<VmId, std::vector<AccountDemand>>;
 
 /// Divides slots and tokens by weighted max-min fairness over accounts, then by demand over the entry VMs of each
-/// account. The result never exceeds the slots and tokens given.
+/// account. The result never exceeds the slots and tokens given. A server has fewer slots than there are accounts; the
+/// server's name decides which of them gain by rounding, so that shares are right over all servers. Without a name all
+/// accounts round down.
 [[nodiscard]] std::map<VmId, Share> divide(const DemandTable& demand, std::uint32_t slots, std::uint64_t tokens,
-    const std::function<double(const AccountId&)>& weightOf);
+    const std::function<double(const AccountId&)>& weightOf, std::string_view server = {});
 
 } // namespace rosemarymill::admission
--- a/packages/core/include/rosemarymill/core/admission/lease.hpp
+++ b/packages/core/include/rosemarymill/core/admission/lease.hpp
@@ -52,6 +52,8 @@
     /// No call is started before, because the last connection attempt failed.
     Instant blockedUntil;
     std::uint32_t completed { 0 };
+    std::uint32_t started { 0 };
+    /// Sum over the started answers.
     Duration responseTime { 0 };
     std::map<AccountId, AccountUse> use;
     /// Demand of the calls that wait in each pool that the server belongs to.
@@ -77,8 +79,9 @@
 /// Gives up all slots at once, for example after the connection to the server broke.
 void revoke(Lease& lease, Instant now) noexcept;
 
-/// Gives up the slots that are not in use. Returns false when there is none.
-bool giveUpUnused(Lease& lease) noexcept;
+/// Gives up the slots that are not in use. Grants for earlier reports are void from then on. Returns false when there
+/// is none.
+bool giveUpUnused(Lease& lease, Instant now) noexcept;
 
 /// Whether the home is to be told of the lease: it is in use, was reduced, or calls wait for it.
 [[nodiscard]] bool reportDue(const Lease& lease, Instant now) noexcept;
--- a/packages/core/include/rosemarymill/core/admission/limit.hpp
+++ b/packages/core/include/rosemarymill/core/admission/limit.hpp
@@ -23,17 +23,21 @@
     /// Updates the announced bounds of a running server.
     void setBounds(std::uint32_t cold, std::uint32_t maximum) noexcept;
 
-    /// Takes in completed answers with the mean time to the start of their answers.
-    void observe(std::uint32_t completed, Duration firstResponse) noexcept;
+    /// Takes in answers that started, with the mean time to their start, and answers that were completed.
+    void observe(std::uint32_t started, Duration firstResponse, std::uint32_t completed) noexcept;
 
     [[nodiscard]] std::uint32_t value() const noexcept { return m_limit; }
 
 private:
+    /// Whether latency allows growth; a jump shrinks the limit.
+    bool observeLatency(std::uint32_t started, Duration firstResponse) noexcept;
+
     std::uint32_t m_cold { 1 };
     std::uint32_t m_maximum { 1 };
     std::uint32_t m_limit { 1 };
     std::uint32_t m_successes { 0 };
     std::uint32_t m_samples { 0 };
+    bool m_mayGrow { true };
     /// Recent and long-term mean time to the start of an answer in microseconds.
     double m_recent { 0.0 };
     double m_baseline { 0.0 };
--- a/packages/core/include/rosemarymill/core/admission/message.hpp
+++ b/packages/core/include/rosemarymill/core/admission/message.hpp
@@ -33,8 +33,9 @@
     std::uint64_t seenGrant { 0 };
     std::uint32_t inUse { 0 };
     std::uint64_t tokensInUse { 0 };
-    /// Calls completed since the last report and the mean time to the start of their answers.
+    /// Answers completed and started since the last report, and the mean time to the start of the latter.
     std::uint32_t completed { 0 };
+    std::uint32_t started { 0 };
     Duration firstResponse { 0 };
     /// A suspect waits that has to run alone on the server.
     bool exclusive { false };
--- a/packages/core/src/admission/division.cpp
+++ b/packages/core/src/admission/division.cpp
@@ -1,4 +1,5 @@
 #include <rosemarymill/core/admission/division.hpp>
+#include <rosemarymill/core/base/hash.hpp>
 
 #include <algorithm>
 
@@ -16,19 +17,24 @@
 
 struct AccountClaims {
     double weight { 1.0 };
+    /// Part of a slot above which the account's share is rounded up, from 0 to 1.
+    double rounding { 1.0 };
     std::uint32_t given { 0 };
     std::vector<Claim> claims;
     bool done { false };
 };
 
 std::map<AccountId, AccountClaims> collect(
-    const DemandTable& demand, const std::function<double(const AccountId&)>& weightOf)
+    const DemandTable& demand, const std::function<double(const AccountId&)>& weightOf, std::string_view server)
 {
+    constexpr double hashRange = 18446744073709551616.0;
     std::map<AccountId, AccountClaims> accounts;
     for (const auto& [vm, entries] : demand) {
         for (const auto& it : entries) {
             auto& account = accounts[it.account];
             account.weight = std::max(weightOf(it.account), 1e-3);
+            if (!server.empty())
+                account.rounding = static_cast<double>(rendezvousWeight(server, it.account.text())) / hashRange;
             account.claims.push_back({ vm, it.inUse + it.waiting, 0, it.tokensPerCall });
         }
     }
@@ -55,7 +61,7 @@
     for (auto& [id, account] : accounts) {
         if (account.done)
             continue;
-        const double level = (account.given + 1) / account.weight;
+        const double level = (account.given + account.rounding) / account.weight;
         if (!best || level < lowest) {
             best = &account;
             lowest = level;
@@ -67,9 +73,9 @@
 } // namespace
 
 std::map<VmId, Share> divide(const DemandTable& demand, std::uint32_t slots, std::uint64_t tokens,
-    const std::function<double(const AccountId&)>& weightOf)
+    const std::function<double(const AccountId&)>& weightOf, std::string_view server)
 {
-    auto accounts = collect(demand, weightOf);
+    auto accounts = collect(demand, weightOf, server);
     std::map<VmId, Share> shares;
     for (const auto& [vm, entries] : demand)
         shares[vm] = {};
--- a/packages/core/src/admission/home.cpp
+++ b/packages/core/src/admission/home.cpp
@@ -97,6 +97,15 @@
     return { minus(slots.limit.value(), other.slots), minus(slots.tokenMemory, other.tokens) };
 }
 
+/// Slots granted now, without those of reductions that are not confirmed yet.
+std::uint64_t granted(const ServerSlots& slots) noexcept
+{
+    std::uint64_t sum = 0;
+    for (const auto& [vm, lease] : slots.leases)
+        sum += lease.slots;
+    return sum;
+}
+
 /// Sets what an entry VM may use. A reduction counts only after the entry VM has seen it.
 void setLease(HeldLease& lease, std::uint32_t granted, std::uint64_t tokens, bool exclusive)
 {
@@ -154,14 +163,39 @@
         setLease(lease, 0, 0, false);
 }
 
+/// Slots that entry VMs lack so much that others have to give some up. A difference of one slot is left to even out by
+/// itself: moving it would cost a report and a grant each time that a call of a small account starts or ends.
 std::uint64_t missingSlots(const ServerSlots& slots, const std::map<VmId, Share>& shares)
 {
     std::uint64_t missing = 0;
-    for (const auto& [vm, lease] : slots.leases)
-        missing += minus(shares.at(vm).slots, lease.slots);
+    for (const auto& [vm, lease] : slots.leases) {
+        const auto lacking = minus(shares.at(vm).slots, lease.slots);
+        if (lacking > 1 || lease.slots == 0)
+            missing += lacking;
+    }
     return missing;
 }
 
+/// Takes slots from the leases that exceed their shares most.
+void lowerBy(ServerSlots& slots, const std::map<VmId, Share>& shares, std::uint64_t needed)
+{
+    while (needed > 0) {
+        HeldLease* most = nullptr;
+        std::uint64_t excess = 0;
+        for (auto& [vm, lease] : slots.leases) {
+            const auto above = minus(lease.slots, shares.at(vm).slots);
+            if (above > excess) {
+                most = &lease;
+                excess = above;
+            }
+        }
+        if (!most)
+            return;
+        setLease(*most, most->slots - 1, most->tokens, false);
+        --needed;
+    }
+}
+
 bool lacksTokens(const HeldLease& lease) noexcept
 {
     const auto perCall = tokensPerWaitingCall(lease);
@@ -182,11 +216,16 @@
 {
     for (auto& [vm, lease] : slots.leases) {
         const auto held = counted(slots);
-        // A grant below the counted slots only restores what is already set aside for the lease.
-        const auto room = minus(limit.slots, held.slots) + minus(lease.countedSlots, lease.slots);
-        const auto tokenRoom = minus(limit.tokens, held.tokens) + minus(lease.countedTokens, lease.tokens);
+        // A grant below the counted slots only restores what is set aside for the lease. While more is counted than the
+        // limit allows, the slots that drain are not given out again.
+        const auto restorable = held.slots <= limit.slots ? minus(lease.countedSlots, lease.slots) : 0;
+        const auto restorableTokens = held.tokens <= limit.tokens ? minus(lease.countedTokens, lease.tokens) : 0;
+        const auto room = minus(limit.slots, held.slots) + restorable;
+        const auto tokenRoom = minus(limit.tokens, held.tokens) + restorableTokens;
         const auto perCall = tokensPerWaitingCall(lease);
-        auto more = std::min(minus(shares.at(vm).slots, lease.slots), room);
+        // Others may hold more than their shares for a while, so the sum of grants is bounded as well.
+        const auto unclaimed = minus(limit.slots, granted(slots));
+        auto more = std::min({ minus(shares.at(vm).slots, lease.slots), room, unclaimed });
         const auto spare = minus(lease.tokens, lease.tokensInUse);
         if (perCall > 0)
             more = std::min(more, (spare + tokenRoom) / perCall);
@@ -197,7 +236,7 @@
     }
 }
 
-void divideSlots(ServerSlots& slots, Instant now, const WeightOf& weightOf)
+void divideSlots(ServerSlots& slots, const ServerId& server, Instant now, const WeightOf& weightOf)
 {
     if (slots.leaving) {
         for (auto& [vm, lease] : slots.leases)
@@ -212,17 +251,24 @@
     for (const auto& [vm, lease] : slots.leases)
         demand[vm] = lease.demand;
     const auto limit = available(slots, now);
-    const auto shares = divide(demand, static_cast<std::uint32_t>(limit.slots), limit.tokens, weightOf);
+    const auto shares = divide(demand, static_cast<std::uint32_t>(limit.slots), limit.tokens, weightOf, server.text());
     const auto held = counted(slots);
     // Unused slots stay where they are until another entry VM needs them, so that its next call starts at once.
     const bool tokensShort = slots.tokenMemory < unlimitedTokens
         && std::any_of(slots.leases.begin(), slots.leases.end(), [](const auto& it) { return lacksTokens(it.second); });
-    const bool contended = held.slots > limit.slots || held.tokens > limit.tokens || tokensShort
-        || missingSlots(slots, shares) > minus(limit.slots, held.slots);
+    // A slot that is reused while others drain would keep the server above a limit that has just shrunk.
+    if (held.slots > limit.slots) {
+        for (auto& [vm, lease] : slots.leases)
+            setLease(lease, 0, std::min(lease.tokens, lease.tokensInUse), false);
+        return;
+    }
+    const auto room = minus(limit.slots, held.slots);
     const bool anyExclusive
         = std::any_of(slots.leases.begin(), slots.leases.end(), [](const auto& it) { return it.second.exclusive; });
-    if (contended || anyExclusive)
+    if (anyExclusive || tokensShort || held.tokens > limit.tokens)
         lowerLeases(slots, shares);
+    else
+        lowerBy(slots, shares, std::max(minus(missingSlots(slots, shares), room), minus(granted(slots), limit.slots)));
     if (hasAuthority(slots, now))
         raiseLeases(slots, shares, limit);
 }
@@ -351,9 +397,9 @@
     lease.countedSlots = std::max(lease.countedSlots, report.inUse);
     lease.countedTokens = std::max(lease.countedTokens, report.tokensInUse);
     lease.changed = true;
-    slots.limit.observe(report.completed, report.firstResponse);
+    slots.limit.observe(report.started, report.firstResponse, report.completed);
     sampleUse(slots, now);
-    divideSlots(slots, now, weightOf);
+    divideSlots(slots, report.server, now, weightOf);
     return true;
 }
 
@@ -376,7 +422,7 @@
     for (auto& [id, slots] : home.servers) {
         expireLeases(slots, now);
         sampleUse(slots, now);
-        divideSlots(slots, now, weightOf);
+        divideSlots(slots, id, now, weightOf);
     }
     std::erase_if(home.servers, [&](const auto& entry) { return now - entry.second.lastReceived > forgetAfter; });
 }
--- a/packages/core/src/admission/lease.cpp
+++ b/packages/core/src/admission/lease.cpp
@@ -74,11 +74,12 @@
     lease.notBefore = now;
 }
 
-bool giveUpUnused(Lease& lease) noexcept
+bool giveUpUnused(Lease& lease, Instant now) noexcept
 {
     if (lease.slots <= lease.inUse)
         return false;
     lease.slots = lease.inUse;
+    lease.notBefore = now;
     lease.tokens = std::min(lease.tokens, lease.tokensInUse);
     return true;
 }
@@ -103,8 +104,9 @@
     it.tokensInUse = lease.tokensInUse;
     it.exclusive = lease.wantsExclusive;
     it.completed = lease.completed;
-    if (lease.completed > 0)
-        it.firstResponse = lease.responseTime / lease.completed;
+    it.started = lease.started;
+    if (lease.started > 0)
+        it.firstResponse = lease.responseTime / lease.started;
     std::map<AccountId, AccountDemand> demand;
     for (const auto& [pool, entries] : lease.waiting) {
         for (const auto& waiting : entries) {
@@ -124,6 +126,7 @@
     for (auto& [account, entry] : demand)
         it.demand.push_back(entry);
     lease.completed = 0;
+    lease.started = 0;
     lease.responseTime = Duration::zero();
     lease.lastReport = now;
     lease.reportDue = false;
--- a/packages/core/src/admission/limit.cpp
+++ b/packages/core/src/admission/limit.cpp
@@ -15,8 +15,9 @@
 constexpr double jumpFactor = 3.0;
 /// Differences below this are scheduling noise for services that answer within microseconds.
 constexpr double jumpFloorMicroseconds = 20'000.0;
-/// Each jump raises the baseline, so that a lasting change of the workload does not hold the limit down.
-constexpr double baselineStep = 1.5;
+/// Each report above the jump raises the baseline, so that a lasting change of the workload does not hold the limit
+/// down for ever. A server that is cold for some ten seconds must not be taken for such a change.
+constexpr double baselineStep = 1.02;
 
 } // namespace
 
@@ -40,28 +41,33 @@
     m_limit = std::clamp(m_limit, m_cold, m_maximum);
 }
 
-void ServerLimit::observe(std::uint32_t completed, Duration firstResponse) noexcept
+bool ServerLimit::observeLatency(std::uint32_t started, Duration firstResponse) noexcept
 {
-    if (completed == 0)
-        return;
     const auto sample = static_cast<double>(firstResponse.count());
     if (m_samples == 0)
         m_recent = m_baseline = sample;
-    m_samples += completed;
+    m_samples += started;
     m_recent += recentShare * (sample - m_recent);
-    if (m_samples < minimumSamples)
+    if (m_samples < minimumSamples) {
         m_baseline += recentShare * (sample - m_baseline);
-    else if (sample < growthTolerance * m_baseline)
+        return true;
+    }
+    if (sample < growthTolerance * m_baseline)
         m_baseline += baselineShare * (sample - m_baseline);
     const auto jump = std::max(jumpFactor * m_baseline, m_baseline + jumpFloorMicroseconds);
-    if (m_samples >= minimumSamples && m_recent > jump) {
+    if (m_recent > jump) {
         shrink();
         m_baseline *= baselineStep;
-        m_recent = m_baseline;
-        return;
+        return false;
     }
-    const auto growthBound = std::max(growthTolerance * m_baseline, m_baseline + jumpFloorMicroseconds);
-    if (m_samples >= minimumSamples && m_recent > growthBound) {
+    return m_recent <= std::max(growthTolerance * m_baseline, m_baseline + jumpFloorMicroseconds);
+}
+
+void ServerLimit::observe(std::uint32_t started, Duration firstResponse, std::uint32_t completed) noexcept
+{
+    if (started > 0)
+        m_mayGrow = observeLatency(started, firstResponse);
+    if (!m_mayGrow) {
         m_successes = 0;
         return;
     }
--- a/packages/core/src/node/attempts.cpp
+++ b/packages/core/src/node/attempts.cpp
@@ -56,9 +56,7 @@
         mix(times.outputTokens, static_cast<double>(call.nextToken), times.samples);
     ++times.samples;
     routing::observe(state.policy.latency, attempt.server, first, finish);
-    auto& lease = state.policy.leases.at(attempt.server);
-    ++lease.completed;
-    lease.responseTime += first;
+    ++state.policy.leases.at(attempt.server).completed;
 }
 
 /// Draws the conclusions about crashes from a complete answer.
@@ -77,12 +75,14 @@
 /// Consequences of a broken attempt for its server.
 void blameServer(State& state, const Attempt& attempt, const AttemptFailed& event, Effects& effects)
 {
-    const bool broken = event.error == AttemptError::ConnectFailed || event.error == AttemptError::ConnectionLost;
-    if (!attempt.dataCentre.empty() || !broken)
+    if (!attempt.dataCentre.empty())
         return;
-    auto& lease = state.policy.leases.at(attempt.server);
-    admission::revoke(lease, state.now);
-    lease.blockedUntil = state.now + admission::connectFailureBlock;
+    if (event.error == AttemptError::ConnectFailed) {
+        auto& lease = state.policy.leases.at(attempt.server);
+        admission::revoke(lease, state.now);
+        lease.blockedUntil = state.now + admission::connectFailureBlock;
+        lease.wantsExclusive = false;
+    }
     if (event.error == AttemptError::ConnectionLost && event.requestSent)
         reportCrash(state, { attempt.server, attempt.bootId }, effects);
 }
@@ -109,7 +109,8 @@
     failure.idempotent = call.idempotent;
     failure.mayHaveRun = call.mayHaveRun;
     failure.answerBegun = call.responseBegun;
-    failure.stream = failed.stream || call.nextToken > 0;
+    // An answer begins towards the caller before its end only when it is a stream.
+    failure.stream = failed.stream || call.responseBegun;
     failure.attempts = call.attemptCount;
     failure.deadlinePassed = call.deadline && state.now >= *call.deadline;
     const bool quarantined
@@ -143,6 +144,11 @@
     attempt.firstResponse = event.now - attempt.dispatchedAt;
     attempt.stream = event.stream;
     call->mayHaveRun = true;
+    if (attempt.dataCentre.empty()) {
+        auto& lease = state.policy.leases.at(attempt.server);
+        ++lease.started;
+        lease.responseTime += attempt.firstResponse;
+    }
     if (event.stream && !call->responseBegun && !call->callerGone) {
         call->responseBegun = true;
         effects(BeginResponse { call->id, event.attempt, event.status, true });
@@ -183,6 +189,9 @@
     call->mayHaveRun = call->mayHaveRun || event.requestSent || attemptOf(*call, event.attempt)->responseStarted;
     const auto pool = call->pool;
     const auto failed = *attemptOf(*call, event.attempt);
+    // An attempt that never reached a server does not count; the block after a failed connection paces the next one.
+    if (!event.requestSent && !failed.responseStarted)
+        --call->attemptCount;
     blameServer(state, failed, event, effects);
     releaseAttempt(state, *call, attemptOf(*call, event.attempt));
     if (!call->attempt && call->hedge)
--- a/packages/core/src/node/policy_timer.cpp
+++ b/packages/core/src/node/policy_timer.cpp
@@ -116,7 +116,7 @@
     lifecycle::request(state.policy.shutdown, state.now);
     effects(WriteLog { LogLevel::Info, "lifecycle", "Shutdown requested. Finishing the calls in progress." });
     for (auto& [server, lease] : state.policy.leases) {
-        if (lease.home != state.settings.vm && admission::giveUpUnused(lease))
+        if (lease.home != state.settings.vm && admission::giveUpUnused(lease, state.now))
             lease.reportDue = true;
     }
     sendReports(state, effects);
--- a/packages/core/src/node/scheduling.cpp
+++ b/packages/core/src/node/scheduling.cpp
@@ -22,6 +22,22 @@
 /// Worth of a call that has run in part: it comes first in its account, because its caller already reads the answer.
 constexpr double resumedWorth = 1e9;
 
+/// Time to the start of an answer that a call is expected to need. The margin over the mean covers the spread between
+/// an idle and a full server.
+Duration expectedFirst(const State& state, const std::string& pool)
+{
+    constexpr double margin = 1.25;
+    const auto it = state.policy.times.find(pool);
+    return it == state.policy.times.end() ? Duration::zero()
+                                          : Duration { static_cast<std::int64_t>(margin * it->second.firstResponse) };
+}
+
+/// Whether the answer can still start before the deadline.
+bool inTime(const State& state, const Call& call, Duration first)
+{
+    return !call.deadline || call.responseBegun || state.now + first < *call.deadline;
+}
+
 bool isSuspect(const State& state, const Call& call)
 {
     const auto& records = state.policy.quarantine;
@@ -96,10 +112,14 @@
 {
     auto& order = scheduler.pools.at(key).order;
     auto candidates = makeCandidates(state, servers);
+    const auto first = Scheduler::Order::sharedSlots ? expectedFirst(state, key) : Duration::zero();
     while (order.size() > 0 && anySlotFree<Scheduler>(state, servers)) {
         std::optional<std::size_t> choice;
         const auto suits = [&](const Waiting& waiting) {
             const auto& call = state.calls.active.at(waiting.call);
+            // A late call is refused at the next tick; its slot goes to one that can still be answered in time.
+            if (!inTime(state, call, first))
+                return false;
             if (!markFree<typename Scheduler::Order>(state, call, waiting, servers, candidates))
                 return false;
             choice = scheduler.choice.choose({ key, call.request.prefixHashes }, candidates);
@@ -140,7 +160,7 @@
 }
 
 /// Asks for as many exclusive servers as suspects wait or run, at most a fifth of the pool and at least one.
-void planExclusive(const std::vector<PoolServer>& servers, std::size_t suspects)
+void planExclusive(const std::vector<PoolServer>& servers, std::size_t suspects, Instant now)
 {
     const auto allowed = std::max<std::size_t>(1, servers.size() / routing::drainedPartOf);
     auto wanted = std::min(suspects, allowed);
@@ -157,7 +177,7 @@
     while (wanted > 0) {
         admission::Lease* best = nullptr;
         for (const auto& it : servers) {
-            if (!it.lease->wantsExclusive && (!best || it.lease->inUse < best->inUse))
+            if (!it.lease->wantsExclusive && now >= it.lease->blockedUntil && (!best || it.lease->inUse < best->inUse))
                 best = it.lease;
         }
         if (!best)
@@ -186,7 +206,7 @@
     });
     for (const auto& it : servers)
         it.lease->waiting.erase(key);
-    planExclusive(servers, suspects);
+    planExclusive(servers, suspects, state.now);
     const auto leases = rankServers(state, servers);
     if (leases.empty())
         return;
@@ -292,7 +312,7 @@
         } else {
             for (const auto& it : servers)
                 it.lease->waiting.erase(key);
-            planExclusive(servers, 0);
+            planExclusive(servers, 0, state.now);
         }
     }
     if (pool.order.size() > 0)
@@ -339,7 +359,7 @@
         if (!call.deadline || servers.empty())
             return std::nullopt;
         const auto wait = expectedWait(state, pool.order, makeWaiting(call), servers);
-        const auto first = Duration { static_cast<std::int64_t>(state.policy.times[call.pool].firstResponse) };
+        const auto first = expectedFirst(state, call.pool);
         if (wait > Duration::zero() && state.now + wait + first > *call.deadline)
             return lateRefusal(wait);
     }
@@ -351,13 +371,10 @@
 void collectExpired(const State& state, const Scheduler& scheduler, std::vector<CallId>& ids)
 {
     for (const auto& [key, pool] : scheduler.pools) {
-        Duration first { 0 };
-        const auto times = state.policy.times.find(key);
-        if (Scheduler::Order::sharedSlots && times != state.policy.times.end())
-            first = Duration { static_cast<std::int64_t>(times->second.firstResponse) };
+        const auto first = Scheduler::Order::sharedSlots ? expectedFirst(state, key) : Duration::zero();
         pool.order.forEach([&](const Waiting& waiting) {
             const auto& call = state.calls.active.at(waiting.call);
-            if (call.deadline && !call.responseBegun && state.now + first >= *call.deadline)
+            if (!inTime(state, call, first))
                 ids.push_back(waiting.call);
         });
     }
--- a/packages/wire/src/admission/codec.cpp
+++ b/packages/wire/src/admission/codec.cpp
@@ -32,9 +32,9 @@
         for (const auto& entry : it.demand)
             demand.push_back(fbs::CreateAccountDemandDirect(
                 builder, entry.account.text().c_str(), entry.inUse, entry.waiting, entry.tokensPerCall));
-        offsets.push_back(
-            fbs::CreateLeaseReportDirect(builder, it.server.text().c_str(), it.sentAt.time_since_epoch().count(),
-                it.seenGrant, it.inUse, it.tokensInUse, it.completed, it.firstResponse.count(), it.exclusive, &demand));
+        offsets.push_back(fbs::CreateLeaseReportDirect(builder, it.server.text().c_str(),
+            it.sentAt.time_since_epoch().count(), it.seenGrant, it.inUse, it.tokensInUse, it.completed, it.started,
+            it.firstResponse.count(), it.exclusive, &demand));
     }
     return offsets;
 }
@@ -72,6 +72,7 @@
         report.inUse = it->in_use();
         report.tokensInUse = it->tokens_in_use();
         report.completed = it->completed();
+        report.started = it->started();
         report.firstResponse = Duration { it->first_response() };
         report.exclusive = it->exclusive();
         if (const auto* demand = it->demand()) {
--- a/packages/wire/src/node/codec.cpp
+++ b/packages/wire/src/node/codec.cpp
@@ -34,11 +34,11 @@
 {
     switch (kind) {
     case FrameKind::Admission: {
-        BOOST_OUTCOME_TRY(auto message, admission::decode(payload));
+        BOOST_OUTCOME_TRY(message, admission::decode(payload));
         return PeerMessage { std::move(message) };
     }
     case FrameKind::Quarantine: {
-        BOOST_OUTCOME_TRY(auto message, quarantine::decode(payload));
+        BOOST_OUTCOME_TRY(message, quarantine::decode(payload));
         return PeerMessage { std::move(message) };
     }
     default:
