--- a/packages/wire/src/node/codec.cpp
+++ b/packages/wire/src/node/codec.cpp
@@ -1,13 +1,16 @@
 #include <rosemarymill/wire/node/codec.hpp>
 
 #include <rosemarymill/core/base/sink.hpp>
+#include <rosemarymill/wire/admission/codec.hpp>
 #include <rosemarymill/wire/agreement/codec.hpp>
 #include <rosemarymill/wire/configuration/codec.hpp>
+#include <rosemarymill/wire/quarantine/codec.hpp>
 
-#include <boost/outcome/try.hpp>
-
+#include <utility>
 #include <variant>
 
+#include <boost/outcome/try.hpp>
+
 namespace rosemarymill::wire::node {
 
 using rosemarymill::node::PeerMessage;
@@ -41,7 +44,16 @@
                               wire::configuration::encode(it, payload);
                               return FrameKind::Configuration;
                           },
-                          [](const auto&) -> std::optional<FrameKind> { return std::nullopt; },
+                          [](std::monostate) -> std::optional<FrameKind> { return std::nullopt; },
+                          [&](const rosemarymill::admission::Message& it) -> std::optional<FrameKind> {
+                              admission::encode(it, payload);
+                              return FrameKind::Admission;
+                          },
+                          [&](const rosemarymill::quarantine::Message& it) -> std::optional<FrameKind> {
+                              quarantine::encode(it, payload);
+                              return FrameKind::Quarantine;
+                          },
+                          [](const rosemarymill::ledger::Message&) -> std::optional<FrameKind> { return std::nullopt; },
                       },
         message);
 }
@@ -55,6 +67,14 @@
         BOOST_OUTCOME_TRY(message, wire::configuration::decode(payload));
         return PeerMessage { std::move(message) };
     }
+    case FrameKind::Admission: {
+        BOOST_OUTCOME_TRY(message, admission::decode(payload));
+        return PeerMessage { std::move(message) };
+    }
+    case FrameKind::Quarantine: {
+        BOOST_OUTCOME_TRY(message, quarantine::decode(payload));
+        return PeerMessage { std::move(message) };
+    }
     default:
         // Hello and Forward never reach this codec: the link and the forwarder handle them.
         return DecodeError::UnexpectedKind;
