Plan groups with repair, warm spares and demand

Cause: groups were formed by a fixed rule, lost for good when a member failed, and never followed the demand. Change: core/placement/planner moves groups through form, confirm, serve, degrade, repair and dissolve. The choice of domains, spares and load order is a policy; a first-fit policy without spares is the baseline. Weights are loaded at the weight store's rate, by callers unblocked per byte. Replica counts follow the demand with hysteresis.

--- a/packages/core/include/rosemarymill/core/placement/fwd.hpp
+++ b/packages/core/include/rosemarymill/core/placement/fwd.hpp
@@ -6,6 +6,8 @@
 enum class GroupPhase;
 struct Group;
 struct LeaseSettings;
+struct PlannerState;
+struct PlannerInput;
 struct LeaseState;
 
 } // namespace rosemarymill::placement
--- /dev/null
+++ b/packages/core/src/placement/groups.cpp
@@ -0,0 +1,267 @@
+#include <algorithm>
+
+#include "planner_parts.hpp"
+
+namespace rosemarymill::placement {
+
+namespace {
+
+bool memberConfirmed(Pass& pass, const Group& group, std::uint32_t rank)
+{
+    const auto& member = group.members[rank];
+    const auto* record = findServer(pass.state, member.server);
+    return record && record->announcement.bootId == member.bootId
+        && record->announcement.group == backend::GroupMembership { group.id, group.fencing, rank };
+}
+
+bool allConfirmed(Pass& pass, const Group& group)
+{
+    for (std::uint32_t rank = 0; rank < group.members.size(); ++rank) {
+        if (!memberConfirmed(pass, group, rank))
+            return false;
+    }
+    return true;
+}
+
+bool allIntact(Pass& pass, const Group& group)
+{
+    return std::all_of(
+        group.members.begin(), group.members.end(), [&](const auto& member) { return memberIntact(pass, member); });
+}
+
+void sendJoin(Pass& pass, const Group& group, std::uint32_t rank)
+{
+    auto* record = findServer(pass.state, group.members[rank].server);
+    backend::Order order;
+    order.action = backend::OrderAction::Join;
+    order.model = group.model;
+    order.version = group.version;
+    order.group = group.id;
+    for (const auto& member : group.members)
+        order.members.push_back(member.address);
+    order.rank = rank;
+    giveOrder(pass, *record, std::move(order));
+}
+
+bool allHoldWeights(Pass& pass, const Group& group, const ModelSpec& model)
+{
+    return std::all_of(group.members.begin(), group.members.end(),
+        [&](const auto& member) { return holds(findServer(pass.state, member.server)->announcement, model); });
+}
+
+/// A member that neither loads nor confirms in time is stuck. It is left alone for a while, so that the repair does not
+/// choose it again.
+bool avoidStuckMembers(Pass& pass, PlannedGroup& planned, const ModelSpec& model)
+{
+    bool stuck = false;
+    for (std::uint32_t rank = 0; rank < planned.group.members.size(); ++rank) {
+        auto* record = findServer(pass.state, planned.group.members[rank].server);
+        const bool late = planned.group.phase == GroupPhase::Forming
+            ? record->loading && pass.now > record->loadDeadline && !holds(record->announcement, model)
+            : pass.now - planned.since > confirmTimeout && !memberConfirmed(pass, planned.group, rank);
+        if (late || record->refusals >= maxRefusals) {
+            record->avoidUntil = pass.now + avoidTime;
+            record->loading.reset();
+            record->refusals = 0;
+            stuck = true;
+        }
+    }
+    return stuck;
+}
+
+void updateForming(Pass& pass, PlannedGroup& planned, const ModelSpec& model)
+{
+    auto& group = planned.group;
+    if (!allIntact(pass, group) || avoidStuckMembers(pass, planned, model)) {
+        setPhase(pass, planned, GroupPhase::Degraded);
+        return;
+    }
+    if (group.phase == GroupPhase::Forming) {
+        if (!allHoldWeights(pass, group, model))
+            return;
+        setPhase(pass, planned, GroupPhase::Confirming);
+    }
+    for (std::uint32_t rank = 0; rank < group.members.size(); ++rank) {
+        const auto* record = findServer(pass.state, group.members[rank].server);
+        const bool due = pass.now == planned.since || pass.now - record->lastOrder >= orderInterval;
+        if (!memberConfirmed(pass, group, rank) && due)
+            sendJoin(pass, group, rank);
+    }
+    if (allConfirmed(pass, group))
+        setPhase(pass, planned, GroupPhase::Serving);
+}
+
+void loadAdapters(Pass& pass, const Group& group, const ModelSpec& model)
+{
+    for (const auto& member : group.members) {
+        auto* record = findServer(pass.state, member.server);
+        const auto& models = record->announcement.models;
+        const auto held = std::find_if(models.begin(), models.end(),
+            [&](const auto& it) { return it.name == model.name && it.version == model.version; });
+        if (held == models.end() || pass.now - record->lastOrder < 5 * orderInterval)
+            continue;
+        for (const auto& adapter : model.adapters) {
+            if (std::find(held->adapters.begin(), held->adapters.end(), adapter.name) != held->adapters.end())
+                continue;
+            backend::Order order;
+            order.action = backend::OrderAction::Load;
+            order.model = model.name;
+            order.version = model.version;
+            order.adapter = adapter.name;
+            giveOrder(pass, *record, std::move(order));
+            break;
+        }
+    }
+}
+
+/// A member that shuts down or is taken out of service lets the group finish its requests.
+bool endsGracefully(Pass& pass, const Group& group)
+{
+    return std::any_of(group.members.begin(), group.members.end(), [&](const Member& member) {
+        const auto* record = findServer(pass.state, member.server);
+        return record && record->announcement.bootId == member.bootId && !isUsable(pass, *record);
+    });
+}
+
+bool isIdle(Pass& pass, const Group& group)
+{
+    if (group.members.empty())
+        return true;
+    const auto* record = findServer(pass.state, group.members.front().server);
+    return !record || record->announcement.load.running == 0;
+}
+
+/// Members leave one by one. A member counts as gone once it has answered the leave order and announces no group, so a
+/// join order that is still on its way cannot be overtaken by a new one.
+void updateDissolving(Pass& pass, PlannedGroup& planned)
+{
+    auto& group = planned.group;
+    // Reports of the load lag, so a group counts as idle only after two heartbeats.
+    const bool settled = pass.now - planned.since >= 2 * orderInterval;
+    if (pass.now < planned.drainUntil && !(settled && isIdle(pass, group)))
+        return;
+    std::erase_if(group.members, [&](const Member& member) {
+        auto* record = findServer(pass.state, member.server);
+        if (!record || record->announcement.bootId != member.bootId)
+            return true;
+        const bool asked = record->lastOrder > planned.since;
+        if (asked && record->lastAccepted && !record->announcement.group)
+            return true;
+        if (asked && pass.now - record->lastOrder < orderInterval)
+            return false;
+        backend::Order order;
+        order.action = backend::OrderAction::Leave;
+        order.group = group.id;
+        giveOrder(pass, *record, std::move(order));
+        return false;
+    });
+}
+
+} // namespace
+
+const ModelSpec* findModel(const PlannerInput& input, const Group& group)
+{
+    const auto& models = input.manifest->models;
+    const auto it = std::find_if(models.begin(), models.end(),
+        [&](const auto& model) { return model.name == group.model && model.version == group.version; });
+    return it == models.end() ? nullptr : &*it;
+}
+
+configuration::ReplicaRange rangeOf(const PlannerInput& input, const ModelSpec& model)
+{
+    const auto it = model.replicas.find(input.dataCentre);
+    if (it == model.replicas.end() || input.dataCentreOut)
+        return {};
+    return it->second;
+}
+
+bool memberIntact(Pass& pass, const Member& member)
+{
+    const auto* record = findServer(pass.state, member.server);
+    return record && record->announcement.bootId == member.bootId && isUsable(pass, *record)
+        && pass.now >= record->avoidUntil;
+}
+
+Member memberOf(const backend::Announcement& server) { return { server.id, server.vm, server.bootId, server.address }; }
+
+void setPhase(Pass& pass, PlannedGroup& planned, GroupPhase phase)
+{
+    if (planned.group.phase == phase)
+        return;
+    planned.group.phase = phase;
+    planned.since = pass.now;
+    pass.effects(GroupChanged { planned.group });
+}
+
+Group& createGroup(Pass& pass, const ModelSpec& model, const FabricDomainId& domain, std::vector<Member> members)
+{
+    // The leader's number makes the id unique over all leaders, also when a former one is unknown.
+    const GroupId id { (pass.state.fencing.value << 32U) | ++pass.state.lastGroup };
+    auto& planned = pass.state.groups[id];
+    planned.since = pass.now;
+    planned.group
+        = Group { id, pass.state.fencing, model.name, model.version, domain, std::move(members), GroupPhase::Forming };
+    for (const auto& member : planned.group.members)
+        pass.occupied.insert(member.vm);
+    pass.effects(GroupChanged { planned.group });
+    return planned.group;
+}
+
+void dissolve(Pass& pass, PlannedGroup& planned, Duration drain)
+{
+    if (planned.group.phase == GroupPhase::Dissolving)
+        return;
+    planned.drainUntil = pass.now + drain;
+    setPhase(pass, planned, GroupPhase::Dissolving);
+}
+
+void updatePhases(Pass& pass)
+{
+    for (auto& [id, planned] : pass.state.groups) {
+        auto& group = planned.group;
+        const auto* model = findModel(pass.input, group);
+        if (!model && group.phase != GroupPhase::Dissolving)
+            dissolve(pass, planned, drainTimeout);
+        switch (group.phase) {
+        case GroupPhase::Forming:
+        case GroupPhase::Confirming:
+            updateForming(pass, planned, *model);
+            break;
+        case GroupPhase::Serving:
+            if (allConfirmed(pass, group) && endsGracefully(pass, group))
+                dissolve(pass, planned, drainTimeout);
+            else if (!allIntact(pass, group) || !allConfirmed(pass, group))
+                setPhase(pass, planned, GroupPhase::Degraded);
+            else
+                loadAdapters(pass, group, *model);
+            break;
+        case GroupPhase::Degraded:
+            break;
+        case GroupPhase::Dissolving:
+            updateDissolving(pass, planned);
+            break;
+        }
+    }
+    std::erase_if(pass.state.groups, [&](const auto& entry) {
+        const bool ended = entry.second.group.members.empty();
+        if (ended)
+            pass.effects(GroupRemoved { entry.first });
+        return ended;
+    });
+}
+
+void adoptGroups(Pass& pass, const GroupTable& known)
+{
+    for (const auto& [id, group] : known) {
+        const auto* model = findModel(pass.input, group);
+        if (!model || group.members.size() != model->vmsPerReplica || !allIntact(pass, group)
+            || !allConfirmed(pass, group))
+            continue;
+        auto& planned = pass.state.groups[id];
+        planned = { group, pass.now, {} };
+        planned.group.phase = GroupPhase::Serving;
+        pass.effects(GroupChanged { planned.group });
+    }
+}
+
+} // namespace rosemarymill::placement
--- /dev/null
+++ b/packages/core/src/placement/planner.cpp
@@ -0,0 +1,457 @@
+#include <algorithm>
+
+#include "planner_parts.hpp"
+
+namespace rosemarymill::placement {
+
+namespace {
+
+/// Free servers of one domain for a model, best first.
+template <PlacementPolicy Policy>
+std::vector<ServerRecord*> spares(Pass& pass, const ModelSpec& model, const FabricDomainId& domain)
+{
+    std::vector<ServerRecord*> found;
+    const auto& reserved = pass.state.reservation;
+    if (reserved && reserved->domain == domain && reserved->model != model.name && pass.now < reserved->until)
+        return found;
+    std::set<VmId> vms;
+    for (auto& [id, record] : pass.state.servers) {
+        const auto& it = record.announcement;
+        if (it.fabricDomain == domain && isFree(pass, record) && fits(it, model) && vms.insert(it.vm).second)
+            found.push_back(&record);
+    }
+    std::stable_sort(found.begin(), found.end(), [&](const auto* a, const auto* b) {
+        const Spare spareA { holds(a->announcement, model), otherModels(a->announcement, model) };
+        const Spare spareB { holds(b->announcement, model), otherModels(b->announcement, model) };
+        return Policy::prefers(spareA, spareB);
+    });
+    return found;
+}
+
+std::set<FabricDomainId> domainsOf(const PlannerState& state)
+{
+    std::set<FabricDomainId> domains;
+    for (const auto& [id, record] : state.servers) {
+        if (record.announcement.kind == backend::Kind::Engine)
+            domains.insert(record.announcement.fabricDomain);
+    }
+    return domains;
+}
+
+template <PlacementPolicy Policy> bool formGroup(Pass& pass, const ModelSpec& model)
+{
+    std::vector<DomainOption> options;
+    std::vector<FabricDomainId> domains;
+    std::vector<std::vector<ServerRecord*>> candidates;
+    for (const auto& domain : domainsOf(pass.state)) {
+        auto found = spares<Policy>(pass, model, domain);
+        if (found.size() < model.vmsPerReplica)
+            continue;
+        const auto warm
+            = std::count_if(found.begin(), found.end(), [&](const auto* it) { return holds(it->announcement, model); });
+        options.push_back(
+            { static_cast<std::uint32_t>(found.size()), static_cast<std::uint32_t>(warm), model.vmsPerReplica });
+        domains.push_back(domain);
+        candidates.push_back(std::move(found));
+    }
+    const auto choice = Policy::chooseDomain(options);
+    if (!choice)
+        return false;
+    std::vector<Member> members;
+    for (std::size_t i = 0; i < model.vmsPerReplica; ++i)
+        members.push_back(memberOf(candidates[*choice][i]->announcement));
+    createGroup(pass, model, domains[*choice], std::move(members));
+    if (pass.state.reservation && pass.state.reservation->model == model.name)
+        pass.state.reservation.reset();
+    return true;
+}
+
+/// Groups of one domain that can be given up for a model.
+struct RoomOffer {
+    double cost { 0 };
+    std::size_t vms { 0 };
+    std::vector<PlannedGroup*> groups;
+};
+
+std::map<FabricDomainId, RoomOffer> roomOffers(Pass& pass, const ModelSpec& beneficiary, std::size_t missing)
+{
+    std::map<FabricDomainId, RoomOffer> offers;
+    std::map<std::pair<FabricDomainId, const ModelSpec*>, std::uint32_t> given;
+    for (auto& [id, planned] : pass.state.groups) {
+        const auto& group = planned.group;
+        auto& offer = offers[group.fabricDomain];
+        if (offer.vms >= missing || !canSacrifice(pass, group, beneficiary))
+            continue;
+        const auto* model = findModel(pass.input, group);
+        auto& count = given[{ group.fabricDomain, model }];
+        if (replicaCount(pass.state, *model) - count <= rangeOf(pass.input, *model).minimum)
+            continue;
+        ++count;
+        offer.cost += costOf(pass.state, *model);
+        offer.vms += group.members.size();
+        offer.groups.push_back(&planned);
+    }
+    return offers;
+}
+
+std::size_t freeVms(const Pass& pass, const FabricDomainId& domain)
+{
+    std::set<VmId> vms;
+    for (const auto& [id, record] : pass.state.servers) {
+        if (record.announcement.fabricDomain == domain && isFree(pass, record))
+            vms.insert(record.announcement.vm);
+    }
+    return vms.size();
+}
+
+/// Gives up the groups that matter least in one domain until enough VMs for the model will be free, and reserves them.
+/// Returns whether room is being made for the model. Room is made for one model at a time.
+bool makeRoom(Pass& pass, const ModelSpec& model, const std::optional<FabricDomainId>& only, std::size_t needed)
+{
+    auto& reservation = pass.state.reservation;
+    if (reservation && pass.now < reservation->until)
+        return reservation->model == model.name && (!only || reservation->domain == *only);
+    auto offers = roomOffers(pass, model, needed);
+    const RoomOffer* best = nullptr;
+    for (auto& [domain, offer] : offers) {
+        if ((only && domain != *only) || offer.vms + freeVms(pass, domain) < needed || offer.groups.empty())
+            continue;
+        if (best && offer.cost >= best->cost)
+            continue;
+        best = &offer;
+        reservation = Reservation { domain, model.name, pass.now + reservationTimeout };
+    }
+    if (!best)
+        return false;
+    auto vms = freeVms(pass, reservation->domain);
+    for (auto* planned : best->groups) {
+        if (vms >= needed)
+            break;
+        vms += planned->group.members.size();
+        dissolve(pass, *planned, sacrificeDrainTimeout);
+    }
+    return true;
+}
+
+/// Replaces the lost members of a group. The others keep their ranks and weights, and loads already ordered go on.
+template <PlacementPolicy Policy> bool repair(Pass& pass, PlannedGroup& planned, const ModelSpec& model)
+{
+    auto members = planned.group.members;
+    auto found = spares<Policy>(pass, model, planned.group.fabricDomain);
+    auto next = found.begin();
+    std::size_t lost = 0;
+    for (auto& member : members) {
+        if (memberIntact(pass, member))
+            continue;
+        ++lost;
+        if (next != found.end())
+            member = memberOf((*next++)->announcement);
+    }
+    if (lost > found.size()) {
+        const bool worthRoom = lost < members.size() && Policy::preparesSpares;
+        return worthRoom && makeRoom(pass, model, planned.group.fabricDomain, lost);
+    }
+    if (pass.state.reservation && pass.state.reservation->domain == planned.group.fabricDomain
+        && pass.state.reservation->model == model.name)
+        pass.state.reservation.reset();
+    const auto old = planned.group.id;
+    createGroup(pass, model, planned.group.fabricDomain, std::move(members));
+    pass.state.groups.erase(old);
+    pass.effects(GroupRemoved { old });
+    return true;
+}
+
+template <PlacementPolicy Policy> void repairGroups(Pass& pass)
+{
+    std::vector<GroupId> degraded;
+    for (const auto& [id, planned] : pass.state.groups) {
+        if (planned.group.phase == GroupPhase::Degraded)
+            degraded.push_back(id);
+    }
+    for (const auto id : degraded) {
+        auto& planned = pass.state.groups.at(id);
+        const auto* model = findModel(pass.input, planned.group);
+        const bool wanted = model && replicaCount(pass.state, *model) <= targetOf(pass.state, *model);
+        if (!Policy::repairs || !wanted || !repair<Policy>(pass, planned, *model))
+            dissolve(pass, planned, Duration { 0 });
+    }
+}
+
+/// Models in the order in which they get servers: below the minimum first, then by demand per replica.
+std::vector<const ModelSpec*> modelsByNeed(const Pass& pass)
+{
+    std::vector<const ModelSpec*> models;
+    for (const auto& model : pass.input.manifest->models)
+        models.push_back(&model);
+    const auto belowMinimum
+        = [&](const ModelSpec& model) { return replicaCount(pass.state, model) < rangeOf(pass.input, model).minimum; };
+    std::stable_sort(models.begin(), models.end(), [&](const auto* a, const auto* b) {
+        if (belowMinimum(*a) != belowMinimum(*b))
+            return belowMinimum(*a);
+        return costOf(pass.state, *a) > costOf(pass.state, *b);
+    });
+    return models;
+}
+
+template <PlacementPolicy Policy> void grow(Pass& pass)
+{
+    for (const auto* model : modelsByNeed(pass)) {
+        auto count = replicaCount(pass.state, *model);
+        const auto target = targetOf(pass.state, *model);
+        while (count < target && formGroup<Policy>(pass, *model))
+            ++count;
+        const bool urgent = count < rangeOf(pass.input, *model).minimum || costOf(pass.state, *model) > 0;
+        if (Policy::preparesSpares && count < target && urgent)
+            makeRoom(pass, *model, std::nullopt, model->vmsPerReplica);
+    }
+}
+
+/// Weights that one server has to load.
+struct PendingLoad {
+    ServerRecord* record { nullptr };
+    const ModelSpec* model { nullptr };
+    LoadOption option;
+};
+
+std::vector<PendingLoad> loadsOfGroups(Pass& pass)
+{
+    std::vector<PendingLoad> pending;
+    for (auto& [id, planned] : pass.state.groups) {
+        const auto& group = planned.group;
+        const auto* model = findModel(pass.input, group);
+        if (group.phase != GroupPhase::Forming || !model)
+            continue;
+        std::vector<ServerRecord*> cold;
+        for (const auto& member : group.members) {
+            auto* record = findServer(pass.state, member.server);
+            if (record && !holds(record->announcement, *model))
+                cold.push_back(record);
+        }
+        const auto it = pass.state.demand.find(model->name);
+        const std::uint32_t waiting = it == pass.state.demand.end() ? 0 : it->second.waiting;
+        const LoadOption option { waiting, model->weightBytes * cold.size(), id.value };
+        for (auto* record : cold) {
+            if (!record->loading || *record->loading != ModelKey { model->name, model->version })
+                pending.push_back({ record, model, option });
+        }
+    }
+    return pending;
+}
+
+/// Memory that a server needs for the models it holds and one more.
+bool hasRoomFor(const Pass& pass, const backend::Announcement& server, const ModelSpec& model)
+{
+    std::uint64_t bytes = model.weightBytes;
+    for (const auto& held : server.models) {
+        for (const auto& it : pass.input.manifest->models) {
+            if (it.name == held.name && it.version == held.version)
+                bytes += it.weightBytes;
+        }
+    }
+    return server.memoryBytes == 0 || bytes <= server.memoryBytes;
+}
+
+bool unloadOther(Pass& pass, ServerRecord& record, const ModelSpec& model)
+{
+    for (const auto& held : record.announcement.models) {
+        if (held.name == model.name && held.version == model.version)
+            continue;
+        backend::Order order;
+        order.action = backend::OrderAction::Unload;
+        order.model = held.name;
+        order.version = held.version;
+        return giveOrder(pass, record, std::move(order));
+    }
+    return false;
+}
+
+Duration loadTime(const PlannerInput& input, const ModelSpec& model)
+{
+    const auto rate = input.manifest->weightStoreBytesPerSecond;
+    if (rate == 0)
+        return Duration { 0 };
+    const auto seconds = static_cast<double>(model.weightBytes) / static_cast<double>(rate);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+void startLoad(Pass& pass, ServerRecord& record, const ModelSpec& model)
+{
+    if (!hasRoomFor(pass, record.announcement, model) && !record.announcement.models.empty()) {
+        if (pass.now - record.lastOrder >= orderInterval)
+            unloadOther(pass, record, model);
+        return;
+    }
+    backend::Order order;
+    order.action = backend::OrderAction::Load;
+    order.model = model.name;
+    order.version = model.version;
+    if (!giveOrder(pass, record, std::move(order)))
+        return;
+    const auto time = loadTime(pass.input, model);
+    pass.state.storeFreeAt = std::max(pass.state.storeFreeAt, pass.now) + time;
+    record.loading = ModelKey { model.name, model.version };
+    record.loadDeadline = pass.state.storeFreeAt + time + loadGrace;
+}
+
+/// Orders loads one after the other at the weight store's rate, so that each group is complete as early as possible.
+template <PlacementPolicy Policy> void loadWeights(Pass& pass)
+{
+    auto pending = loadsOfGroups(pass);
+    std::stable_sort(pending.begin(), pending.end(),
+        [](const auto& a, const auto& b) { return Policy::loadsBefore(a.option, b.option); });
+    for (const auto& it : pending) {
+        if (pass.state.storeFreeAt > pass.now)
+            return;
+        startLoad(pass, *it.record, *it.model);
+    }
+}
+
+/// Lets free servers that hold nothing load the model of their domain whose loss would cost callers most.
+void warmSpares(Pass& pass)
+{
+    std::map<FabricDomainId, std::map<ModelKey, std::uint32_t>> groups;
+    for (const auto& [id, planned] : pass.state.groups) {
+        const auto& group = planned.group;
+        if (group.phase == GroupPhase::Serving && group.members.size() > 1)
+            ++groups[group.fabricDomain][{ group.model, group.version }];
+    }
+    for (auto& [id, record] : pass.state.servers) {
+        const auto& server = record.announcement;
+        if (pass.state.storeFreeAt > pass.now)
+            return;
+        if (!isFree(pass, record) || record.loading || !server.models.empty())
+            continue;
+        const ModelSpec* best = nullptr;
+        double bestValue = 0;
+        for (const auto& model : pass.input.manifest->models) {
+            const auto count = groups[server.fabricDomain][{ model.name, model.version }];
+            const auto value = count * (1 + costOf(pass.state, model));
+            if (model.weightBytes > 0 && fits(server, model) && value > bestValue) {
+                best = &model;
+                bestValue = value;
+            }
+        }
+        if (best)
+            startLoad(pass, record, *best);
+    }
+}
+
+template <PlacementPolicy Policy> void plan(Pass& pass)
+{
+    if (!pass.state.acting)
+        return;
+    dropStaleServers(pass);
+    updatePhases(pass);
+    updateTargets(pass);
+    findOccupiedVms(pass);
+    repairGroups<Policy>(pass);
+    shrink(pass);
+    grow<Policy>(pass);
+    dismissStrays(pass);
+    loadWeights<Policy>(pass);
+    if (Policy::preparesSpares)
+        warmSpares(pass);
+    // Orders without weights to load complete a group in the same pass.
+    updatePhases(pass);
+}
+
+bool applyReport(PlannerState& state, const ServerReported& event)
+{
+    const auto it = state.servers.find(event.announcement.id);
+    const bool known = it != state.servers.end();
+    const bool changed = !known || differsForPlacement(it->second.announcement, event.announcement);
+    auto& record = state.servers[event.announcement.id];
+    if (known && record.announcement.bootId != event.announcement.bootId) {
+        // Another boot knows nothing of earlier orders.
+        record.outstanding = 0;
+        record.lastAccepted = false;
+        record.loading.reset();
+    }
+    record.announcement = event.announcement;
+    record.announcement.cacheEvents = {};
+    record.home = event.home;
+    record.lastSeen = event.now;
+    if (record.loading) {
+        const auto& [name, version] = *record.loading;
+        const auto& models = record.announcement.models;
+        if (std::any_of(
+                models.begin(), models.end(), [&](const auto& it) { return it.name == name && it.version == version; }))
+            record.loading.reset();
+    }
+    return changed;
+}
+
+/// Applies the event and returns whether a plan is due.
+bool apply(Pass& pass, const ServerReported& event) { return applyReport(pass.state, event); }
+
+bool apply(Pass& pass, const ServerGone& event)
+{
+    const auto* record = findServer(pass.state, event.server);
+    // A former home does not know that the server announces itself elsewhere.
+    if (!record || record->home != event.home)
+        return false;
+    pass.state.servers.erase(event.server);
+    pass.effects(PlannerNote { "Lost server " + event.server.text() + "." });
+    return true;
+}
+
+bool apply(Pass& pass, const HomeConfirmed& event)
+{
+    for (auto& [id, record] : pass.state.servers) {
+        if (record.home == event.home)
+            record.lastSeen = event.now;
+    }
+    return false;
+}
+
+bool apply(Pass& pass, const DemandReported& event)
+{
+    pass.state.demand = event.demand;
+    return false;
+}
+
+bool apply(Pass& pass, const OrderResult& event)
+{
+    auto* record = findServer(pass.state, event.server);
+    if (!record || record->outstanding != event.orderId)
+        return false;
+    record->outstanding = 0;
+    record->lastAccepted = event.accepted;
+    record->refusals = event.accepted ? 0 : record->refusals + 1;
+    if (!event.accepted)
+        record->loading.reset();
+    return false;
+}
+
+bool apply(Pass& pass, const ActingStarted& event)
+{
+    pass.state.fencing = event.fencing;
+    if (pass.state.acting)
+        return true;
+    pass.state.acting = true;
+    adoptGroups(pass, event.known);
+    for (const auto& model : pass.input.manifest->models)
+        pass.state.targets[{ model.name, model.version }].count = replicaCount(pass.state, model);
+    return true;
+}
+
+bool apply(Pass&, const PlannerTick&) { return true; }
+
+} // namespace
+
+template <PlacementPolicy Policy>
+void reduce(PlannerState& state, const PlannerInput& input, const PlannerEvent& event, PlannerEffects& effects)
+{
+    std::visit(
+        [&](const auto& it) {
+            Pass pass { state, input, it.now, effects, {} };
+            if (apply(pass, it))
+                plan<Policy>(pass);
+        },
+        event);
+}
+
+template void reduce<WarmSparePolicy>(PlannerState&, const PlannerInput&, const PlannerEvent&, PlannerEffects&);
+template void reduce<FirstFitPolicy>(PlannerState&, const PlannerInput&, const PlannerEvent&, PlannerEffects&);
+
+} // namespace rosemarymill::placement
