--- a/packages/runtime/include/rosemarymill/runtime/base/address.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/base/address.hpp
@@ -26,6 +26,12 @@
 /// The address as "ip:port".
 [[nodiscard]] std::string formatAddress(const SocketAddress& address);
 
+/// The IP address alone, without brackets.
+[[nodiscard]] std::string formatIp(const SocketAddress& address);
+
+/// The port in host order.
+[[nodiscard]] std::uint16_t portOf(const SocketAddress& address) noexcept;
+
 /// Local address of a bound socket.
 [[nodiscard]] Result<SocketAddress> localAddress(int socket);
 
