Integrate membership, lease and planner into the top reducer

Cause: groups were kept by each process alone. Change: homes report servers to the placement leader, changes at once and one digest a second; the leader publishes groups to all entry VMs of the data centre and repairs lost messages by hashes in the digests. Servers are assigned to homes by rendezvous hashing over the running members. An order carries the instant at which its sender's lease ends. A leader takes over groups of a former one only when none of their VMs was given to another group meanwhile.

--- a/packages/core/include/rosemarymill/core/node/effect.hpp
+++ b/packages/core/include/rosemarymill/core/node/effect.hpp
@@ -30,6 +30,8 @@
     ServerId server;
     std::string address;
     backend::Order order;
+    /// The order must not be sent at or after this instant: the lease of the sender may have ended.
+    Instant notAfter { Instant::max() };
 };
 
 /// Sends a call's request to a backend server.
--- a/packages/core/include/rosemarymill/core/node/peer_message.hpp
+++ b/packages/core/include/rosemarymill/core/node/peer_message.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <rosemarymill/core/membership/message.hpp>
+#include <rosemarymill/core/placement/message.hpp>
+
 #include <variant>
 
 /// Messages between the system's processes.
 namespace rosemarymill::node {
 
 /// Message of any module. Each module adds its own Message variant here.
-using PeerMessage = std::variant<std::monostate>;
+using PeerMessage = std::variant<std::monostate, membership::Message, placement::Message>;
 
 } // namespace rosemarymill::node
--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -4,7 +4,9 @@
 #include <rosemarymill/core/base/id.hpp>
 #include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/core/configuration/manifest.hpp>
+#include <rosemarymill/core/membership/reduce.hpp>
 #include <rosemarymill/core/node/calls.hpp>
+#include <rosemarymill/core/node/placement.hpp>
 #include <rosemarymill/core/placement/group.hpp>
 
 #include <cstdint>
@@ -55,20 +57,30 @@
     configuration::Manifest manifest;
 };
 
+/// Membership settings of a process.
+[[nodiscard]] membership::Settings membershipSettings(const Settings& settings);
+
+/// Lease settings of a process.
+[[nodiscard]] placement::LeaseSettings leaseSettings(const Settings& settings);
+
 /// State of one process.
 struct State {
     explicit State(Settings fixed)
         : settings(std::move(fixed))
+        , membership(membershipSettings(settings))
+        , placement(leaseSettings(settings))
     {
     }
 
     Settings settings;
     Instant now;
     ConfigurationInForce configuration;
+    /// Servers whose home this process is.
     backend::Registry servers;
+    /// Groups of the data centre, as the placement leader published them.
     placement::GroupTable groups;
-    GroupId lastGroup;
-    std::uint64_t lastOrder { 0 };
+    membership::State membership;
+    Placement placement;
     Calls calls;
     bool shuttingDown { false };
 };
--- a/packages/core/include/rosemarymill/core/placement/planner.hpp
+++ b/packages/core/include/rosemarymill/core/placement/planner.hpp
@@ -23,6 +23,11 @@
 
 /// Information about a server that is older than this counts as lost.
 inline constexpr Duration informationTimeout = 3s;
+/// Homes report losses themselves, so silence about a server means that its home is lost. The server is then given the
+/// time to find another home: two unanswered announcements, the answer that names the home, and an announcement there.
+inline constexpr Duration homeChangeTimeout = 6s;
+/// After taking over, a leader leaves unknown groups alone for this long, until all their members have reported.
+inline constexpr Duration adoptionTime = 2s;
 /// An order without visible effect is sent again after this time.
 inline constexpr Duration orderInterval = 1s;
 /// Time after which an unanswered order no longer blocks the next one to the same server.
@@ -96,6 +101,8 @@
 
 /// What the leader plans for.
 struct PlannerInput {
+    /// This process. It is told at once of losses among the servers whose home it is.
+    VmId self;
     DataCentreId dataCentre;
     const configuration::Manifest* manifest { nullptr };
     /// The data centre is out of service: nothing is formed and all groups end.
@@ -115,8 +122,9 @@
     std::optional<Reservation> reservation;
     /// When the weight store has handed out all weights ordered so far.
     Instant storeFreeAt;
-    /// Servers lose their place only while the leader acts; before, it collects reports.
+    /// The planner decides only while the leader acts; before, it collects reports.
     bool acting { false };
+    Instant actingSince;
 };
 
 /// A home reports a server that is new or has changed.
--- a/packages/core/src/node/backends.cpp
+++ b/packages/core/src/node/backends.cpp
@@ -1,167 +1,216 @@
-#include "parts.hpp"
+#include <rosemarymill/core/placement/view.hpp>
 
 #include <algorithm>
-#include <set>
+
+#include "placement_parts.hpp"
 
 namespace rosemarymill::node {
 
 namespace {
 
-using backend::Kind;
-using placement::Group;
-using placement::GroupPhase;
+constexpr Duration digestInterval = 1s;
+/// A server that comes back within this time after it was told of another home cannot reach that home.
+constexpr Duration redirectTimeout = 5s;
+/// One tick less than the time after which a server counts as lost, so that the loss is noticed within that time.
+constexpr Duration lossTimeout = backend::announcementTimeout - 100ms;
 
-std::set<VmId> assignedVms(const State& state)
+placement::HomeDigest makeDigest(const State& state)
 {
-    std::set<VmId> vms;
-    for (const auto& [id, group] : state.groups) {
-        for (const auto& member : group.members)
-            vms.insert(member.vm);
+    placement::HomeDigest digest;
+    digest.groupsHash = placement::groupsHash(state.groups);
+    for (const auto& [id, record] : state.servers) {
+        const auto& it = record.announcement;
+        if (it.kind != backend::Kind::Engine)
+            continue;
+        ++digest.servers;
+        digest.serversHash ^= placement::placementHash(it);
+        digest.running += it.load.running;
+        digest.freeSlots += it.maxRequests - std::min(it.maxRequests, it.load.running);
+    }
+    std::map<ModelName, placement::ModelDemand> demand;
+    for (const auto& [id, call] : state.calls.active) {
+        if (call.request.target != call::Target::Model)
+            continue;
+        auto& it = demand[call.request.model];
+        ++(call.attempt ? it.running : it.waiting);
     }
-    return vms;
+    for (auto& [model, it] : demand) {
+        it.model = model;
+        digest.demand.push_back(std::move(it));
+    }
+    return digest;
 }
 
-bool isFree(const State& state, const backend::Announcement& it, const std::set<VmId>& assigned)
+/// While no leader is known, the entry VMs themselves stop groups that are no longer whole.
+void stopWithoutLeader(State& state, const placement::ServerReport& report, bool forward, Effects& effects)
 {
-    (void)state;
-    return it.kind == Kind::Engine && !it.leaving && !it.group && !assigned.contains(it.vm);
+    std::vector<GroupId> stopped;
+    for (const auto& it : report.changed) {
+        const auto groups = placement::stopByAnnouncement(state.groups, it);
+        stopped.insert(stopped.end(), groups.begin(), groups.end());
+    }
+    for (const auto& it : report.gone) {
+        const auto groups = placement::stopByLoss(state.groups, it);
+        stopped.insert(stopped.end(), groups.begin(), groups.end());
+    }
+    if (stopped.empty() || !forward)
+        return;
+    for (const auto& [vm, member] : state.membership.members)
+        effects(SendPeer { vm, member.claim.address, placement::Message { report } });
 }
 
-void sendJoins(State& state, const Group& group, Effects& effects)
+backend::Announcement forReport(const backend::Announcement& announcement)
 {
-    std::vector<std::string> addresses;
-    for (const auto& member : group.members)
-        addresses.push_back(member.address);
-    for (std::uint32_t rank = 0; rank < group.members.size(); ++rank) {
-        const auto& member = group.members[rank];
-        backend::Order order;
-        order.orderId = ++state.lastOrder;
-        order.fencing = group.fencing;
-        order.action = backend::OrderAction::Join;
-        order.model = group.model;
-        order.version = group.version;
-        order.group = group.id;
-        order.members = addresses;
-        order.rank = rank;
-        effects(SendOrder { member.server, member.address, order });
-    }
+    auto it = announcement;
+    it.cacheEvents = {};
+    return it;
 }
 
-bool formGroup(State& state, const configuration::ModelSpec& model, Effects& effects)
+void dropLostServers(State& state, Effects& effects)
 {
-    const auto assigned = assignedVms(state);
-    std::map<FabricDomainId, std::vector<placement::Member>> candidates;
-    for (const auto& [id, record] : state.servers) {
-        const auto& it = record.announcement;
-        if (!isFree(state, it, assigned))
-            continue;
-        auto& members = candidates[it.fabricDomain];
-        const auto sameVm = [&](const auto& member) { return member.vm == it.vm; };
-        if (std::none_of(members.begin(), members.end(), sameVm))
-            members.push_back({ it.id, it.vm, it.bootId, it.address });
-    }
-    for (auto& [domain, members] : candidates) {
-        if (members.size() < model.vmsPerReplica)
-            continue;
-        members.resize(model.vmsPerReplica);
-        state.lastGroup = state.lastGroup.next();
-        Group group { state.lastGroup, FencingNumber { 1 }, model.name, model.version, domain, members,
-            GroupPhase::Forming };
-        sendJoins(state, group, effects);
-        state.groups.emplace(group.id, std::move(group));
+    std::erase_if(state.servers, [&](const auto& entry) {
+        const bool lost = state.now - entry.second.lastSeen >= lossTimeout;
+        if (!lost)
+            return false;
+        effects(WriteLog { LogLevel::Warning, "backends", "Lost server " + entry.first.text() + "." });
+        if (entry.second.announcement.kind == backend::Kind::Engine)
+            state.placement.report.gone.push_back(entry.first);
         return true;
-    }
-    return false;
+    });
+    std::erase_if(
+        state.placement.redirected, [&](const auto& entry) { return state.now - entry.second > redirectTimeout; });
 }
 
-bool memberConfirmed(const State& state, const Group& group, std::uint32_t rank)
+/// Whether this process keeps the server although another one should be its home, because the server cannot reach it.
+bool keepsServer(State& state, const ServerId& server)
 {
-    const auto& member = group.members[rank];
-    const auto it = state.servers.find(member.server);
-    if (it == state.servers.end() || it->second.announcement.bootId != member.bootId)
-        return false;
-    return it->second.announcement.group == backend::GroupMembership { group.id, group.fencing, rank };
+    const auto [it, added] = state.placement.redirected.emplace(server, state.now);
+    return !added && state.now - it->second >= backend::announcementInterval / 2;
 }
 
-bool memberPresent(const State& state, const placement::Member& member)
+void registerServer(State& state, const backend::Announcement& announcement)
 {
-    const auto it = state.servers.find(member.server);
-    return it != state.servers.end() && it->second.announcement.bootId == member.bootId;
+    const auto it = state.servers.find(announcement.id);
+    const bool changed
+        = it == state.servers.end() || placement::differsForPlacement(it->second.announcement, announcement);
+    state.servers[announcement.id] = { announcement, state.now };
+    if (changed && announcement.kind == backend::Kind::Engine)
+        state.placement.report.changed.insert(announcement.id);
 }
 
-void updatePhase(const State& state, Group& group)
+} // namespace
+
+void learnLeader(State& state, const VmId& leader, FencingNumber fencing)
 {
-    bool confirmed = true;
-    for (std::uint32_t rank = 0; rank < group.members.size(); ++rank)
-        confirmed = confirmed && memberConfirmed(state, group, rank);
-    if (confirmed)
-        group.phase = GroupPhase::Serving;
-    else if (group.phase == GroupPhase::Serving)
-        group.phase = GroupPhase::Degraded;
+    auto& known = state.placement.leader;
+    if (fencing <= known.fencing)
+        return;
+    known = { leader, fencing };
+    state.placement.report.full = true;
 }
 
-void dropLostServers(State& state, Effects& effects)
+void sendReport(State& state, Effects& effects)
 {
-    std::erase_if(state.servers, [&](const auto& entry) {
-        const bool lost = state.now - entry.second.lastSeen > backend::announcementTimeout;
-        if (lost)
-            effects(WriteLog { LogLevel::Warning, "placement", "Lost server " + entry.first.text() + "." });
-        return lost;
-    });
+    auto& due = state.placement.report;
+    const bool digestDue = state.now >= due.nextDigest;
+    if (due.changed.empty() && due.gone.empty() && !due.full && !digestDue)
+        return;
+    placement::ServerReport report;
+    report.full = due.full;
+    for (const auto& [id, record] : state.servers) {
+        if ((due.full || due.changed.contains(id)) && record.announcement.kind == backend::Kind::Engine)
+            report.changed.push_back(forReport(record.announcement));
+    }
+    report.gone = std::move(due.gone);
+    if (digestDue || due.full) {
+        report.digest = makeDigest(state);
+        due.nextDigest = state.now + digestInterval;
+    }
+    due.gone.clear();
+    due.changed.clear();
+    due.full = false;
+    const auto& leader = state.placement.leader.vm;
+    if (isLeader(state)) {
+        takeReport(state, state.settings.vm, report, effects);
+    } else if (!leader.empty() && leader != state.settings.vm && membership::isRunning(state.membership, leader)) {
+        effects(SendPeer { leader, peerAddress(state, leader), placement::Message { std::move(report) } });
+    } else {
+        stopWithoutLeader(state, report, true, effects);
+        // The next leader gets everything anew.
+        due.full = false;
+    }
 }
 
-void updateExistingGroups(State& state, Effects& effects)
+void receive(State& state, const VmId& from, const placement::ServerReport& report, Effects& effects)
 {
-    for (auto& [id, group] : state.groups)
-        updatePhase(state, group);
-    std::erase_if(state.groups, [&](const auto& entry) {
-        const auto& group = entry.second;
-        const bool intact = std::all_of(group.members.begin(), group.members.end(),
-            [&](const auto& member) { return memberPresent(state, member); });
-        if (!intact)
-            effects(WriteLog {
-                LogLevel::Warning, "placement", "Group " + std::to_string(group.id.value) + " lost a member." });
-        return !intact;
-    });
+    if (isLeader(state))
+        takeReport(state, from, report, effects);
+    else
+        stopWithoutLeader(state, report, false, effects);
 }
 
-} // namespace
+void receive(State& state, const VmId& from, const placement::ReportRequest& request, Effects& effects)
+{
+    learnLeader(state, from, request.fencing);
+    if (request.fencing < state.placement.leader.fencing)
+        return;
+    state.placement.report.full = true;
+    sendReport(state, effects);
+}
+
+void receive(State& state, const VmId& from, const placement::GroupUpdate& update, Effects& effects)
+{
+    learnLeader(state, from, update.fencing);
+    if (update.fencing < state.placement.leader.fencing)
+        return;
+    if (update.full)
+        state.groups.clear();
+    for (const auto& group : update.changed)
+        state.groups.insert_or_assign(group.id, group);
+    for (const auto& id : update.removed)
+        state.groups.erase(id);
+    if (state.placement.report.full)
+        sendReport(state, effects);
+    startWaitingCalls(state, effects);
+}
 
 void updateGroups(State& state, Effects& effects)
 {
     dropLostServers(state, effects);
-    updateExistingGroups(state, effects);
-    for (const auto& model : state.configuration.manifest.models) {
-        const auto range = model.replicas.find(state.settings.dataCentre);
-        if (range == model.replicas.end())
-            continue;
-        auto count = static_cast<std::uint32_t>(
-            std::count_if(state.groups.begin(), state.groups.end(), [&](const auto& entry) {
-                return entry.second.model == model.name && entry.second.version == model.version;
-            }));
-        while (count < range->second.minimum && formGroup(state, model, effects))
-            ++count;
-    }
+    advanceLeader(state, effects);
+    sendReport(state, effects);
 }
 
 void handle(State& state, const AnnouncementReceived& event, Effects& effects)
 {
-    auto reason = backend::validate(event.announcement, state.settings.dataCentre);
+    const auto& announcement = event.announcement;
+    auto reason = backend::validate(announcement, state.settings.dataCentre);
     if (!reason.empty()) {
         effects(ReplyAnnouncement { event.request, false, std::move(reason), {}, {} });
         return;
     }
-    state.servers[event.announcement.id] = { event.announcement, event.now };
+    const auto home = homeOf(state, announcement.id);
+    if (home != state.settings.vm && !keepsServer(state, announcement.id)) {
+        const auto& address = state.membership.members.at(home).claim.announceAddress;
+        effects(ReplyAnnouncement { event.request, true, {}, backend::announcementInterval, address });
+        return;
+    }
+    registerServer(state, announcement);
     effects(
         ReplyAnnouncement { event.request, true, {}, backend::announcementInterval, state.settings.announceAddress });
-    updateGroups(state, effects);
+    reduceLease(state, placement::FencingSeen { state.now, announcement.fencingSeen }, effects);
+    if (!state.placement.report.changed.empty())
+        updateGroups(state, effects);
     startWaitingCalls(state, effects);
 }
 
-void handle(State&, const OrderAnswered& event, Effects& effects)
+void handle(State& state, const OrderAnswered& event, Effects& effects)
 {
     if (!event.accepted)
         effects(WriteLog { LogLevel::Warning, "placement", "Server " + event.server.text() + " refused an order." });
+    if (isLeader(state))
+        reducePlanner(
+            state, placement::OrderResult { state.now, event.server, event.orderId, event.accepted }, effects);
 }
 
 } // namespace rosemarymill::node
--- a/packages/core/src/node/parts.hpp
+++ b/packages/core/src/node/parts.hpp
@@ -29,6 +29,20 @@
 /// Drops servers without a recent announcement and updates the groups.
 void updateGroups(State& state, Effects& effects);
 
+void receive(State& state, const VmId& from, const placement::ServerReport& report, Effects& effects);
+void receive(State& state, const VmId& from, const placement::ReportRequest& request, Effects& effects);
+void receive(State& state, const VmId& from, const placement::GroupUpdate& update, Effects& effects);
+
+// leader.cpp
+void receive(State& state, const VmId& from, const placement::LeaseRequest& message, Effects& effects);
+void receive(State& state, const VmId& from, const placement::LeaseReply& message, Effects& effects);
+void receive(State& state, const VmId& from, const placement::LeaseRelease& message, Effects& effects);
+
+// members.cpp
+void startMembership(State& state, Effects& effects);
+void advanceMembership(State& state, Effects& effects);
+void receive(State& state, const VmId& from, const membership::Message& message, Effects& effects);
+
 // operators.cpp
 void handle(State& state, const ManifestSubmitted& event, Effects& effects);
 void handle(State& state, const AvailabilityCommand& event, Effects& effects);
--- a/packages/core/src/node/peers.cpp
+++ b/packages/core/src/node/peers.cpp
@@ -2,12 +2,17 @@
 
 namespace rosemarymill::node {
 
-void handle(State&, const PeerMessageReceived& event, Effects& effects)
+void handle(State& state, const PeerMessageReceived& event, Effects& effects)
 {
     const auto ignore = [&](std::monostate) {
         effects(WriteLog { LogLevel::Debug, "peers", "Empty message from " + event.from.text() + "." });
     };
-    std::visit(Overloaded { ignore }, event.message);
+    const auto takeMembership
+        = [&](const membership::Message& message) { receive(state, event.from, message, effects); };
+    const auto take = [&](const auto& message) {
+        std::visit([&](const auto& it) { receive(state, event.from, it, effects); }, message);
+    };
+    std::visit(Overloaded { ignore, takeMembership, take }, event.message);
 }
 
 } // namespace rosemarymill::node
--- a/packages/core/src/node/reduce.cpp
+++ b/packages/core/src/node/reduce.cpp
@@ -6,10 +6,15 @@
 
 namespace {
 
-void handle(State&, const Started&, Effects& effects) { effects(WriteLog { LogLevel::Info, "node", "Started." }); }
+void handle(State& state, const Started&, Effects& effects)
+{
+    effects(WriteLog { LogLevel::Info, "node", "Started." });
+    startMembership(state, effects);
+}
 
 void handle(State& state, const Tick&, Effects& effects)
 {
+    advanceMembership(state, effects);
     updateGroups(state, effects);
     refuseExpiredCalls(state, effects);
     startWaitingCalls(state, effects);
--- a/packages/core/src/placement/groups.cpp
+++ b/packages/core/src/placement/groups.cpp
@@ -157,6 +157,41 @@
     });
 }
 
+/// The only model of the manifest with as many VMs per replica that all members hold, or none.
+const ModelSpec* modelOfMembers(const PlannerInput& input, const std::vector<const backend::Announcement*>& members)
+{
+    const ModelSpec* found = nullptr;
+    for (const auto& model : input.manifest->models) {
+        const bool held = std::all_of(members.begin(), members.end(),
+            [&](const auto* it) { return it->fabricDomain == members.front()->fabricDomain && holds(*it, model); });
+        if (model.vmsPerReplica != members.size() || !held)
+            continue;
+        if (found)
+            return nullptr;
+        found = &model;
+    }
+    return found;
+}
+
+/// Whether no VM of the group belongs to a group already. While a member was silent, another server on its VM may have
+/// been given to a new group.
+bool vmsAreUnassigned(const Pass& pass, const Group& group)
+{
+    for (const auto& [id, planned] : pass.state.groups) {
+        for (const auto& assigned : planned.group.members) {
+            const auto sameVm = [&](const Member& member) { return member.vm == assigned.vm; };
+            if (std::any_of(group.members.begin(), group.members.end(), sameVm))
+                return false;
+        }
+    }
+    return true;
+}
+
+bool canAdopt(Pass& pass, const Group& group)
+{
+    return allIntact(pass, group) && allConfirmed(pass, group) && vmsAreUnassigned(pass, group);
+}
+
 } // namespace
 
 const ModelSpec* findModel(const PlannerInput& input, const Group& group)
@@ -254,8 +289,7 @@
 {
     for (const auto& [id, group] : known) {
         const auto* model = findModel(pass.input, group);
-        if (!model || group.members.size() != model->vmsPerReplica || !allIntact(pass, group)
-            || !allConfirmed(pass, group))
+        if (!model || group.members.size() != model->vmsPerReplica || !canAdopt(pass, group))
             continue;
         auto& planned = pass.state.groups[id];
         planned = { group, pass.now, {} };
@@ -264,4 +298,32 @@
     }
 }
 
+void adoptUnknownGroups(Pass& pass)
+{
+    if (pass.now - pass.state.actingSince >= adoptionTime)
+        return;
+    std::map<GroupId, std::vector<const backend::Announcement*>> found;
+    for (const auto& [id, record] : pass.state.servers) {
+        const auto& confirmed = record.announcement.group;
+        if (confirmed && !pass.state.groups.contains(confirmed->id))
+            found[confirmed->id].push_back(&record.announcement);
+    }
+    for (auto& [id, members] : found) {
+        std::sort(members.begin(), members.end(),
+            [](const auto* a, const auto* b) { return a->group->rank < b->group->rank; });
+        const auto* model = modelOfMembers(pass.input, members);
+        if (!model)
+            continue;
+        Group group { id, members.front()->group->fencing, model->name, model->version, members.front()->fabricDomain,
+            {}, GroupPhase::Serving };
+        for (const auto* member : members)
+            group.members.push_back(memberOf(*member));
+        if (!canAdopt(pass, group))
+            continue;
+        pass.state.groups[id] = { group, pass.now, {} };
+        ++pass.state.targets[{ model->name, model->version }].count;
+        pass.effects(GroupChanged { std::move(group) });
+    }
+}
+
 } // namespace rosemarymill::placement
--- a/packages/core/src/placement/planner.cpp
+++ b/packages/core/src/placement/planner.cpp
@@ -341,6 +341,7 @@
     if (!pass.state.acting)
         return;
     dropStaleServers(pass);
+    adoptUnknownGroups(pass);
     updatePhases(pass);
     updateTargets(pass);
     findOccupiedVms(pass);
@@ -429,6 +430,7 @@
     if (pass.state.acting)
         return true;
     pass.state.acting = true;
+    pass.state.actingSince = pass.now;
     adoptGroups(pass, event.known);
     for (const auto& model : pass.input.manifest->models)
         pass.state.targets[{ model.name, model.version }].count = replicaCount(pass.state, model);
--- a/packages/core/src/placement/planner_parts.hpp
+++ b/packages/core/src/placement/planner_parts.hpp
@@ -44,6 +44,8 @@
 void updatePhases(Pass& pass);
 /// Takes over the groups whose members all confirm them.
 void adoptGroups(Pass& pass, const GroupTable& known);
+/// Takes over complete groups that no former leader's table names, when their model is beyond doubt.
+void adoptUnknownGroups(Pass& pass);
 
 // demand.cpp
 [[nodiscard]] std::uint32_t replicaCount(const PlannerState& state, const ModelSpec& model);
--- a/packages/core/src/placement/servers.cpp
+++ b/packages/core/src/placement/servers.cpp
@@ -52,7 +52,8 @@
 void dropStaleServers(Pass& pass)
 {
     std::erase_if(pass.state.servers, [&](const auto& entry) {
-        const bool stale = pass.now - entry.second.lastSeen > informationTimeout;
+        const bool own = entry.second.home == pass.input.self;
+        const bool stale = pass.now - entry.second.lastSeen > (own ? informationTimeout : homeChangeTimeout);
         if (stale)
             pass.effects(PlannerNote { "Lost server " + entry.first.text() + "." });
         return stale;
@@ -61,6 +62,8 @@
 
 void dismissStrays(Pass& pass)
 {
+    if (pass.now - pass.state.actingSince < adoptionTime)
+        return;
     for (auto& [id, record] : pass.state.servers) {
         const auto& confirmed = record.announcement.group;
         if (!confirmed || record.announcement.leaving || pass.now - record.lastOrder < orderInterval)
--- a/packages/runtime/src/backend/order_sender.cpp
+++ b/packages/runtime/src/backend/order_sender.cpp
@@ -28,7 +28,8 @@
 void OrderSender::send(const node::SendOrder& effect)
 {
     const auto address = parseAddress(effect.address);
-    if (!address) {
+    // A process that was paused after the decision must not act on a lease that has ended meanwhile.
+    if (!address || readClock() >= effect.notAfter) {
         m_post(node::OrderAnswered { readClock(), effect.server, effect.order.orderId, false });
         return;
     }
--- a/tests/core/placement/groups.cpp
+++ b/tests/core/placement/groups.cpp
@@ -162,9 +162,13 @@
         default:
             fleet.changeLeader();
         }
-        fleet.apply(DemandReported { fleet.now,
-            { { ModelName { "large" }, { random() % 30, random() % 30 } },
-                { ModelName { "small" }, { random() % 30, random() % 30 } } } });
+        const auto requests = [&] { return static_cast<std::uint32_t>(random() % 30); };
+        std::map<ModelName, Demand> demand;
+        for (const char* name : { "large", "small" }) {
+            const auto waiting = requests();
+            demand[ModelName { name }] = { waiting, requests() };
+        }
+        fleet.apply(DemandReported { fleet.now, std::move(demand) });
         run(Duration { random() % 5'000'000 });
         auto& healed = any();
         healed.paused = false;
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -122,7 +122,7 @@
     Instant now { 10s };
     std::mt19937 random;
     configuration::Manifest manifest;
-    placement::PlannerInput input { DataCentreId { "mixco" }, &manifest, false, {} };
+    placement::PlannerInput input { VmId { "home" }, DataCentreId { "mixco" }, &manifest, false, {} };
     std::map<ServerId, FakeServer> servers;
     placement::PlannerState leader;
     /// Groups as the entry VMs know them.
@@ -227,7 +227,7 @@
         server.nextAnnouncement = now;
     }
 
-    Duration loadTime(const backend::Order& order) const
+    [[nodiscard]] Duration loadTime(const backend::Order& order) const
     {
         for (const auto& model : manifest.models) {
             if (model.name == order.model && manifest.weightStoreBytesPerSecond > 0)
