--- a/packages/core/include/rosemarymill/core/node/peer_message.hpp
+++ b/packages/core/include/rosemarymill/core/node/peer_message.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <rosemarymill/core/admission/message.hpp>
 #include <rosemarymill/core/membership/message.hpp>
 #include <rosemarymill/core/placement/message.hpp>
+#include <rosemarymill/core/quarantine/quarantine.hpp>
 
 #include <variant>
 
@@ -9,6 +11,7 @@
 namespace rosemarymill::node {
 
 /// Message of any module. Each module adds its own Message variant here.
-using PeerMessage = std::variant<std::monostate, membership::Message, placement::Message>;
+using PeerMessage = std::variant<std::monostate, admission::Message, quarantine::Message, membership::Message,
+    placement::Message>;
 
 } // namespace rosemarymill::node
--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -7,6 +7,7 @@
 #include <rosemarymill/core/membership/reduce.hpp>
 #include <rosemarymill/core/node/calls.hpp>
 #include <rosemarymill/core/node/placement.hpp>
+#include <rosemarymill/core/node/policy.hpp>
 #include <rosemarymill/core/placement/group.hpp>
 
 #include <cstdint>
@@ -47,6 +48,7 @@
     std::vector<VmId> placementAcceptors;
     /// Whether the process has a data folder.
     bool hasDisk { false };
+    PolicyChoice policy { PolicyChoice::Shipped };
 };
 
 /// Configuration in force in this process.
@@ -69,6 +71,7 @@
         : settings(std::move(fixed))
         , membership(membershipSettings(settings))
         , placement(leaseSettings(settings))
+        , policy(makePolicy(settings.policy, settings.seed))
     {
     }
 
@@ -82,6 +85,7 @@
     membership::State membership;
     Placement placement;
     Calls calls;
+    Policy policy;
     bool shuttingDown { false };
 };
 
--- a/packages/core/src/node/backends.cpp
+++ b/packages/core/src/node/backends.cpp
@@ -29,7 +29,9 @@
     }
     std::map<ModelName, placement::ModelDemand> demand;
     for (const auto& [id, call] : state.calls.active) {
-        if (call.request.target != call::Target::Model)
+        // A resend adds no load, and a call sent to another data centre is counted there.
+        const bool remote = call.attempt && !call.attempt->dataCentre.empty();
+        if (call.request.target != call::Target::Model || call.resend || remote)
             continue;
         auto& it = demand[call.request.model];
         ++(call.attempt ? it.running : it.waiting);
@@ -201,7 +203,7 @@
     reduceLease(state, placement::FencingSeen { state.now, announcement.fencingSeen }, effects);
     if (!state.placement.report.changed.empty())
         updateGroups(state, effects);
-    startWaitingCalls(state, effects);
+    serverAnnounced(state, announcement, effects);
 }
 
 void handle(State& state, const OrderAnswered& event, Effects& effects)
--- a/packages/core/src/node/leader.cpp
+++ b/packages/core/src/node/leader.cpp
@@ -19,6 +19,9 @@
     input.self = state.settings.vm;
     input.dataCentre = state.settings.dataCentre;
     input.manifest = &state.configuration.manifest;
+    const auto& out = state.policy.availability;
+    input.dataCentreOut = out.dataCentres.contains(state.settings.dataCentre);
+    input.outVms = out.vms;
     return input;
 }
 
--- a/packages/core/src/node/peers.cpp
+++ b/packages/core/src/node/peers.cpp
@@ -1,4 +1,4 @@
-#include "parts.hpp"
+#include "call_parts.hpp"
 
 namespace rosemarymill::node {
 
--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -9,7 +9,6 @@
 #include <rosemarymill/runtime/operator/listener.hpp>
 #include <rosemarymill/runtime/operator/pages.hpp>
 
-#include <random>
 #include <sstream>
 
 namespace rosemarymill::daemon {
@@ -18,19 +17,6 @@
 
 using runtime::Process;
 
-node::Settings nodeSettings(const Settings& settings)
-{
-    std::random_device device;
-    std::ostringstream bootId;
-    bootId << std::hex << device() << device();
-    node::Settings node;
-    node.vm = VmId { settings.vm };
-    node.dataCentre = DataCentreId { settings.dataCentre };
-    node.seed = device();
-    node.bootId = BootId { bootId.str() };
-    return node;
-}
-
 /// Adapters of one process. Members are destroyed in reverse order, servers last.
 struct Adapters {
     Adapters(Process& process, const Settings& settings)
@@ -97,7 +83,7 @@
 
 int run(const Settings& settings)
 {
-    runtime::setUpLog(node::LogLevel::Info);
+    runtime::setUpLog(settings.logLevel);
     Process process(nodeSettings(settings));
     Adapters adapters(process, settings);
     const auto announceAddress = runtime::formatAddress(adapters.callerServer.address());
