--- a/packages/daemon/include/rosemarymill/daemon/settings.hpp
+++ b/packages/daemon/include/rosemarymill/daemon/settings.hpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/core/node/effect.hpp>
 #include <rosemarymill/core/node/state.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
 
 #include <cstdint>
 #include <map>
@@ -12,9 +13,6 @@
 /// Settings of the daemon from flags and ROSEMARYMILL_* environment variables. A flag takes precedence.
 namespace rosemarymill::daemon {
 
-/// Format of the log lines.
-enum class LogFormat { Text, Json };
-
 /// Settings of one process.
 struct Settings {
     std::string vm;
@@ -32,7 +30,7 @@
     std::vector<std::string> placementAcceptors;
     /// Folder of the write-ahead log and the snapshots; empty on a VM without a disk.
     std::string dataFolder;
-    LogFormat logFormat { LogFormat::Text };
+    runtime::LogFormat logFormat { runtime::LogFormat::Text };
     node::LogLevel logLevel { node::LogLevel::Info };
     /// File that receives the recorded event trace; empty for none.
     std::string traceFile;
--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -5,7 +5,10 @@
 #include <rosemarymill/runtime/backend/order_sender.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/caller/listener.hpp>
+#include <rosemarymill/runtime/link/links.hpp>
 #include <rosemarymill/runtime/loop/process.hpp>
+#include <rosemarymill/runtime/metrics/calls.hpp>
+#include <rosemarymill/runtime/metrics/process.hpp>
 #include <rosemarymill/runtime/operator/listener.hpp>
 #include <rosemarymill/runtime/operator/pages.hpp>
 
@@ -33,6 +36,10 @@
                   return metrics();
               }).value())
     {
+        if (!settings.peerAddress.empty())
+            links = runtime::PeerLinks::open(*process.base(), runtime::parseAddress(settings.peerAddress).value(),
+                process.state().settings, postTo(process))
+                        .value();
         for (const auto* path : { "/healthz", "/readyz", "/metrics" }) {
             callerServer.route("GET", path, [this, &process](runtime::http::Exchange& exchange) {
                 const auto page
@@ -54,9 +61,14 @@
             << "\n# TYPE rosemarymill_attempts gauge\nrosemarymill_attempts " << client.inFlight()
             << "\n# TYPE rosemarymill_connections gauge\nrosemarymill_connections " << callerServer.connections()
             << '\n';
+        callMetrics.write(out);
+        if (links)
+            runtime::writeLinkMetrics(out, links->counters());
+        runtime::writeProcessMetrics(out);
         return out.str();
     }
 
+    runtime::CallMetrics callMetrics;
     runtime::http::Server callerServer;
     runtime::backend::ConnectionPool pool;
     runtime::backend::Announcements announcements;
@@ -64,6 +76,8 @@
     runtime::backend::Client client;
     runtime::backend::OrderSender orders;
     std::unique_ptr<runtime::OperatorListener> operators;
+    /// Null without a peer address.
+    std::unique_ptr<runtime::PeerLinks> links;
 };
 
 void connectCallEffects(Process& process, Adapters& adapters)
@@ -83,15 +97,22 @@
 
 int run(const Settings& settings)
 {
-    runtime::setUpLog(settings.logLevel);
+    runtime::setUpLog(settings.logLevel, settings.logFormat);
     Process process(nodeSettings(settings));
     Adapters adapters(process, settings);
     const auto announceAddress = runtime::formatAddress(adapters.callerServer.address());
     process.setAnnounceAddress(announceAddress);
     connectCallEffects(process, adapters);
+    process.observe([&](const node::Event& event, const node::State& state, const node::Effects& effects) {
+        adapters.callMetrics.observe(event, state, effects);
+    });
     process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
     process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
     process.onEffect<node::ReplyOperator>([&](auto& it) { adapters.operators->carryOut(it); });
+    process.onEffect<node::SendPeer>([&](auto& it) {
+        if (adapters.links)
+            adapters.links->carryOut(it);
+    });
     process.onEffect<node::WriteLog>([](auto& it) { runtime::writeLog(it.level, it.part, it.text); });
     process.onEffect<node::Exit>([&](auto&) {
         if (adapters.callers.calls() == 0)
--- a/tests/daemon/settings.cpp
+++ b/tests/daemon/settings.cpp
@@ -37,7 +37,7 @@
         "entry-2", "--placement-acceptor", "entry-3", "--data-folder", "/tmp", "--log-format", "json", "--log-level",
         "debug", "--seed", "42" });
     REQUIRE(parsed.errors.empty());
-    CHECK(parsed.settings.logFormat == daemon::LogFormat::Json);
+    CHECK(parsed.settings.logFormat == runtime::LogFormat::Json);
     CHECK(parsed.settings.logLevel == node::LogLevel::Debug);
     const auto node = daemon::nodeSettings(parsed.settings);
     CHECK(node.seed == 42);
@@ -74,6 +74,8 @@
     check({ "--data-folder", "/nonexistent" }, "--data-folder: '/nonexistent' is not an existing folder");
     check({ "--log-format", "xml" }, "--log-format: 'xml' must be text or json");
     check({ "--log-level", "loud" }, "--log-level: 'loud' must be debug, info, warning or error");
+    CHECK(parse({ "--peer-address", "127.0.0.1:0" }).errors
+        == std::vector<std::string> { "--peer-address: '127.0.0.1:0' has no port that peers could name" });
     check({ "--seed", "-1" }, "--seed: '-1' must be an integer from 0 to 18446744073709551615");
     check({ "--vms" }, "'--vms' is not a setting");
 }
