--- /dev/null
+++ b/bench/groups/costs.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+/// Messages, CPU time and memory of membership and placement.
+namespace rosemarymill::bench {
+
+/// Prints the costs at several sizes and returns the number of missed bounds.
+[[nodiscard]] int measureCosts();
+
+} // namespace rosemarymill::bench
--- a/packages/core/include/rosemarymill/core/node/peer_message.hpp
+++ b/packages/core/include/rosemarymill/core/node/peer_message.hpp
@@ -11,7 +11,7 @@
 namespace rosemarymill::node {
 
 /// Message of any module. Each module adds its own Message variant here.
-using PeerMessage = std::variant<std::monostate, admission::Message, quarantine::Message, membership::Message,
-    placement::Message>;
+using PeerMessage
+    = std::variant<std::monostate, admission::Message, quarantine::Message, membership::Message, placement::Message>;
 
 } // namespace rosemarymill::node
--- a/tests/core/support/virtual_network.hpp
+++ b/tests/core/support/virtual_network.hpp
@@ -4,6 +4,7 @@
 #include <rosemarymill/core/base/time.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -31,6 +32,7 @@
     Duration maxDelay { 2ms };
     std::uint64_t sent { 0 };
     std::map<VmId, std::uint64_t> sentBy;
+    std::function<void(const Message&)> onSend;
 
     void cut(const VmId& from, const VmId& to) { m_cut.emplace(from, to); }
     void heal() { m_cut.clear(); }
@@ -39,6 +41,8 @@
     {
         ++sent;
         ++sentBy[from];
+        if (onSend)
+            onSend(message);
         if (m_cut.contains({ from, to }) || m_random() % 100 < lossPercent)
             return;
         const Duration delay { 500 + static_cast<std::int64_t>(m_random() % maxDelay.count()) };
--- a/tests/process/support.hpp
+++ b/tests/process/support.hpp
@@ -85,6 +85,7 @@
     Child& operator=(const Child&) = delete;
 
     void terminate() const { kill(m_pid, SIGTERM); }
+    void signal(int number) const { kill(m_pid, number); }
 
     /// Exit code, or -1 after a signal.
     int wait()
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -83,11 +83,11 @@
             std::visit([&](auto& it) { carryOut(it); }, effect);
     }
 
-    /// Runs and calls the observer after every step of 10 ms.
+    /// Runs and calls the observer after every step.
     template <typename Observer> void run(Duration duration, Observer&& observe)
     {
         for (const auto end = now + duration; now < end;) {
-            now += 10ms;
+            now += stepSize;
             while (!m_queue.empty() && m_queue.begin()->first <= now) {
                 const auto action = std::move(m_queue.begin()->second);
                 m_queue.erase(m_queue.begin());
@@ -129,6 +129,7 @@
     placement::GroupTable published;
     unsigned lossPercent { 0 };
     Duration maxDelay { 5ms };
+    Duration stepSize { 10ms };
     std::uint64_t ordersSent { 0 };
     /// Changes what the leader is told, for broken variants.
     std::function<void(backend::Announcement&)> alterReport;
