Index servers in the planner

Cause: each pass compared every server with every member of every group, and searched all servers for every domain. Change: one index per pass.

--- a/packages/core/src/placement/planner.cpp
+++ b/packages/core/src/placement/planner.cpp
@@ -15,10 +15,10 @@
     if (reserved && reserved->domain == domain && reserved->model != model.name && pass.now < reserved->until)
         return found;
     std::set<VmId> vms;
-    for (auto& [id, record] : pass.state.servers) {
-        const auto& it = record.announcement;
-        if (it.fabricDomain == domain && isFree(pass, record) && fits(it, model) && vms.insert(it.vm).second)
-            found.push_back(&record);
+    for (auto* record : pass.byDomain[domain]) {
+        const auto& it = record->announcement;
+        if (isFree(pass, *record) && fits(it, model) && vms.insert(it.vm).second)
+            found.push_back(record);
     }
     std::stable_sort(found.begin(), found.end(), [&](const auto* a, const auto* b) {
         const Spare spareA { holds(a->announcement, model), otherModels(a->announcement, model) };
@@ -28,22 +28,14 @@
     return found;
 }
 
-std::set<FabricDomainId> domainsOf(const PlannerState& state)
-{
-    std::set<FabricDomainId> domains;
-    for (const auto& [id, record] : state.servers) {
-        if (record.announcement.kind == backend::Kind::Engine)
-            domains.insert(record.announcement.fabricDomain);
-    }
-    return domains;
-}
-
 template <PlacementPolicy Policy> bool formGroup(Pass& pass, const ModelSpec& model)
 {
     std::vector<DomainOption> options;
     std::vector<FabricDomainId> domains;
     std::vector<std::vector<ServerRecord*>> candidates;
-    for (const auto& domain : domainsOf(pass.state)) {
+    for (const auto& [domain, records] : pass.byDomain) {
+        if (records.size() < model.vmsPerReplica)
+            continue;
         auto found = spares<Policy>(pass, model, domain);
         if (found.size() < model.vmsPerReplica)
             continue;
@@ -344,7 +336,7 @@
     adoptUnknownGroups(pass);
     updatePhases(pass);
     updateTargets(pass);
-    findOccupiedVms(pass);
+    indexServers(pass);
     repairGroups<Policy>(pass);
     shrink(pass);
     grow<Policy>(pass);
@@ -446,7 +438,7 @@
 {
     std::visit(
         [&](const auto& it) {
-            Pass pass { state, input, it.now, effects, {} };
+            Pass pass { state, input, it.now, effects, {}, {} };
             if (apply(pass, it))
                 plan<Policy>(pass);
         },
--- a/packages/core/src/placement/planner_parts.hpp
+++ b/packages/core/src/placement/planner_parts.hpp
@@ -16,6 +16,8 @@
     PlannerEffects& effects;
     /// VMs that belong to a group or whose server announces one.
     std::set<VmId> occupied;
+    /// Engines of each fabric domain.
+    std::map<FabricDomainId, std::vector<ServerRecord*>> byDomain;
 };
 
 // servers.cpp
@@ -24,7 +26,8 @@
 [[nodiscard]] bool fits(const backend::Announcement& server, const ModelSpec& model);
 [[nodiscard]] bool isUsable(const Pass& pass, const ServerRecord& record);
 [[nodiscard]] bool isFree(const Pass& pass, const ServerRecord& record);
-void findOccupiedVms(Pass& pass);
+/// Fills in the occupied VMs and the engines of each domain.
+void indexServers(Pass& pass);
 void dropStaleServers(Pass& pass);
 /// Tells servers to leave groups that the leader does not know.
 void dismissStrays(Pass& pass);
--- a/packages/core/src/placement/servers.cpp
+++ b/packages/core/src/placement/servers.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <unordered_set>
 
 #include "planner_parts.hpp"
 
@@ -36,7 +37,7 @@
         && !pass.occupied.contains(record.announcement.vm);
 }
 
-void findOccupiedVms(Pass& pass)
+void indexServers(Pass& pass)
 {
     pass.occupied.clear();
     for (const auto& [id, planned] : pass.state.groups) {
@@ -44,8 +45,11 @@
             pass.occupied.insert(member.vm);
     }
     for (auto& [id, record] : pass.state.servers) {
-        if (record.announcement.group)
-            pass.occupied.insert(record.announcement.vm);
+        const auto& it = record.announcement;
+        if (it.group)
+            pass.occupied.insert(it.vm);
+        if (it.kind == backend::Kind::Engine)
+            pass.byDomain[it.fabricDomain].push_back(&record);
     }
 }
 
@@ -64,16 +68,14 @@
 {
     if (pass.now - pass.state.actingSince < adoptionTime)
         return;
+    std::unordered_set<ServerId> members;
+    for (const auto& [group, planned] : pass.state.groups) {
+        for (const auto& it : planned.group.members)
+            members.insert(it.server);
+    }
     for (auto& [id, record] : pass.state.servers) {
         const auto& confirmed = record.announcement.group;
-        if (!confirmed || record.announcement.leaving || pass.now - record.lastOrder < orderInterval)
-            continue;
-        bool member = false;
-        for (const auto& [group, planned] : pass.state.groups) {
-            for (const auto& it : planned.group.members)
-                member = member || it.server == id;
-        }
-        if (member)
+        if (!confirmed || members.contains(id) || record.announcement.leaving || pass.now - record.lastOrder < orderInterval)
             continue;
         backend::Order order;
         order.action = backend::OrderAction::Leave;
