--- a/packages/core/include/rosemarymill/core/node/peer_message.hpp
+++ b/packages/core/include/rosemarymill/core/node/peer_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rosemarymill/core/admission/message.hpp>
+#include <rosemarymill/core/ledger/message.hpp>
 #include <rosemarymill/core/membership/message.hpp>
 #include <rosemarymill/core/placement/message.hpp>
 #include <rosemarymill/core/quarantine/quarantine.hpp>
@@ -11,7 +12,7 @@
 namespace rosemarymill::node {
 
 /// Message of any module. Each module adds its own Message variant here.
-using PeerMessage
-    = std::variant<std::monostate, admission::Message, quarantine::Message, membership::Message, placement::Message>;
+using PeerMessage = std::variant<std::monostate, admission::Message, quarantine::Message, ledger::Message,
+    membership::Message, placement::Message>;
 
 } // namespace rosemarymill::node
--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -6,6 +6,7 @@
 #include <rosemarymill/core/configuration/manifest.hpp>
 #include <rosemarymill/core/membership/reduce.hpp>
 #include <rosemarymill/core/node/calls.hpp>
+#include <rosemarymill/core/node/ledger.hpp>
 #include <rosemarymill/core/node/placement.hpp>
 #include <rosemarymill/core/node/policy.hpp>
 #include <rosemarymill/core/placement/group.hpp>
@@ -65,12 +66,16 @@
 /// Lease settings of a process.
 [[nodiscard]] placement::LeaseSettings leaseSettings(const Settings& settings);
 
+/// Builds the ledger's state from the settings.
+[[nodiscard]] Ledger makeLedger(const Settings& settings);
+
 /// State of one process.
 struct State {
     explicit State(Settings fixed)
         : settings(std::move(fixed))
         , membership(membershipSettings(settings))
         , placement(leaseSettings(settings))
+        , ledger(makeLedger(settings))
         , policy(makePolicy(settings.policy, settings.seed))
     {
     }
@@ -85,6 +90,7 @@
     membership::State membership;
     Placement placement;
     Calls calls;
+    Ledger ledger;
     Policy policy;
     bool shuttingDown { false };
 };
--- a/packages/core/src/node/backends.cpp
+++ b/packages/core/src/node/backends.cpp
@@ -29,9 +29,9 @@
     }
     std::map<ModelName, placement::ModelDemand> demand;
     for (const auto& [id, call] : state.calls.active) {
-        // A resend adds no load, and a call sent to another data centre is counted there.
+        // A call without a decision on its key adds no load, and one sent to another data centre is counted there.
         const bool remote = call.attempt && !call.attempt->dataCentre.empty();
-        if (call.request.target != call::Target::Model || call.resend || remote)
+        if (call.request.target != call::Target::Model || call.keyPending || remote)
             continue;
         auto& it = demand[call.request.model];
         ++(call.attempt ? it.running : it.waiting);
--- a/packages/core/src/placement/servers.cpp
+++ b/packages/core/src/placement/servers.cpp
@@ -75,7 +75,8 @@
     }
     for (auto& [id, record] : pass.state.servers) {
         const auto& confirmed = record.announcement.group;
-        if (!confirmed || members.contains(id) || record.announcement.leaving || pass.now - record.lastOrder < orderInterval)
+        if (!confirmed || members.contains(id) || record.announcement.leaving
+            || pass.now - record.lastOrder < orderInterval)
             continue;
         backend::Order order;
         order.action = backend::OrderAction::Leave;
