--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -4,9 +4,11 @@
 #include <rosemarymill/core/base/id.hpp>
 #include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/core/configuration/manifest.hpp>
+#include <rosemarymill/core/membership/reduce.hpp>
 #include <rosemarymill/core/node/calls.hpp>
 #include <rosemarymill/core/node/configuration_log.hpp>
 #include <rosemarymill/core/node/ledger.hpp>
+#include <rosemarymill/core/node/placement.hpp>
 #include <rosemarymill/core/node/policy.hpp>
 #include <rosemarymill/core/placement/group.hpp>
 
@@ -61,6 +63,12 @@
     std::vector<configuration::TakeOut> takeOuts;
 };
 
+/// Membership settings of a process.
+[[nodiscard]] membership::Settings membershipSettings(const Settings& settings);
+
+/// Lease settings of a process.
+[[nodiscard]] placement::LeaseSettings leaseSettings(const Settings& settings);
+
 /// Builds the ledger's state from the settings.
 [[nodiscard]] Ledger makeLedger(const Settings& settings);
 
@@ -68,6 +76,8 @@
 struct State {
     explicit State(Settings fixed)
         : settings(std::move(fixed))
+        , membership(membershipSettings(settings))
+        , placement(leaseSettings(settings))
         , ledger(makeLedger(settings))
         , policy(makePolicy(settings.policy, settings.seed))
     {
@@ -77,10 +87,12 @@
     Instant now;
     ConfigurationInForce configuration;
     ConfigurationLog configurationLog;
+    /// Servers whose home this process is.
     backend::Registry servers;
+    /// Groups of the data centre, as the placement leader published them.
     placement::GroupTable groups;
-    GroupId lastGroup;
-    std::uint64_t lastOrder { 0 };
+    membership::State membership;
+    Placement placement;
     Calls calls;
     Ledger ledger;
     Policy policy;
--- a/packages/core/src/node/peers.cpp
+++ b/packages/core/src/node/peers.cpp
@@ -8,6 +8,8 @@
     const auto ignore = [&](std::monostate) {
         effects(WriteLog { LogLevel::Debug, "peers", "Empty message from " + event.from.text() + "." });
     };
+    const auto takeMembership
+        = [&](const membership::Message& message) { receive(state, event.from, message, effects); };
     const auto take = [&](const auto& message) {
         std::visit([&](const auto& it) { receive(state, event.from, it, effects); }, message);
     };
@@ -15,7 +17,7 @@
         applyLedger(state, ledger::HomeMessage { event.now, event.from, message }, effects);
     };
     const auto takeLog = [&](const configuration::LogMessage& it) { receive(state, event.from, it, effects); };
-    std::visit(Overloaded { ignore, takeLedger, takeLog, take }, event.message);
+    std::visit(Overloaded { ignore, takeLedger, takeLog, takeMembership, take }, event.message);
 }
 
 } // namespace rosemarymill::node
--- a/packages/core/src/node/reduce.cpp
+++ b/packages/core/src/node/reduce.cpp
@@ -10,11 +10,13 @@
 {
     effects(WriteLog { LogLevel::Info, "node", "Started." });
     startConfiguration(state, effects);
+    startMembership(state, effects);
 }
 
 void handle(State& state, const Tick&, Effects& effects)
 {
     advanceConfiguration(state, effects);
+    advanceMembership(state, effects);
     updateGroups(state, effects);
     advancePolicy(state, effects);
 }
--- a/packages/wire/src/node/codec.cpp
+++ b/packages/wire/src/node/codec.cpp
@@ -4,6 +4,8 @@
 #include <rosemarymill/wire/admission/codec.hpp>
 #include <rosemarymill/wire/agreement/codec.hpp>
 #include <rosemarymill/wire/configuration/codec.hpp>
+#include <rosemarymill/wire/membership/codec.hpp>
+#include <rosemarymill/wire/placement/codec.hpp>
 #include <rosemarymill/wire/quarantine/codec.hpp>
 
 #include <utility>
@@ -27,6 +29,13 @@
     return PeerMessage { std::move(message) };
 }
 
+template <typename Message> Result<PeerMessage> convert(Result<Message>&& message)
+{
+    if (!message)
+        return message.error();
+    return PeerMessage { std::move(message.value()) };
+}
+
 } // namespace
 
 // Each module adds one handler here and one case below.
@@ -54,6 +63,14 @@
                               return FrameKind::Quarantine;
                           },
                           [](const rosemarymill::ledger::Message&) -> std::optional<FrameKind> { return std::nullopt; },
+                          [&](const rosemarymill::membership::Message& it) -> std::optional<FrameKind> {
+                              membership::encode(it, payload);
+                              return FrameKind::Membership;
+                          },
+                          [&](const rosemarymill::placement::Message& it) -> std::optional<FrameKind> {
+                              placement::encode(it, payload);
+                              return FrameKind::Placement;
+                          },
                       },
         message);
 }
@@ -75,6 +92,10 @@
         BOOST_OUTCOME_TRY(message, quarantine::decode(payload));
         return PeerMessage { std::move(message) };
     }
+    case FrameKind::Membership:
+        return convert(membership::decode(payload));
+    case FrameKind::Placement:
+        return convert(placement::decode(payload));
     default:
         // Hello and Forward never reach this codec: the link and the forwarder handle them.
         return DecodeError::UnexpectedKind;
