Bound the memory of streams and park stalled ones

Cause: bytes of slow callers were counted per stream only, and a complete stream kept its bytes for as long as its caller did not read. Change: core/stream counts the bytes of all streams, stops and restarts reading at the water marks, parks streams that stall or exceed the process budget, and resumes them at the token index; gaps and repeats are never forwarded. A stream's call ends when the caller's connection has the last token.

--- a/packages/core/include/rosemarymill/core/node/effect.hpp
+++ b/packages/core/include/rosemarymill/core/node/effect.hpp
@@ -94,6 +94,12 @@
     bool enabled { true };
 };
 
+/// Drops the tokens that wait for a caller and are not handed to its connection. They are asked for again when the
+/// caller reads on.
+struct ParkStream {
+    CallId call;
+};
+
 /// Result of an operator request.
 enum class OperatorResult { Accepted, AlreadyAccepted, Conflict, NotAccepted, Invalid };
 
@@ -129,7 +135,7 @@
 struct Exit { };
 
 using Effect = std::variant<ReplyAnnouncement, SendOrder, Dispatch, ForwardCall, CancelAttempt, BeginResponse,
-    ForwardToken, FinishCall, RefuseCall, SetReading, ReplyOperator, SendPeer, WriteLog, Exit>;
+    ForwardToken, FinishCall, RefuseCall, SetReading, ParkStream, ReplyOperator, SendPeer, WriteLog, Exit>;
 
 using Effects = EffectList<Effect>;
 
--- a/packages/core/include/rosemarymill/core/node/event.hpp
+++ b/packages/core/include/rosemarymill/core/node/event.hpp
@@ -52,10 +52,13 @@
     CallId call;
 };
 
-/// Bytes that wait in the process for this caller, reported when a water mark is crossed.
+/// The caller's connection took tokens or bytes of a stream.
 struct CallerBacklogChanged {
     Instant now;
     CallId call;
+    /// Index of the first token that is not handed to the connection.
+    std::uint64_t firstWaiting { 0 };
+    /// Bytes that still wait in the process for this caller.
     std::uint64_t bytes { 0 };
 };
 
--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -6,6 +6,7 @@
 #include <rosemarymill/core/configuration/manifest.hpp>
 #include <rosemarymill/core/node/calls.hpp>
 #include <rosemarymill/core/placement/group.hpp>
+#include <rosemarymill/core/stream/stream.hpp>
 
 #include <cstdint>
 #include <map>
@@ -43,6 +44,8 @@
     std::map<DataCentreId, std::vector<VmId>> ledgerVoters;
     /// Acceptors of the placement lease of this data centre.
     std::vector<VmId> placementAcceptors;
+    /// Bounds on the bytes that wait for callers.
+    stream::Limits streamLimits {};
     /// Whether the process has a data folder.
     bool hasDisk { false };
 };
@@ -60,6 +63,7 @@
     explicit State(Settings fixed)
         : settings(std::move(fixed))
     {
+        streams.limits = settings.streamLimits;
     }
 
     Settings settings;
@@ -70,6 +74,9 @@
     GroupId lastGroup;
     std::uint64_t lastOrder { 0 };
     Calls calls;
+    stream::State streams;
+    /// Storage reused by the stream module's effects, so that the per-token path does not allocate.
+    stream::Effects streamEffects;
     bool shuttingDown { false };
 };
 
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/stream/stream.hpp
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <rosemarymill/core/base/id.hpp>
+#include <rosemarymill/core/base/sink.hpp>
+#include <rosemarymill/core/base/time.hpp>
+
+#include <cstdint>
+#include <system_error>
+#include <unordered_map>
+#include <variant>
+
+/// Flow control of streams between backend servers and slow callers. The bytes stay in the runtime; this module counts
+/// them and decides when a server's stream is paused, parked and resumed.
+namespace rosemarymill::stream {
+
+/// Bounds on the bytes that wait for callers.
+struct Limits {
+    /// Bytes of one stream at which reading from its server stops.
+    std::uint64_t highWaterMark { 64 * 1024 };
+    /// Bytes of one stream at which reading starts again.
+    std::uint64_t lowWaterMark { 16 * 1024 };
+    /// Bytes of all streams of the process.
+    std::uint64_t budget { 16 * 1024 * 1024 };
+    /// Time without progress after which a stream above the low water mark is parked.
+    Duration stallTimeout { 10s };
+};
+
+/// What happens to a stream's attempt.
+enum class Phase {
+    Flowing,
+    /// Reading from the server is stopped.
+    Paused,
+    /// The attempt is cancelled and the waiting tokens are dropped. Only the token index is kept.
+    Parked,
+    /// Unparked; waits for a server to resume at the token index.
+    Resuming
+};
+
+/// Faults of a stream.
+enum class StreamError {
+    /// A token index is missing. The attempt cannot be continued.
+    Gap = 1
+};
+
+[[nodiscard]] std::error_code make_error_code(StreamError error) noexcept; // NOLINT(readability-identifier-naming)
+
+/// One stream from its first response head until the caller has everything.
+struct Stream {
+    Phase phase { Phase::Flowing };
+    /// Every token was received from the server.
+    bool complete { false };
+    /// Index of the next token expected from the server.
+    std::uint64_t next { 0 };
+    /// Index of the first token that is not handed to the caller's connection.
+    std::uint64_t firstWaiting { 0 };
+    /// Bytes that wait in the process, in the stream's buffer and in the connection's.
+    std::uint64_t bytes { 0 };
+    /// Last time at which the caller took bytes, or at which the first byte began to wait.
+    Instant progressAt;
+};
+
+/// Totals since the start of the process.
+struct Counters {
+    std::uint64_t parked { 0 };
+    std::uint64_t resumed { 0 };
+    std::uint64_t gaps { 0 };
+    std::uint64_t repeats { 0 };
+};
+
+/// All streams of one process.
+struct State {
+    Limits limits;
+    std::unordered_map<CallId, Stream> streams;
+    /// Bytes of all streams.
+    std::uint64_t bytes { 0 };
+    Counters counters;
+};
+
+/// A server began to answer, with the first token or with the token asked for on a resume.
+struct Opened {
+    Instant now;
+    CallId call;
+    std::uint64_t next { 0 };
+};
+
+/// A token arrived from the server.
+struct Received {
+    Instant now;
+    CallId call;
+    std::uint64_t index { 0 };
+    std::uint32_t bytes { 0 };
+};
+
+/// The caller's connection took tokens or bytes.
+struct Taken {
+    Instant now;
+    CallId call;
+    std::uint64_t firstWaiting { 0 };
+    /// Bytes that still wait.
+    std::uint64_t bytes { 0 };
+};
+
+/// The server sent its last token.
+struct Completed {
+    Instant now;
+    CallId call;
+};
+
+/// The call has ended in any way.
+struct Closed {
+    Instant now;
+    CallId call;
+};
+
+struct TimePassed {
+    Instant now;
+};
+
+using Event = std::variant<Opened, Received, Taken, Completed, Closed, TimePassed>;
+
+/// Append the token just received to the caller's buffer.
+struct Forward {
+    CallId call;
+};
+
+/// Stop or restart reading from the server.
+struct SetFlow {
+    CallId call;
+    bool enabled { true };
+};
+
+/// Cancel the attempt and drop the waiting tokens.
+struct Park {
+    CallId call;
+    /// Token index to resume at.
+    std::uint64_t next { 0 };
+};
+
+/// Run the call again from the token index that it was parked at.
+struct Resume {
+    CallId call;
+};
+
+/// The caller's connection holds the last token: end the response.
+struct Finish {
+    CallId call;
+};
+
+/// The attempt cannot be continued.
+struct Broken {
+    CallId call;
+    StreamError error { StreamError::Gap };
+};
+
+using Effect = std::variant<Forward, SetFlow, Park, Resume, Finish, Broken>;
+using Effects = EffectList<Effect>;
+
+/// Applies one event. Events of unknown calls are ignored, but for Opened.
+void reduce(State& state, const Event& event, Effects& effects);
+
+} // namespace rosemarymill::stream
+
+template <> struct std::is_error_code_enum<rosemarymill::stream::StreamError> : std::true_type {
+};
--- a/packages/core/src/node/calls.cpp
+++ b/packages/core/src/node/calls.cpp
@@ -117,6 +117,21 @@
     return true;
 }
 
+Call* findByAttempt(State& state, AttemptId attempt)
+{
+    const auto it = state.calls.attempts.find(attempt);
+    return it == state.calls.attempts.end() ? nullptr : &state.calls.active.at(it->second);
+}
+
+void refuse(State& state, CallId id, Refusal refusal, Effects& effects)
+{
+    effects(RefuseCall { id, std::move(refusal) });
+    if (state.calls.active.contains(id))
+        endCall(state, id);
+}
+
+} // namespace
+
 void releaseAttempt(State& state, Call& call)
 {
     if (!call.attempt)
@@ -128,29 +143,21 @@
     call.attempt.reset();
 }
 
+void requeue(State& state, Call& call, Effects& effects)
+{
+    state.calls.waiting.push_back(call.id);
+    startWaitingCalls(state, effects);
+}
+
 void endCall(State& state, CallId id)
 {
     const auto it = state.calls.active.find(id);
     releaseAttempt(state, it->second);
+    closeStream(state, id);
     state.calls.waiting.remove(id);
     state.calls.active.erase(it);
 }
 
-Call* findByAttempt(State& state, AttemptId attempt)
-{
-    const auto it = state.calls.attempts.find(attempt);
-    return it == state.calls.attempts.end() ? nullptr : &state.calls.active.at(it->second);
-}
-
-void refuse(State& state, CallId id, Refusal refusal, Effects& effects)
-{
-    effects(RefuseCall { id, std::move(refusal) });
-    if (state.calls.active.contains(id))
-        endCall(state, id);
-}
-
-} // namespace
-
 void startWaitingCalls(State& state, Effects& effects)
 {
     auto& waiting = state.calls.waiting;
@@ -165,7 +172,7 @@
     const auto waiting = state.calls.waiting;
     for (const auto id : waiting) {
         const auto& call = state.calls.active.at(id);
-        if (call.deadline && state.now >= *call.deadline)
+        if (call.deadline && !call.responseBegun && state.now >= *call.deadline)
             refuse(state, id,
                 { RefusalReason::DeadlineUnreachable, Outcome::NotRun, 1s, "no slot became free before the deadline" },
                 effects);
@@ -204,14 +211,6 @@
     startWaitingCalls(state, effects);
 }
 
-void handle(State& state, const CallerBacklogChanged& event, Effects& effects)
-{
-    constexpr std::uint64_t highWaterMark = 64 * 1024;
-    const auto it = state.calls.active.find(event.call);
-    if (it != state.calls.active.end() && it->second.attempt)
-        effects(SetReading { it->second.attempt->id, event.bytes < highWaterMark });
-}
-
 void handle(State& state, const ResponseStarted& event, Effects& effects)
 {
     auto* call = findByAttempt(state, event.attempt);
@@ -219,6 +218,8 @@
         return;
     call->attempt->responseStarted = true;
     call->attempt->stream = event.stream;
+    if (event.stream)
+        openStream(state, *call);
     if (event.stream && !call->responseBegun) {
         call->responseBegun = true;
         effects(BeginResponse { call->id, event.attempt, event.status, true });
@@ -228,10 +229,8 @@
 void handle(State& state, const TokenReceived& event, Effects& effects)
 {
     auto* call = findByAttempt(state, event.attempt);
-    if (!call || event.index != call->nextToken)
-        return;
-    ++call->nextToken;
-    effects(ForwardToken { call->id, event.attempt });
+    if (call)
+        receiveToken(state, *call, event, effects);
 }
 
 void handle(State& state, const ResponseFinished& event, Effects& effects)
@@ -239,9 +238,12 @@
     auto* call = findByAttempt(state, event.attempt);
     if (!call)
         return;
-    const auto id = call->id;
-    effects(FinishCall { id, event.attempt });
-    endCall(state, id);
+    if (call->attempt->stream) {
+        completeStream(state, *call, effects);
+    } else {
+        effects(FinishCall { call->id, event.attempt });
+        endCall(state, call->id);
+    }
     startWaitingCalls(state, effects);
 }
 
--- a/packages/core/src/node/reduce.cpp
+++ b/packages/core/src/node/reduce.cpp
@@ -11,6 +11,7 @@
 void handle(State& state, const Tick&, Effects& effects)
 {
     updateGroups(state, effects);
+    parkStalledStreams(state, effects);
     refuseExpiredCalls(state, effects);
     startWaitingCalls(state, effects);
     if (state.shuttingDown && state.calls.active.empty())
--- /dev/null
+++ b/packages/core/src/stream/stream.cpp
@@ -0,0 +1,160 @@
+#include <rosemarymill/core/stream/stream.hpp>
+
+#include <algorithm>
+
+namespace rosemarymill::stream {
+
+namespace {
+
+class Category final : public std::error_category {
+public:
+    [[nodiscard]] const char* name() const noexcept override { return "stream"; }
+    [[nodiscard]] std::string message(int) const override { return "a token index is missing"; }
+};
+
+void setBytes(State& state, Stream& stream, std::uint64_t bytes)
+{
+    state.bytes += bytes - stream.bytes;
+    stream.bytes = bytes;
+}
+
+void park(State& state, CallId call, Stream& stream, Effects& effects)
+{
+    ++state.counters.parked;
+    stream.phase = Phase::Parked;
+    stream.complete = false;
+    stream.next = stream.firstWaiting;
+    // The connection's own buffer cannot be taken back; the runtime reports what is left in it.
+    setBytes(state, stream, 0);
+    effects(Park { call, stream.next });
+}
+
+/// Whether tokens may arrive and can be dropped to be asked for again.
+bool hasAttempt(const Stream& stream) noexcept
+{
+    return stream.phase == Phase::Flowing || stream.phase == Phase::Paused;
+}
+
+/// Parks the largest stream until the budget is kept. A stream whose caller took bytes within the last moments is
+/// spared as long as there is a stalled one.
+void keepBudget(State& state, Instant now, Effects& effects)
+{
+    constexpr Duration recentProgress = 100ms;
+    while (state.bytes > state.limits.budget) {
+        const auto rank = [&](const Stream& it) { return std::pair(now - it.progressAt > recentProgress, it.bytes); };
+        auto victim = state.streams.end();
+        for (auto it = state.streams.begin(); it != state.streams.end(); ++it) {
+            const bool candidate = hasAttempt(it->second) && it->second.bytes > 0;
+            if (candidate && (victim == state.streams.end() || rank(it->second) > rank(victim->second)))
+                victim = it;
+        }
+        if (victim == state.streams.end())
+            return;
+        park(state, victim->first, victim->second, effects);
+    }
+}
+
+void finishIfTaken(CallId call, const Stream& stream, Effects& effects)
+{
+    if (stream.complete && stream.firstWaiting == stream.next)
+        effects(Finish { call });
+}
+
+void handle(State& state, const Opened& event, Effects&)
+{
+    auto& stream = state.streams[event.call];
+    stream.phase = Phase::Flowing;
+    stream.complete = false;
+    stream.next = event.next;
+    stream.progressAt = event.now;
+}
+
+void handle(State& state, const Received& event, Effects& effects)
+{
+    const auto it = state.streams.find(event.call);
+    if (it == state.streams.end() || !hasAttempt(it->second))
+        return;
+    auto& stream = it->second;
+    if (event.index < stream.next) {
+        ++state.counters.repeats;
+        return;
+    }
+    if (event.index > stream.next) {
+        ++state.counters.gaps;
+        effects(Broken { event.call, StreamError::Gap });
+        return;
+    }
+    ++stream.next;
+    if (stream.bytes == 0)
+        stream.progressAt = event.now;
+    setBytes(state, stream, stream.bytes + event.bytes);
+    effects(Forward { event.call });
+    if (stream.phase == Phase::Flowing && stream.bytes >= state.limits.highWaterMark) {
+        stream.phase = Phase::Paused;
+        effects(SetFlow { event.call, false });
+    }
+    keepBudget(state, event.now, effects);
+}
+
+void handle(State& state, const Taken& event, Effects& effects)
+{
+    const auto it = state.streams.find(event.call);
+    if (it == state.streams.end())
+        return;
+    auto& stream = it->second;
+    if (event.bytes < stream.bytes || event.firstWaiting > stream.firstWaiting)
+        stream.progressAt = event.now;
+    setBytes(state, stream, event.bytes);
+    stream.firstWaiting = std::max(stream.firstWaiting, event.firstWaiting);
+    if (stream.phase == Phase::Parked && event.bytes == 0) {
+        ++state.counters.resumed;
+        stream.phase = Phase::Resuming;
+        effects(Resume { event.call });
+    } else if (stream.phase == Phase::Paused && event.bytes <= state.limits.lowWaterMark) {
+        stream.phase = Phase::Flowing;
+        effects(SetFlow { event.call, true });
+    }
+    finishIfTaken(event.call, stream, effects);
+}
+
+void handle(State& state, const Completed& event, Effects& effects)
+{
+    const auto it = state.streams.find(event.call);
+    if (it == state.streams.end())
+        return;
+    it->second.complete = true;
+    finishIfTaken(event.call, it->second, effects);
+}
+
+void handle(State& state, const Closed& event, Effects&)
+{
+    const auto it = state.streams.find(event.call);
+    if (it == state.streams.end())
+        return;
+    setBytes(state, it->second, 0);
+    state.streams.erase(it);
+}
+
+void handle(State& state, const TimePassed& event, Effects& effects)
+{
+    for (auto& [call, stream] : state.streams) {
+        const bool stalled = event.now - stream.progressAt > state.limits.stallTimeout;
+        if (stalled && hasAttempt(stream) && stream.bytes > state.limits.lowWaterMark)
+            park(state, call, stream, effects);
+    }
+}
+
+} // namespace
+
+std::error_code make_error_code(StreamError error) noexcept
+{
+    static const Category category;
+    return { static_cast<int>(error), category };
+}
+
+void reduce(State& state, const Event& event, Effects& effects)
+{
+    std::visit([&](const auto& it) { handle(state, it, effects); }, event);
+}
+
+} // namespace rosemarymill::stream
--- a/packages/daemon/include/rosemarymill/daemon/settings.hpp
+++ b/packages/daemon/include/rosemarymill/daemon/settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,11 @@
     std::string callerAddress;
     /// Listener for operators, "ip:port".
     std::string operatorAddress;
+    /// Bounds on the bytes that wait for callers. Without limits only the benchmark's baseline runs.
+    std::uint64_t streamHighWaterBytes { 64 * 1024 };
+    std::uint64_t streamLowWaterBytes { 16 * 1024 };
+    std::uint64_t streamBudgetBytes { 16 * 1024 * 1024 };
+    std::uint64_t streamStallMs { 10'000 };
     bool checkOnly { false };
     bool help { false };
 };
--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -28,13 +28,16 @@
     node.dataCentre = DataCentreId { settings.dataCentre };
     node.seed = device();
     node.bootId = BootId { bootId.str() };
+    node.streamLimits = { settings.streamHighWaterBytes, settings.streamLowWaterBytes, settings.streamBudgetBytes,
+        std::chrono::milliseconds { settings.streamStallMs } };
     return node;
 }
 
 /// Adapters of one process. Members are destroyed in reverse order, servers last.
 struct Adapters {
     Adapters(Process& process, const Settings& settings)
-        : callerServer(process.base(), runtime::parseAddress(settings.callerAddress).value())
+        : state(process.state())
+        , callerServer(process.base(), runtime::parseAddress(settings.callerAddress).value())
         , pool(process.base())
         , announcements(callerServer, postTo(process))
         , callers(process.base(), callerServer, postTo(process))
@@ -63,14 +66,20 @@
 
     [[nodiscard]] std::string metrics() const
     {
+        const auto& streams = state.streams;
         std::ostringstream out;
         out << "# TYPE rosemarymill_calls gauge\nrosemarymill_calls " << callers.calls()
             << "\n# TYPE rosemarymill_attempts gauge\nrosemarymill_attempts " << client.inFlight()
-            << "\n# TYPE rosemarymill_connections gauge\nrosemarymill_connections " << callerServer.connections()
-            << '\n';
+            << "\n# TYPE rosemarymill_stream_bytes gauge\nrosemarymill_stream_bytes " << streams.bytes
+            << "\n# TYPE rosemarymill_streams_parked counter\nrosemarymill_streams_parked " << streams.counters.parked
+            << "\n# TYPE rosemarymill_streams_resumed counter\nrosemarymill_streams_resumed "
+            << streams.counters.resumed << "\n# TYPE rosemarymill_stream_gaps counter\nrosemarymill_stream_gaps "
+            << streams.counters.gaps << "\n# TYPE rosemarymill_connections gauge\nrosemarymill_connections "
+            << callerServer.connections() << '\n';
         return out.str();
     }
 
+    const node::State& state;
     runtime::http::Server callerServer;
     runtime::backend::ConnectionPool pool;
     runtime::backend::Announcements announcements;
@@ -87,6 +96,7 @@
     process.onEffect<node::Dispatch>([&](auto& it) { client.dispatch(it); });
     process.onEffect<node::CancelAttempt>([&](auto& it) { client.cancel(it); });
     process.onEffect<node::SetReading>([&](auto& it) { client.setReading(it); });
+    process.onEffect<node::ParkStream>([&](auto& it) { callers.park(it); });
     process.onEffect<node::BeginResponse>([&](auto& it) { callers.begin(it); });
     process.onEffect<node::ForwardToken>([&](auto& it) { callers.append(it.call, client.currentToken(it.attempt)); });
     process.onEffect<node::FinishCall>([&](auto& it) { callers.finish(it.call, client.answer(it.attempt)); });
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -27,6 +27,13 @@
     add("data-centre", options::value(&settings.dataCentre), "data centre of this VM");
     add("caller-address", options::value(&settings.callerAddress), "ip:port for callers and backend servers");
     add("operator-address", options::value(&settings.operatorAddress), "ip:port for operators");
+    add("stream-high-water-bytes", options::value(&settings.streamHighWaterBytes),
+        "bytes of a stream at which reading from its server stops");
+    add("stream-low-water-bytes", options::value(&settings.streamLowWaterBytes),
+        "bytes of a stream at which reading from its server restarts");
+    add("stream-budget-bytes", options::value(&settings.streamBudgetBytes), "bytes of all streams of the process");
+    add("stream-stall-ms", options::value(&settings.streamStallMs),
+        "time without progress after which a stream is parked");
     return description;
 }
 
@@ -77,6 +84,10 @@
     requireValue(parsed.settings.dataCentre, "data-centre", parsed.errors);
     requireAddress(parsed.settings.callerAddress, "caller-address", parsed.errors);
     requireAddress(parsed.settings.operatorAddress, "operator-address", parsed.errors);
+    if (parsed.settings.streamLowWaterBytes >= parsed.settings.streamHighWaterBytes)
+        parsed.errors.emplace_back("--stream-low-water-bytes: must be below --stream-high-water-bytes");
+    if (parsed.settings.streamHighWaterBytes > parsed.settings.streamBudgetBytes)
+        parsed.errors.emplace_back("--stream-high-water-bytes: must not be above --stream-budget-bytes");
     return parsed;
 }
 
--- a/packages/runtime/include/rosemarymill/runtime/caller/listener.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/caller/listener.hpp
@@ -33,6 +33,8 @@
     /// Ends a stream, or sends a whole answer.
     void finish(CallId call, const backend::WholeAnswer& answer);
     void refuse(const node::RefuseCall& effect);
+    /// Drops the tokens that are not handed to the caller's connection.
+    void park(const node::ParkStream& effect);
 
     /// Calls whose answer has not been taken whole by the kernel.
     [[nodiscard]] std::size_t calls() const noexcept { return m_calls.size(); }
@@ -47,6 +49,7 @@
     void markDirty(Call& call);
     void flush();
     void pump(Call& call);
+    void reportBacklog(Call& call);
 
     PostEvent m_post;
     EventHandle m_flush;
--- a/packages/runtime/include/rosemarymill/runtime/http/server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/http/server.hpp
@@ -60,7 +60,7 @@
 
     /// Sends a whole response. The exchange must not be used afterwards.
     void reply(int status, std::string_view contentType, std::string_view body, const Headers& headers = {});
-    /// Sends a whole response whose body is moved out of a buffer.
+    /// Sends a whole response. The buffer's bytes are shared, so that it can answer several requests.
     void reply(int status, std::string_view contentType, evbuffer* body, const Headers& headers = {});
 
     /// Starts a response of unknown length.
--- a/packages/runtime/src/caller/listener.cpp
+++ b/packages/runtime/src/caller/listener.cpp
@@ -16,6 +16,11 @@
     BufferHandle buffer { evbuffer_new() };
     /// Sizes of the token events in the buffer.
     std::deque<std::uint32_t> tokens;
+    /// Index of the first token in the buffer.
+    std::uint64_t firstWaiting { 0 };
+    /// Last values reported to the core.
+    std::uint64_t reportedFirst { 0 };
+    std::uint64_t reportedBytes { 0 };
     bool streaming { false };
     /// The end of the answer is written or waits in the buffer.
     bool answered { false };
@@ -149,6 +154,10 @@
         return;
     auto& call = *it->second;
     call.answered = true;
+    if (!call.streaming && !answer.body) {
+        http::replyProblem(*call.exchange, { 502, "Answer lost", "unknown", "the answer is not held any more", {} });
+        return;
+    }
     if (!call.streaming) {
         call.exchange->reply(answer.status, answer.contentType, answer.body);
         return;
@@ -194,11 +203,14 @@
 {
     call.dirty = false;
     std::size_t bytes = 0;
+    std::uint64_t taken = 0;
     const auto unsent = call.exchange->unsentBytes();
     while (!call.tokens.empty() && unsent + bytes < writeWindowBytes) {
         bytes += call.tokens.front();
         call.tokens.pop_front();
+        ++taken;
     }
+    call.firstWaiting += taken;
     if (bytes > 0) {
         BufferHandle chunk(evbuffer_new());
         evbuffer_remove_buffer(call.buffer.get(), chunk.get(), bytes);
@@ -207,7 +219,33 @@
     if (call.answered && call.tokens.empty()) {
         call.exchange->onDrained = nullptr;
         call.exchange->end();
+        return;
     }
+    if (!call.answered)
+        reportBacklog(call);
+}
+
+void Listener::reportBacklog(Call& call)
+{
+    const auto bytes = evbuffer_get_length(call.buffer.get()) + call.exchange->unsentBytes();
+    if (call.firstWaiting == call.reportedFirst && bytes == call.reportedBytes)
+        return;
+    call.reportedFirst = call.firstWaiting;
+    call.reportedBytes = bytes;
+    m_post(node::CallerBacklogChanged { readClock(), call.id, call.firstWaiting, bytes });
+}
+
+void Listener::park(const node::ParkStream& effect)
+{
+    const auto it = m_calls.find(effect.call);
+    if (it == m_calls.end())
+        return;
+    auto& call = *it->second;
+    call.tokens.clear();
+    call.tokens.shrink_to_fit();
+    // A new buffer gives the memory of the old one back.
+    call.buffer.reset(evbuffer_new());
+    reportBacklog(call);
 }
 
 } // namespace rosemarymill::runtime::caller
--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -206,7 +206,7 @@
 void Exchange::reply(int status, std::string_view contentType, evbuffer* body, const Headers& headers)
 {
     addHeaders(contentType, headers);
-    evbuffer_add_buffer(m_request->buffer_out, body);
+    evbuffer_add_buffer_reference(m_request->buffer_out, body);
     evhtp_send_reply(m_request, static_cast<evhtp_res>(status));
 }
 
