--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -5,6 +5,7 @@
 #include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/core/configuration/manifest.hpp>
 #include <rosemarymill/core/node/calls.hpp>
+#include <rosemarymill/core/node/policy.hpp>
 #include <rosemarymill/core/placement/group.hpp>
 #include <rosemarymill/core/stream/stream.hpp>
 
@@ -48,6 +49,7 @@
     stream::Limits streamLimits {};
     /// Whether the process has a data folder.
     bool hasDisk { false };
+    PolicyChoice policy { PolicyChoice::Shipped };
 };
 
 /// Configuration in force in this process.
@@ -62,6 +64,7 @@
 struct State {
     explicit State(Settings fixed)
         : settings(std::move(fixed))
+        , policy(makePolicy(settings.policy, settings.seed))
     {
         streams.limits = settings.streamLimits;
     }
@@ -77,6 +80,7 @@
     stream::State streams;
     /// Storage reused by the stream module's effects, so that the per-token path does not allocate.
     stream::Effects streamEffects;
+    Policy policy;
     bool shuttingDown { false };
 };
 
--- a/packages/core/src/node/parts.hpp
+++ b/packages/core/src/node/parts.hpp
@@ -10,19 +10,26 @@
 // calls.cpp
 void handle(State& state, const CallArrived& event, Effects& effects);
 void handle(State& state, const CallerGone& event, Effects& effects);
+
+// attempts.cpp
 void handle(State& state, const ResponseStarted& event, Effects& effects);
 void handle(State& state, const TokenReceived& event, Effects& effects);
 void handle(State& state, const ResponseFinished& event, Effects& effects);
 void handle(State& state, const AttemptFailed& event, Effects& effects);
 
-/// Frees the slot of a call's attempt. The call stays.
-void releaseAttempt(State& state, Call& call);
+// policy_timer.cpp
+void handle(State& state, const ShutdownRequested& event, Effects& effects);
+
+/// Takes in an announcement that was accepted.
+void serverAnnounced(State& state, const backend::Announcement& announcement, Effects& effects);
 
-/// Queues a call again, to be continued at its next token.
-void requeue(State& state, Call& call, Effects& effects);
+/// Advances leases, retries, stragglers, digests and a shutdown. Called on each tick.
+void advancePolicy(State& state, Effects& effects);
 
-/// Ends a call without an effect towards its caller.
-void endCall(State& state, CallId id);
+// scheduling.cpp
+
+/// Calls that wait for a model in this process.
+[[nodiscard]] std::size_t waitingCalls(const State& state, const ModelName& model);
 
 /// Starts waiting calls for which a server has a free slot.
 void startWaitingCalls(State& state, Effects& effects);
@@ -33,18 +40,6 @@
 // streams.cpp
 void handle(State& state, const CallerBacklogChanged& event, Effects& effects);
 
-/// Takes in the head of a stream.
-void openStream(State& state, const Call& call);
-
-/// Takes in a token: forwards it, drops a repeated one, breaks off the attempt at a gap.
-void receiveToken(State& state, Call& call, const TokenReceived& event, Effects& effects);
-
-/// Takes in the end of a stream. Ends the call now, or when the caller has taken all tokens.
-void completeStream(State& state, Call& call, Effects& effects);
-
-/// Forgets the stream of a call.
-void closeStream(State& state, CallId call);
-
 /// Parks streams whose callers have stopped reading.
 void parkStalledStreams(State& state, Effects& effects);
 
--- a/packages/core/src/node/streams.cpp
+++ b/packages/core/src/node/streams.cpp
@@ -1,4 +1,4 @@
-#include "parts.hpp"
+#include "call_parts.hpp"
 
 namespace rosemarymill::node {
 
@@ -34,19 +34,22 @@
     if (!call->attempt)
         return;
     effects(CancelAttempt { call->attempt->id, true });
-    releaseAttempt(state, *call);
+    releaseAttempt(state, *call, call->attempt);
 }
 
 void carryOut(State& state, const stream::Resume& effect, Effects& effects)
 {
-    if (auto* call = findCall(state, effect.call))
-        requeue(state, *call, effects);
+    auto* call = findCall(state, effect.call);
+    if (!call)
+        return;
+    const auto pool = call->pool;
+    requeue(state, *call);
+    servePool(state, pool, effects);
 }
 
 void carryOut(State& state, const stream::Finish& effect, Effects& effects)
 {
-    effects(FinishCall { effect.call, {} });
-    endCall(state, effect.call);
+    finishCall(state, effect.call, {}, effects);
 }
 
 void carryOut(State& state, const stream::Broken& effect, Effects& effects)
@@ -76,17 +79,22 @@
 
 void openStream(State& state, const Call& call)
 {
-    stream::reduce(state.streams, stream::Opened { state.now, call.id, call.nextToken }, state.streamEffects);
+    if (!call.callerGone)
+        stream::reduce(state.streams, stream::Opened { state.now, call.id, call.nextToken }, state.streamEffects);
 }
 
-void receiveToken(State& state, Call& call, const TokenReceived& event, Effects& effects)
+void receiveToken(State& state, const Call& call, const TokenReceived& event, Effects& effects)
 {
     apply(state, stream::Received { event.now, call.id, event.index, event.bytes }, effects);
 }
 
 void completeStream(State& state, Call& call, Effects& effects)
 {
-    releaseAttempt(state, call);
+    if (call.callerGone) {
+        finishCall(state, call.id, call.attempt->id, effects);
+        return;
+    }
+    releaseAttempt(state, call, call.attempt);
     apply(state, stream::Completed { state.now, call.id }, effects);
 }
 
--- a/packages/core/src/stream/stream.cpp
+++ b/packages/core/src/stream/stream.cpp
@@ -1,6 +1,8 @@
 #include <rosemarymill/core/stream/stream.hpp>
 
 #include <algorithm>
+#include <tuple>
+#include <vector>
 
 namespace rosemarymill::stream {
 
@@ -41,11 +43,14 @@
 {
     constexpr Duration recentProgress = 100ms;
     while (state.bytes > state.limits.budget) {
-        const auto rank = [&](const Stream& it) { return std::pair(now - it.progressAt > recentProgress, it.bytes); };
+        // The id makes the choice independent of the map's order.
+        const auto rank = [&](const auto& it) {
+            return std::tuple(now - it.second.progressAt > recentProgress, it.second.bytes, it.first);
+        };
         auto victim = state.streams.end();
         for (auto it = state.streams.begin(); it != state.streams.end(); ++it) {
             const bool candidate = hasAttempt(it->second) && it->second.bytes > 0;
-            if (candidate && (victim == state.streams.end() || rank(it->second) > rank(victim->second)))
+            if (candidate && (victim == state.streams.end() || rank(*it) > rank(*victim)))
                 victim = it;
         }
         if (victim == state.streams.end())
@@ -137,11 +142,16 @@
 
 void handle(State& state, const TimePassed& event, Effects& effects)
 {
-    for (auto& [call, stream] : state.streams) {
-        const bool stalled = event.now - stream.progressAt > state.limits.stallTimeout;
-        if (stalled && hasAttempt(stream) && stream.bytes > state.limits.lowWaterMark)
-            park(state, call, stream, effects);
+    std::vector<CallId> stalled;
+    for (const auto& [call, stream] : state.streams) {
+        const bool late = event.now - stream.progressAt > state.limits.stallTimeout;
+        if (late && hasAttempt(stream) && stream.bytes > state.limits.lowWaterMark)
+            stalled.push_back(call);
     }
+    // The map's order must not decide the order of the effects.
+    std::sort(stalled.begin(), stalled.end());
+    for (const auto call : stalled)
+        park(state, call, state.streams.at(call), effects);
 }
 
 } // namespace
--- a/tests/process/callers.cpp
+++ b/tests/process/callers.cpp
@@ -115,7 +115,7 @@
     CHECK(answer.starts_with("HTTP/1.1 200"));
     const auto stats = jsonOf(exchange(engine, "GET", "/stats", {}));
     CHECK(stats.at("last_traceparent").get<std::string>().find("0af7651916cd43dd8448eb211c80319c") == 3);
-    CHECK(stats.at("last_authorization") == "");
+    CHECK(stats.at("last_authorization").get<std::string>().empty());
 }
 
 // Guards against an order whose answer is lost being reported as not run (I6).
