--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -5,6 +5,7 @@
 #include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/core/configuration/manifest.hpp>
 #include <rosemarymill/core/node/calls.hpp>
+#include <rosemarymill/core/node/ledger.hpp>
 #include <rosemarymill/core/node/policy.hpp>
 #include <rosemarymill/core/placement/group.hpp>
 #include <rosemarymill/core/stream/stream.hpp>
@@ -60,10 +61,14 @@
     configuration::Manifest manifest;
 };
 
+/// Builds the ledger's state from the settings.
+[[nodiscard]] Ledger makeLedger(const Settings& settings);
+
 /// State of one process.
 struct State {
     explicit State(Settings fixed)
         : settings(std::move(fixed))
+        , ledger(makeLedger(settings))
         , policy(makePolicy(settings.policy, settings.seed))
     {
         streams.limits = settings.streamLimits;
@@ -80,6 +85,7 @@
     stream::State streams;
     /// Storage reused by the stream module's effects, so that the per-token path does not allocate.
     stream::Effects streamEffects;
+    Ledger ledger;
     Policy policy;
     bool shuttingDown { false };
 };
--- a/packages/core/src/node/attempts.cpp
+++ b/packages/core/src/node/attempts.cpp
@@ -174,7 +174,7 @@
     if (attempt.stream)
         completeStream(state, *call, effects);
     else
-        finishCall(state, id, event.attempt, effects);
+        finishCall(state, id, event.attempt, event.answer, effects);
     servePool(state, pool, effects);
 }
 
--- a/packages/core/src/node/streams.cpp
+++ b/packages/core/src/node/streams.cpp
@@ -49,7 +49,7 @@
 
 void carryOut(State& state, const stream::Finish& effect, Effects& effects)
 {
-    finishCall(state, effect.call, {}, effects);
+    finishCall(state, effect.call, {}, std::nullopt, effects);
 }
 
 void carryOut(State& state, const stream::Broken& effect, Effects& effects)
@@ -91,7 +91,7 @@
 void completeStream(State& state, Call& call, Effects& effects)
 {
     if (call.callerGone) {
-        finishCall(state, call.id, call.attempt->id, effects);
+        finishCall(state, call.id, call.attempt->id, std::nullopt, effects);
         return;
     }
     releaseAttempt(state, call, call.attempt);
--- a/packages/runtime/include/rosemarymill/runtime/caller/listener.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/caller/listener.hpp
@@ -32,6 +32,8 @@
     void append(CallId call, std::string_view token);
     /// Ends a stream, or sends a whole answer.
     void finish(CallId call, const backend::WholeAnswer& answer);
+    /// Sends an answer that was recorded earlier.
+    void answer(const node::AnswerCall& effect);
     void refuse(const node::RefuseCall& effect);
     /// Drops the tokens that are not handed to the caller's connection.
     void park(const node::ParkStream& effect);
--- a/packages/runtime/src/backend/client.cpp
+++ b/packages/runtime/src/backend/client.cpp
@@ -26,6 +26,7 @@
     bool stream { false };
     bool finished { false };
     bool failed { false };
+    bool captureAnswer { false };
     /// Set by the error callback, which evhttp calls only after the connection was made.
     bool connected { false };
     node::AttemptError error { node::AttemptError::ConnectFailed };
@@ -97,12 +98,23 @@
             fail(node::AttemptError::MalformedAnswer);
     }
 
+    /// Copy of the answer for the ledger, when it is not too long.
+    [[nodiscard]] std::optional<ledger::Answer> captured() const
+    {
+        const auto size = evbuffer_get_length(body.get());
+        if (size > ledger::maxKeptBodyBytes)
+            return std::nullopt;
+        ledger::Answer answer { status, contentType, std::string(size, '\0') };
+        evbuffer_copyout(body.get(), answer.body.data(), size);
+        return answer;
+    }
+
     void ended(bool complete)
     {
         request = nullptr;
         if (complete && !stream && !finished && !failed) {
             finished = true;
-            client->m_post(node::ResponseFinished { readClock(), id });
+            client->m_post(node::ResponseFinished { readClock(), id, captureAnswer ? captured() : std::nullopt });
         }
         if (!finished && !failed)
             client->fail(id, complete ? node::AttemptError::ConnectionLost : error, connected);
@@ -199,6 +211,7 @@
     it->client = this;
     it->id = effect.attempt;
     it->address = effect.address;
+    it->captureAnswer = effect.captureAnswer;
     it->connection = std::move(connection);
     it->request = evhttp_request_new(detail::onEnd, it);
     evhttp_request_set_header_cb(it->request, detail::onHead);
--- a/packages/runtime/src/caller/listener.cpp
+++ b/packages/runtime/src/caller/listener.cpp
@@ -165,6 +165,15 @@
     append(id, "data: [DONE]\n\n");
 }
 
+void Listener::answer(const node::AnswerCall& effect)
+{
+    const auto it = m_calls.find(effect.call);
+    if (it == m_calls.end() || it->second->answered)
+        return;
+    it->second->answered = true;
+    it->second->exchange->reply(effect.status, effect.contentType, effect.body);
+}
+
 void Listener::refuse(const node::RefuseCall& effect)
 {
     const auto it = m_calls.find(effect.call);
