--- a/bench/policy/fleet.cpp
+++ b/bench/policy/fleet.cpp
@@ -75,7 +75,7 @@
                 settings.peers.push_back({ VmId { nodeName(k) }, DataCentreId { m_nodes[k].dataCentre }, nodeName(k) });
         }
         m_nodes[i].state = std::make_unique<node::State>(settings);
-        m_nodes[i].state->configuration = { Revision { 1 }, "s", "d", m_manifest };
+        m_nodes[i].state->configuration = { Revision { 1 }, "s", "d", m_manifest, {} };
         deliver(i, node::Started { m_now });
         at(Duration { 1000 * static_cast<std::int64_t>(i) }, [this, i] { tick(i); });
     }
--- a/packages/core/include/rosemarymill/core/node/effect.hpp
+++ b/packages/core/include/rosemarymill/core/node/effect.hpp
@@ -108,6 +108,12 @@
     bool enabled { true };
 };
 
+/// Drops the tokens that wait for a caller and are not handed to its connection. They are asked for again when the
+/// caller reads on.
+struct ParkStream {
+    CallId call;
+};
+
 /// Result of an operator request.
 enum class OperatorResult { Accepted, AlreadyAccepted, Conflict, NotAccepted, Invalid };
 
@@ -148,9 +154,9 @@
 /// All callers are answered and all slots are returned: the process can exit.
 struct Exit { };
 
-using Effect
-    = std::variant<ReplyAnnouncement, SendOrder, Dispatch, ForwardCall, CancelAttempt, BeginResponse, ForwardToken,
-        FinishCall, AnswerCall, RefuseCall, SetReading, ReplyOperator, SendPeer, PersistConfiguration, WriteLog, Exit>;
+using Effect = std::variant<ReplyAnnouncement, SendOrder, Dispatch, ForwardCall, CancelAttempt, BeginResponse,
+    ForwardToken, FinishCall, AnswerCall, RefuseCall, SetReading, ParkStream, ReplyOperator, SendPeer,
+    PersistConfiguration, WriteLog, Exit>;
 
 using Effects = EffectList<Effect>;
 
--- a/packages/core/include/rosemarymill/core/node/state.hpp
+++ b/packages/core/include/rosemarymill/core/node/state.hpp
@@ -11,6 +11,7 @@
 #include <rosemarymill/core/node/placement.hpp>
 #include <rosemarymill/core/node/policy.hpp>
 #include <rosemarymill/core/placement/group.hpp>
+#include <rosemarymill/core/stream/stream.hpp>
 
 #include <cstdint>
 #include <map>
@@ -48,6 +49,8 @@
     std::map<DataCentreId, std::vector<VmId>> ledgerVoters;
     /// Acceptors of the placement lease of this data centre.
     std::vector<VmId> placementAcceptors;
+    /// Bounds on the bytes that wait for callers.
+    stream::Limits streamLimits {};
     /// Whether the process has a data folder.
     bool hasDisk { false };
     PolicyChoice policy { PolicyChoice::Shipped };
@@ -81,6 +84,7 @@
         , ledger(makeLedger(settings))
         , policy(makePolicy(settings.policy, settings.seed))
     {
+        streams.limits = settings.streamLimits;
     }
 
     Settings settings;
@@ -94,6 +98,9 @@
     membership::State membership;
     Placement placement;
     Calls calls;
+    stream::State streams;
+    /// Storage reused by the stream module's effects, so that the per-token path does not allocate.
+    stream::Effects streamEffects;
     Ledger ledger;
     Policy policy;
     bool shuttingDown { false };
--- a/packages/core/src/node/attempts.cpp
+++ b/packages/core/src/node/attempts.cpp
@@ -149,6 +149,8 @@
         ++lease.started;
         lease.responseTime += attempt.firstResponse;
     }
+    if (event.stream)
+        openStream(state, *call);
     if (event.stream && !call->responseBegun && !call->callerGone) {
         call->responseBegun = true;
         effects(BeginResponse { call->id, event.attempt, event.status, true });
@@ -158,10 +160,8 @@
 void handle(State& state, const TokenReceived& event, Effects& effects)
 {
     auto* call = findByAttempt(state, event.attempt);
-    if (!call || event.index != call->nextToken)
-        return;
-    ++call->nextToken;
-    effects(ForwardToken { call->id, event.attempt });
+    if (call)
+        receiveToken(state, *call, event, effects);
 }
 
 void handle(State& state, const ResponseFinished& event, Effects& effects)
@@ -177,7 +177,10 @@
     clearSuspicion(state, *call, attempt, effects);
     if (attempt.stream)
         correctCost(state, *call, static_cast<double>(call->request.promptTokens + call->nextToken));
-    finishCall(state, id, event.attempt, event.answer, effects);
+    if (attempt.stream)
+        completeStream(state, *call, effects);
+    else
+        finishCall(state, id, event.attempt, event.answer, effects);
     servePool(state, pool, effects);
 }
 
--- a/packages/core/src/node/call_parts.hpp
+++ b/packages/core/src/node/call_parts.hpp
@@ -102,6 +102,20 @@
 /// Queues a call again after a failed attempt.
 void requeue(State& state, Call& call);
 
+// streams.cpp
+
+/// Takes in the head of a stream.
+void openStream(State& state, const Call& call);
+
+/// Takes in a token: forwards it, drops a repeated one, breaks off the attempt at a gap.
+void receiveToken(State& state, const Call& call, const TokenReceived& event, Effects& effects);
+
+/// Takes in the end of a stream. Ends the call now, or when the caller has taken all tokens.
+void completeStream(State& state, Call& call, Effects& effects);
+
+/// Forgets the stream of a call.
+void closeStream(State& state, CallId call);
+
 // ledger.cpp
 
 /// Whether this process keeps the call's key. A forwarded call's key is kept by the entry VM that forwarded it.
--- a/packages/core/src/node/calls.cpp
+++ b/packages/core/src/node/calls.cpp
@@ -31,6 +31,7 @@
     releaseAttempt(state, call, call.attempt);
     releaseAttempt(state, call, call.hedge);
     (void)removeWaiting(state, call);
+    closeStream(state, id);
     state.calls.active.erase(it);
 }
 
@@ -110,12 +111,4 @@
     servePool(state, pool, effects);
 }
 
-void handle(State& state, const CallerBacklogChanged& event, Effects& effects)
-{
-    constexpr std::uint64_t highWaterMark = 64 * 1024;
-    const auto it = state.calls.active.find(event.call);
-    if (it != state.calls.active.end() && it->second.attempt)
-        effects(SetReading { it->second.attempt->id, event.bytes < highWaterMark });
-}
-
 } // namespace rosemarymill::node
--- a/packages/core/src/node/parts.hpp
+++ b/packages/core/src/node/parts.hpp
@@ -10,7 +10,6 @@
 // calls.cpp
 void handle(State& state, const CallArrived& event, Effects& effects);
 void handle(State& state, const CallerGone& event, Effects& effects);
-void handle(State& state, const CallerBacklogChanged& event, Effects& effects);
 
 // attempts.cpp
 void handle(State& state, const ResponseStarted& event, Effects& effects);
@@ -35,6 +34,12 @@
 /// Refuses waiting calls whose deadline has passed.
 void refuseExpiredCalls(State& state, Effects& effects);
 
+// streams.cpp
+void handle(State& state, const CallerBacklogChanged& event, Effects& effects);
+
+/// Parks streams whose callers have stopped reading.
+void parkStalledStreams(State& state, Effects& effects);
+
 // backends.cpp
 void handle(State& state, const AnnouncementReceived& event, Effects& effects);
 void handle(State& state, const OrderAnswered& event, Effects& effects);
--- a/packages/core/src/node/reduce.cpp
+++ b/packages/core/src/node/reduce.cpp
@@ -18,6 +18,7 @@
     advanceConfiguration(state, effects);
     advanceMembership(state, effects);
     updateGroups(state, effects);
+    parkStalledStreams(state, effects);
     advancePolicy(state, effects);
 }
 
--- a/packages/core/src/placement/planner.cpp
+++ b/packages/core/src/placement/planner.cpp
@@ -367,8 +367,8 @@
     if (record.loading) {
         const auto& [name, version] = *record.loading;
         const auto& models = record.announcement.models;
-        if (std::any_of(
-                models.begin(), models.end(), [&](const auto& it) { return it.name == name && it.version == version; }))
+        if (std::any_of(models.begin(), models.end(),
+                [&](const auto& model) { return model.name == name && model.version == version; }))
             record.loading.reset();
     }
     return changed;
--- a/packages/daemon/include/rosemarymill/daemon/settings.hpp
+++ b/packages/daemon/include/rosemarymill/daemon/settings.hpp
@@ -38,6 +38,11 @@
     std::string spanFile;
     /// Seed of all random choices; drawn at the start when absent.
     std::optional<std::uint64_t> seed;
+    /// Bounds on the bytes that wait for callers. Without limits only the benchmark's baseline runs.
+    std::uint64_t streamHighWaterBytes { 64 * 1024 };
+    std::uint64_t streamLowWaterBytes { 16 * 1024 };
+    std::uint64_t streamBudgetBytes { 16 * 1024 * 1024 };
+    std::uint64_t streamStallMs { 10'000 };
     bool checkOnly { false };
     bool help { false };
 };
--- a/packages/daemon/src/node_settings.cpp
+++ b/packages/daemon/src/node_settings.cpp
@@ -41,6 +41,8 @@
         node.ledgerVoters[DataCentreId { home }] = vmIds(voters);
     node.placementAcceptors = vmIds(settings.placementAcceptors);
     node.hasDisk = !settings.dataFolder.empty();
+    node.streamLimits = { settings.streamHighWaterBytes, settings.streamLowWaterBytes, settings.streamBudgetBytes,
+        std::chrono::milliseconds { settings.streamStallMs } };
     return node;
 }
 
--- a/packages/daemon/src/settings.cpp
+++ b/packages/daemon/src/settings.cpp
@@ -63,6 +63,13 @@
     add("trace-file", text(settings.traceFile, "FILE"), "record all events to this file, one JSON line each");
     add("span-file", text(settings.spanFile, "FILE"), "append spans to this file, one OTLP/JSON line each");
     add("seed", text(raw.seed, "N"), "seed of all random choices; drawn at each start when not set");
+    add("stream-high-water-bytes", options::value(&settings.streamHighWaterBytes),
+        "bytes of a stream at which reading from its server stops");
+    add("stream-low-water-bytes", options::value(&settings.streamLowWaterBytes),
+        "bytes of a stream at which reading from its server restarts");
+    add("stream-budget-bytes", options::value(&settings.streamBudgetBytes), "bytes of all streams of the process");
+    add("stream-stall-ms", options::value(&settings.streamStallMs),
+        "time without progress after which a stream is parked");
     return description;
 }
 
@@ -284,6 +291,10 @@
     }
     if (!parsed.settings.help)
         Checker(parsed.settings, parsed.errors).check(raw);
+    if (parsed.settings.streamLowWaterBytes >= parsed.settings.streamHighWaterBytes)
+        parsed.errors.emplace_back("--stream-low-water-bytes: must be below --stream-high-water-bytes");
+    if (parsed.settings.streamHighWaterBytes > parsed.settings.streamBudgetBytes)
+        parsed.errors.emplace_back("--stream-high-water-bytes: must not be above --stream-budget-bytes");
     return parsed;
 }
 
--- a/tests/process/placement.cpp
+++ b/tests/process/placement.cpp
@@ -10,7 +10,7 @@
 #include <memory>
 #include <sys/socket.h>
 
-using namespace rosemarymill::test;
+using namespace rosemarymill::test::program;
 using nlohmann::json;
 
 namespace {
