Follow home redirects and stream progress in the policy fleet and the forwarder

Cause: after the merge of placement and streams, the fake fleet ignored the home named in the announcement replies and never told the core that callers had taken tokens, and the forwarder passed its backlog in the place of a token index. Change: servers of the fleet follow the reply, callers take tokens at once, the forwarder reports each token as taken.

--- a/bench/policy/fleet.cpp
+++ b/bench/policy/fleet.cpp
@@ -38,6 +38,7 @@
     Server server;
     server.spec = spec;
     server.home = spec.home;
+    server.number = RequestId { m_servers.size() + 1 };
     m_servers.emplace(ServerId { spec.id }, std::move(server));
 }
 
@@ -243,6 +244,14 @@
                        const auto result = resultOf(node, it.call);
                        after(networkDelay, [this, node, it, result] { arrive(node, it, result); });
                    },
+                   [&](const node::ReplyAnnouncement& it) {
+                       after(networkDelay, [this, number = it.request, home = nodeOf(VmId { it.home })] {
+                           for (auto& [id, server] : m_servers) {
+                               if (home && server.number == number)
+                                   server.home = *home;
+                           }
+                       });
+                   },
                    [&](const node::ForwardCall& it) {
                        const auto target = nodeOf(it.vm);
                        const auto result = resultOf(node, it.call);
@@ -276,6 +285,11 @@
                    [&](const node::ForwardToken& it) {
                        if (!source.forwarded.contains(it.call))
                            ++m_results[source.calls.at(it.call)].tokens;
+                       // Callers read at once.
+                       const auto taken = source.state->calls.active.at(it.call).nextToken;
+                       after(Duration { 0 }, [this, node, call = it.call, taken] {
+                           deliver(node, node::CallerBacklogChanged { m_now, call, taken, 0 });
+                       });
                    },
                    [&](const node::FinishCall& it) {
                        if (source.forwarded.contains(it.call)) {
@@ -472,8 +486,8 @@
     it.coldRequests = server.spec.coldCapacity;
     it.cold = server.coldAnnounced && m_now < server.coldUntil;
     it.load.running = server.loads.front().second;
-    after(networkDelay, [this, home = server.home, it] {
-        deliver(home, node::AnnouncementReceived { m_now, RequestId { 1 }, it });
+    after(networkDelay, [this, home = server.home, number = server.number, it] {
+        deliver(home, node::AnnouncementReceived { m_now, number, it });
     });
 }
 
--- a/bench/policy/fleet.hpp
+++ b/bench/policy/fleet.hpp
@@ -132,6 +132,8 @@
     struct Server {
         ServerSpec spec;
         std::size_t home { 0 };
+        /// Its announcements carry this number, so that it gets the replies to them.
+        RequestId number;
         std::uint64_t boot { 1 };
         bool alive { true };
         bool announcing { true };
--- a/packages/runtime/include/rosemarymill/runtime/forward/forwarder.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/forward/forwarder.hpp
@@ -90,11 +90,14 @@
         std::uint64_t resumeFrom { 0 };
         std::uint64_t nextToken { 0 };
         bool begun { false };
+        /// The origin asked for a pause of the stream.
+        bool paused { false };
     };
 
     bool receive(const VmId& from, std::span<const std::byte> payload);
     bool send(const VmId& to, const std::string& address, wire::forward::Message&& message);
     void end(std::unordered_map<CallId, Call>::iterator call);
+    void reportTaken(CallId id, const Call& call);
     bool reply(const Call& call, decltype(wire::forward::Message::body)&& body);
     void lost(const VmId& vm);
     void failAttempt(AttemptId id, bool mayHaveRun);
--- a/packages/runtime/src/forward/forwarder.cpp
+++ b/packages/runtime/src/forward/forwarder.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint64_t firstForwardedCall = std::uint64_t { 1 } << 62;
 constexpr timeval tickInterval { 1, 0 };
 // Any value above the core's high water mark stops the stream.
-constexpr std::uint64_t stoppedBacklogBytes = std::uint64_t { 1 } << 30;
+constexpr std::uint64_t stoppedBacklogBytes = 64 * 1024 + 1;
 
 } // namespace
 
@@ -208,8 +208,12 @@
 
 void Forwarder::handle(const VmId& from, const BootId& boot, const Flow& message)
 {
-    if (const auto it = m_byKey.find({ from, boot, message.attempt }); it != m_byKey.end())
-        m_post(node::CallerBacklogChanged { readClock(), it->second, message.reading ? 0 : stoppedBacklogBytes });
+    const auto it = m_byKey.find({ from, boot, message.attempt });
+    if (it == m_byKey.end())
+        return;
+    auto& call = m_calls.at(it->second);
+    call.paused = !message.reading;
+    reportTaken(it->second, call);
 }
 
 void Forwarder::handle(const VmId& from, const BootId& boot, const Check& message)
@@ -260,6 +264,7 @@
         return;
     // The core passes token events on without gaps, from index 0.
     const auto index = it->second.nextToken++;
+    reportTaken(call, it->second);
     if (index < it->second.resumeFrom)
         return;
     // A stream with a gap must not go on. The origin learns by its next check that the call has ended.
@@ -267,6 +272,13 @@
         abandon(call);
 }
 
+/// Tells the core that the link has taken all tokens so far. A paused stream shows a backlog above the high water mark,
+/// so that the core stops reading from the server.
+void Forwarder::reportTaken(CallId id, const Call& call)
+{
+    m_post(node::CallerBacklogChanged { readClock(), id, call.nextToken, call.paused ? stoppedBacklogBytes : 0 });
+}
+
 void Forwarder::finish(CallId call, const backend::WholeAnswer& answer)
 {
     const auto it = m_calls.find(call);
