--- a/bench/policy/fleet.cpp
+++ b/bench/policy/fleet.cpp
@@ -13,6 +13,12 @@
 constexpr Duration sampleInterval = 10ms;
 constexpr Duration crashDelay = 50ms;
 constexpr Duration restartTime = 8s;
+/// Nodes that vote in the ledger's log.
+constexpr std::size_t ledgerVoters = 3;
+
+/// Time for a record to be synced to the disk.
+constexpr Duration syncDelay = 1ms;
+
 /// Time for a home to learn of a server that became cold without warning, through its answers.
 constexpr Duration coldNotice = 3s;
 constexpr double coldSlowness = 6.0;
@@ -54,6 +60,7 @@
 void Fleet::start(Duration length)
 {
     m_length = length;
+    m_manifest.ledgerHomes = { DataCentreId { m_nodes[0].dataCentre } };
     std::set<std::string> services;
     for (const auto& [id, server] : m_servers)
         services.insert(server.spec.service);
@@ -71,6 +78,9 @@
         settings.seed = 100 + i;
         settings.bootId = BootId { "boot-" + std::to_string(i) };
         settings.policy = m_policy;
+        settings.hasDisk = i < ledgerVoters;
+        for (std::size_t k = 0; k < std::min(ledgerVoters, m_nodes.size()); ++k)
+            settings.ledgerVoters[DataCentreId { m_nodes[0].dataCentre }].push_back(VmId { nodeName(k) });
         for (std::size_t k = 0; k < m_nodes.size(); ++k) {
             if (k != i)
                 settings.peers.push_back({ VmId { nodeName(k) }, DataCentreId { m_nodes[k].dataCentre }, nodeName(k) });
@@ -238,91 +248,98 @@
             deliver(origin, event);
         });
     };
-    std::visit(Overloaded {
-                   [&](const node::Dispatch& it) {
-                       ++m_totals.attempts;
-                       const auto result = resultOf(node, it.call);
-                       after(networkDelay, [this, node, it, result] { arrive(node, it, result); });
-                   },
-                   [&](const node::ReplyAnnouncement& it) {
-                       after(networkDelay, [this, number = it.request, home = nodeOf(VmId { it.home })] {
-                           for (auto& [id, server] : m_servers) {
-                               if (home && server.number == number)
-                                   server.home = *home;
-                           }
-                       });
-                   },
-                   [&](const node::ForwardCall& it) {
-                       const auto target = nodeOf(it.vm);
-                       const auto result = resultOf(node, it.call);
-                       auto request = source.state->calls.active.at(it.call).request;
-                       request.forwarded = true;
-                       after(networkDelay, [this, node, it, target, request, result] {
-                           auto& remote = m_nodes[*target];
-                           const CallId call { ++remote.lastCall };
-                           remote.calls[call] = result;
-                           remote.forwarded[call] = { node, it.attempt };
-                           deliver(*target, node::CallArrived { m_now, call, request });
-                       });
-                   },
-                   [&](const node::CancelAttempt& it) {
-                       after(networkDelay, [this, key = AttemptKey { node, it.attempt }] {
-                           for (auto& [id, server] : m_servers)
-                               server.running.erase(key);
-                       });
-                   },
-                   [&](const node::BeginResponse& it) {
-                       if (source.forwarded.contains(it.call)) {
-                           toOrigin(it.call, [&](AttemptId attempt) -> node::Event {
-                               return node::ResponseStarted { m_now, attempt, 200, true };
-                           });
-                           return;
-                       }
-                       auto& result = m_results[source.calls.at(it.call)];
-                       if (!result.first)
-                           result.first = m_now - result.arrivedAt;
-                   },
-                   [&](const node::ForwardToken& it) {
-                       if (!source.forwarded.contains(it.call))
-                           ++m_results[source.calls.at(it.call)].tokens;
-                       // Callers read at once.
-                       const auto taken = source.state->calls.active.at(it.call).nextToken;
-                       after(Duration { 0 }, [this, node, call = it.call, taken] {
-                           deliver(node, node::CallerBacklogChanged { m_now, call, taken, 0 });
-                       });
-                   },
-                   [&](const node::FinishCall& it) {
-                       if (source.forwarded.contains(it.call)) {
-                           toOrigin(it.call, [&](AttemptId attempt) -> node::Event {
-                               return node::ResponseFinished { m_now, attempt };
-                           });
-                           return;
-                       }
-                       endCall(node, it.call, std::nullopt);
-                   },
-                   [&](const node::RefuseCall& it) {
-                       if (source.forwarded.contains(it.call)) {
-                           const bool ran = it.refusal.outcome != call::Outcome::NotRun;
-                           toOrigin(it.call, [&](AttemptId attempt) -> node::Event {
-                               return node::AttemptFailed { m_now, attempt, node::AttemptError::ConnectFailed, ran };
-                           });
-                           return;
-                       }
-                       endCall(node, it.call, it.refusal);
-                   },
-                   [&](const node::SendPeer& it) {
-                       ++m_totals.peerMessages;
-                       const auto target = nodeOf(it.to);
-                       const auto cutUntil = m_cuts.find({ node, *target });
-                       if (cutUntil != m_cuts.end() && m_now < cutUntil->second)
-                           return;
-                       after(networkDelay, [this, target, from = VmId { nodeName(node) }, message = it.message] {
-                           deliver(*target, node::PeerMessageReceived { m_now, from, message });
-                       });
-                   },
-                   [&](const node::Exit&) { ++m_totals.exits; },
-                   [](const auto&) {},
-               },
+    std::visit(
+        Overloaded {
+            [&](const node::Dispatch& it) {
+                ++m_totals.attempts;
+                const auto result = resultOf(node, it.call);
+                after(networkDelay, [this, node, it, result] { arrive(node, it, result); });
+            },
+            [&](const node::ReplyAnnouncement& it) {
+                after(networkDelay, [this, number = it.request, home = nodeOf(VmId { it.home })] {
+                    for (auto& [id, server] : m_servers) {
+                        if (home && server.number == number)
+                            server.home = *home;
+                    }
+                });
+            },
+            [&](const node::ForwardCall& it) {
+                const auto target = nodeOf(it.vm);
+                const auto result = resultOf(node, it.call);
+                auto request = source.state->calls.active.at(it.call).request;
+                request.forwarded = true;
+                after(networkDelay, [this, node, it, target, request, result] {
+                    auto& remote = m_nodes[*target];
+                    const CallId call { ++remote.lastCall };
+                    remote.calls[call] = result;
+                    remote.forwarded[call] = { node, it.attempt };
+                    deliver(*target, node::CallArrived { m_now, call, request });
+                });
+            },
+            [&](const node::CancelAttempt& it) {
+                after(networkDelay, [this, key = AttemptKey { node, it.attempt }] {
+                    for (auto& [id, server] : m_servers)
+                        server.running.erase(key);
+                });
+            },
+            [&](const node::BeginResponse& it) {
+                if (source.forwarded.contains(it.call)) {
+                    toOrigin(it.call, [&](AttemptId attempt) -> node::Event {
+                        return node::ResponseStarted { m_now, attempt, 200, true };
+                    });
+                    return;
+                }
+                auto& result = m_results[source.calls.at(it.call)];
+                if (!result.first)
+                    result.first = m_now - result.arrivedAt;
+            },
+            [&](const node::ForwardToken& it) {
+                if (!source.forwarded.contains(it.call))
+                    ++m_results[source.calls.at(it.call)].tokens;
+                // Callers read at once.
+                const auto taken = source.state->calls.active.at(it.call).nextToken;
+                after(Duration { 0 }, [this, node, call = it.call, taken] {
+                    deliver(node, node::CallerBacklogChanged { m_now, call, taken, 0 });
+                });
+            },
+            [&](const node::FinishCall& it) {
+                if (source.forwarded.contains(it.call)) {
+                    toOrigin(it.call, [&](AttemptId attempt) -> node::Event {
+                        return node::ResponseFinished { m_now, attempt, ledger::Answer { 200, "text/plain", "done" } };
+                    });
+                    return;
+                }
+                endCall(node, it.call, std::nullopt);
+            },
+            [&](const node::AnswerCall& it) { endCall(node, it.call, std::nullopt); },
+            [&](const node::RefuseCall& it) {
+                if (source.forwarded.contains(it.call)) {
+                    const bool ran = it.refusal.outcome != call::Outcome::NotRun;
+                    toOrigin(it.call, [&](AttemptId attempt) -> node::Event {
+                        return node::AttemptFailed { m_now, attempt, node::AttemptError::ConnectFailed, ran };
+                    });
+                    return;
+                }
+                endCall(node, it.call, it.refusal);
+            },
+            [&](const node::SendPeer& it) {
+                ++m_totals.peerMessages;
+                const auto target = nodeOf(it.to);
+                const auto cutUntil = m_cuts.find({ node, *target });
+                if (cutUntil != m_cuts.end() && m_now < cutUntil->second)
+                    return;
+                after(networkDelay, [this, target, from = VmId { nodeName(node) }, message = it.message] {
+                    deliver(*target, node::PeerMessageReceived { m_now, from, message });
+                });
+            },
+            [&](const node::PersistLedger& it) {
+                after(syncDelay, [this, node, home = it.home, sequence = it.sequence] {
+                    deliver(node, node::LedgerPersisted { m_now, home, sequence });
+                });
+            },
+            [&](const node::Exit&) { ++m_totals.exits; },
+            [](const auto&) {},
+        },
         effect);
 }
 
@@ -388,7 +405,9 @@
     auto slowness = 1.0 + 0.5 * std::min(load, 2.0);
     if (m_now < server.coldUntil)
         slowness *= coldSlowness;
-    const auto scaled = [&](Duration time) { return Duration { static_cast<std::int64_t>(time.count() * slowness) }; };
+    const auto scaled = [&](Duration time) {
+        return Duration { static_cast<std::int64_t>(static_cast<double>(time.count()) * slowness) };
+    };
     const auto first = scaled(server.spec.first);
     // Answers differ in length. Equal lengths would let all slots of a full server become free at the same time.
     const auto length = std::uniform_real_distribution<double> { 0.4, 1.6 }(m_random);
@@ -436,7 +455,9 @@
 {
     if (server.boot != boot || server.running.erase(key) == 0)
         return;
-    respond(key, [key](Instant now) { return node::ResponseFinished { now, key.second }; });
+    respond(key, [key](Instant now) {
+        return node::ResponseFinished { now, key.second, ledger::Answer { 200, "text/plain", "done" } };
+    });
 }
 
 void Fleet::crash(Server& server)
--- a/packages/core/include/rosemarymill/core/node/effect.hpp
+++ b/packages/core/include/rosemarymill/core/node/effect.hpp
@@ -4,6 +4,7 @@
 #include <rosemarymill/core/base/sink.hpp>
 #include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/core/call/request.hpp>
+#include <rosemarymill/core/ledger/replica.hpp>
 #include <rosemarymill/core/node/peer_message.hpp>
 
 #include <cstdint>
@@ -141,6 +142,13 @@
     configuration::LogRecord record;
 };
 
+/// Writes and syncs a record of a ledger home's log. Answered by LedgerPersisted.
+struct PersistLedger {
+    DataCentreId home;
+    std::uint64_t sequence { 0 };
+    ledger::LogRecord record;
+};
+
 /// Severity of a log line.
 enum class LogLevel { Debug, Info, Warning, Error };
 
@@ -156,7 +164,7 @@
 
 using Effect = std::variant<ReplyAnnouncement, SendOrder, Dispatch, ForwardCall, CancelAttempt, BeginResponse,
     ForwardToken, FinishCall, AnswerCall, RefuseCall, SetReading, ParkStream, ReplyOperator, SendPeer,
-    PersistConfiguration, WriteLog, Exit>;
+    PersistConfiguration, PersistLedger, WriteLog, Exit>;
 
 using Effects = EffectList<Effect>;
 
--- a/packages/core/include/rosemarymill/core/node/event.hpp
+++ b/packages/core/include/rosemarymill/core/node/event.hpp
@@ -156,8 +156,23 @@
     Instant now;
 };
 
+/// All records of a ledger home up to this sequence number are synced.
+struct LedgerPersisted {
+    Instant now;
+    DataCentreId home;
+    std::uint64_t sequence { 0 };
+};
+
+/// The disk with a ledger home's log became full, or writable again.
+struct LedgerStorageChanged {
+    Instant now;
+    DataCentreId home;
+    bool writable { true };
+};
+
 using Event = std::variant<Started, Tick, AnnouncementReceived, OrderAnswered, CallArrived, CallerGone,
     CallerBacklogChanged, ResponseStarted, TokenReceived, ResponseFinished, AttemptFailed, ManifestSubmitted,
-    AvailabilityCommand, PeerMessageReceived, ConfigurationPersisted, ConfigurationStorageChanged, ShutdownRequested>;
+    AvailabilityCommand, PeerMessageReceived, ConfigurationPersisted, ConfigurationStorageChanged, LedgerPersisted,
+    LedgerStorageChanged, ShutdownRequested>;
 
 } // namespace rosemarymill::node
--- a/packages/core/include/rosemarymill/core/node/ledger.hpp
+++ b/packages/core/include/rosemarymill/core/node/ledger.hpp
@@ -3,7 +3,9 @@
 #include <rosemarymill/core/base/id.hpp>
 #include <rosemarymill/core/ledger/client.hpp>
 #include <rosemarymill/core/ledger/home.hpp>
+#include <rosemarymill/core/ledger/replica.hpp>
 
+#include <map>
 #include <optional>
 
 /// The ledger as one process takes part in it.
@@ -17,10 +19,19 @@
     agreement::Index applied { 0 };
 };
 
+/// Home whose log this process is a voter of.
+struct ReplicatedHome {
+    ledger::HomeState state;
+    /// State read from the data folder before the start.
+    std::optional<ledger::LogImage> image;
+    std::optional<ledger::Replica> replica;
+};
+
 /// Ledger part of a process's state.
 struct Ledger {
     ledger::ClientState client;
     std::optional<LocalHome> local;
+    std::map<DataCentreId, ReplicatedHome> homes;
 };
 
 } // namespace rosemarymill::node
--- a/packages/core/src/configuration/machine.cpp
+++ b/packages/core/src/configuration/machine.cpp
@@ -50,6 +50,12 @@
         return { command.submissionId, Result::Conflict, general.manifestRevision, current,
             "expected revision " + std::to_string(command.expected->value) + ", but submission '" + general.submissionId
                 + "' became revision " + std::to_string(general.manifestRevision.value) };
+    // A changed list would move keys to other homes, where they could run a second time.
+    const auto& homes = command.manifest.ledgerHomes;
+    if (!general.ledgerHomes.empty()
+        && !std::is_permutation(homes.begin(), homes.end(), general.ledgerHomes.begin(), general.ledgerHomes.end()))
+        return { command.submissionId, Result::Conflict, general.manifestRevision, current,
+            "ledger_homes cannot be changed once it is set" };
     m_table.setManifest(current.next(), command);
     return accept(command.submissionId, command.digest);
 }
--- a/packages/core/src/node/distribution.cpp
+++ b/packages/core/src/node/distribution.cpp
@@ -79,6 +79,23 @@
         effects(SendPeer { to, it->address, std::move(message) });
 }
 
+namespace {
+
+/// Hands the data centres and VMs that are out of service to the parts that dispatch and place work.
+void applyTakeOuts(State& state)
+{
+    auto& availability = state.policy.availability;
+    availability = {};
+    for (const auto& it : state.configuration.takeOuts) {
+        if (it.unit == configuration::Unit::DataCentre)
+            availability.dataCentres.insert(DataCentreId { it.name });
+        else
+            availability.vms.insert(VmId { it.name });
+    }
+}
+
+} // namespace
+
 void putInForce(State& state, Effects& effects)
 {
     const auto& table = state.configurationLog.table;
@@ -87,6 +104,7 @@
         return;
     const auto& general = table.general();
     held = { table.revision(), general.submissionId, general.digest, table.manifest(), table.takeOuts() };
+    applyTakeOuts(state);
     effects(
         WriteLog { LogLevel::Info, "configuration", "Revision " + std::to_string(held.revision.value) + " in force." });
     updateGroups(state, effects);
--- a/packages/core/src/node/ledger.cpp
+++ b/packages/core/src/node/ledger.cpp
@@ -1,5 +1,6 @@
-#include "call_parts.hpp"
+#include "ledger_parts.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace rosemarymill::node {
@@ -38,33 +39,11 @@
     return { RefusalReason::AnswerLost, Outcome::Unknown, {}, "the first call under this key may have run" };
 }
 
-void applyHome(State& state, const ledger::HomeEvent& event, Effects& effects);
-
-void carryOut(State& state, const ledger::Propose& effect, Effects& effects)
-{
-    auto& local = *state.ledger.local;
-    const auto outcome = local.machine.apply(++local.applied, effect.command);
-    applyHome(state, ledger::CommandApplied { state.now, effect.command, outcome }, effects);
-}
-
-void carryOut(State& state, const ledger::SendToDispatcher& effect, Effects& effects)
-{
-    applyLedger(state, ledger::HomeMessage { state.now, state.settings.vm, effect.message }, effects);
-}
-
-void applyHome(State& state, const ledger::HomeEvent& event, Effects& effects)
-{
-    ledger::HomeEffects decided;
-    ledger::reduce(state.ledger.local->state, state.ledger.local->machine, event, decided);
-    for (const auto& effect : decided)
-        std::visit([&](const auto& it) { carryOut(state, it, effects); }, effect);
-}
-
 void carryOut(State& state, const ledger::SendToHome& effect, Effects& effects)
 {
     const auto* request = std::get_if<ledger::Request>(&effect.message);
-    if (effect.to == state.settings.vm && state.ledger.local && request)
-        applyHome(state, ledger::RequestReceived { state.now, effect.to, *request }, effects);
+    if (effect.to == state.settings.vm && request)
+        receiveRequest(state, effect.to, *request, effects);
     else
         sendTo(state, effect.to, effect.message, effects);
 }
@@ -101,8 +80,11 @@
     Ledger ledger;
     ledger.client.vm = settings.vm;
     ledger.client.boot = settings.bootId;
-    for (const auto& [home, voters] : settings.ledgerVoters)
+    for (const auto& [home, voters] : settings.ledgerVoters) {
         ledger.client.homes[home].voters = voters;
+        if (settings.hasDisk && std::find(voters.begin(), voters.end(), settings.vm) != voters.end())
+            ledger.homes[home].state.home = home;
+    }
     if (settings.peers.empty() && settings.ledgerVoters.empty()) {
         ledger.client.homes[settings.dataCentre].voters = { settings.vm };
         ledger.local.emplace();
@@ -158,8 +140,7 @@
 void advanceLedger(State& state, Effects& effects)
 {
     applyLedger(state, ledger::ClientTick { state.now }, effects);
-    if (state.ledger.local)
-        applyHome(state, ledger::HomeTick { state.now }, effects);
+    advanceHomes(state, effects);
 }
 
 bool hasUnsettledKeys(const State& state) { return !state.ledger.client.entries.empty(); }
--- a/packages/core/src/node/parts.hpp
+++ b/packages/core/src/node/parts.hpp
@@ -69,6 +69,10 @@
 void handle(State& state, const ConfigurationPersisted& event, Effects& effects);
 void handle(State& state, const ConfigurationStorageChanged& event, Effects& effects);
 
+// ledger_homes.cpp
+void handle(State& state, const LedgerPersisted& event, Effects& effects);
+void handle(State& state, const LedgerStorageChanged& event, Effects& effects);
+
 /// Starts the part in the configuration log. Called once, by the first event.
 void startConfiguration(State& state, Effects& effects);
 
--- a/packages/core/src/node/peers.cpp
+++ b/packages/core/src/node/peers.cpp
@@ -1,5 +1,6 @@
 #include "call_parts.hpp"
 #include "configuration.hpp"
+#include "ledger_parts.hpp"
 
 namespace rosemarymill::node {
 
@@ -14,10 +15,14 @@
         std::visit([&](const auto& it) { receive(state, event.from, it, effects); }, message);
     };
     const auto takeLedger = [&](const ledger::Message& message) {
-        applyLedger(state, ledger::HomeMessage { event.now, event.from, message }, effects);
+        if (const auto* request = std::get_if<ledger::Request>(&message))
+            receiveRequest(state, event.from, *request, effects);
+        else
+            applyLedger(state, ledger::HomeMessage { event.now, event.from, message }, effects);
     };
+    const auto takeLedgerLog = [&](const ledger::LogMessage& it) { receive(state, event.from, it, effects); };
     const auto takeLog = [&](const configuration::LogMessage& it) { receive(state, event.from, it, effects); };
-    std::visit(Overloaded { ignore, takeLedger, takeLog, takeMembership, take }, event.message);
+    std::visit(Overloaded { ignore, takeLedger, takeLedgerLog, takeLog, takeMembership, take }, event.message);
 }
 
 } // namespace rosemarymill::node
--- a/packages/core/src/node/reduce.cpp
+++ b/packages/core/src/node/reduce.cpp
@@ -1,5 +1,6 @@
 #include <rosemarymill/core/node/reduce.hpp>
 
+#include "ledger_parts.hpp"
 #include "parts.hpp"
 
 namespace rosemarymill::node {
@@ -10,6 +11,7 @@
 {
     effects(WriteLog { LogLevel::Info, "node", "Started." });
     startConfiguration(state, effects);
+    startHomes(state, effects);
     startMembership(state, effects);
 }
 
--- a/packages/core/src/node/scheduling.cpp
+++ b/packages/core/src/node/scheduling.cpp
@@ -154,6 +154,7 @@
     std::sort(ranked.begin(), ranked.end(),
         [](const auto& a, const auto& b) { return a.free != b.free ? a.free : a.weight > b.weight; });
     std::vector<admission::Lease*> leases;
+    leases.reserve(ranked.size());
     for (const auto& it : ranked)
         leases.push_back(it.lease);
     return leases;
--- a/packages/core/src/placement/planner.cpp
+++ b/packages/core/src/placement/planner.cpp
@@ -365,10 +365,10 @@
     record.home = event.home;
     record.lastSeen = event.now;
     if (record.loading) {
-        const auto& [name, version] = *record.loading;
+        const auto loading = *record.loading;
         const auto& models = record.announcement.models;
         if (std::any_of(models.begin(), models.end(),
-                [&](const auto& model) { return model.name == name && model.version == version; }))
+                [&](const auto& model) { return model.name == loading.first && model.version == loading.second; }))
             record.loading.reset();
     }
     return changed;
--- a/packages/daemon/src/run.cpp
+++ b/packages/daemon/src/run.cpp
@@ -13,6 +13,7 @@
 #include <rosemarymill/runtime/metrics/process.hpp>
 #include <rosemarymill/runtime/operator/listener.hpp>
 #include <rosemarymill/runtime/operator/pages.hpp>
+#include <rosemarymill/runtime/storage/data_folder.hpp>
 #include <rosemarymill/runtime/storage/storage.hpp>
 #include <rosemarymill/runtime/trace/recorder.hpp>
 #include <rosemarymill/runtime/trace/spans.hpp>
@@ -20,6 +21,7 @@
 #include <algorithm>
 #include <chrono>
 #include <fstream>
+#include <map>
 #include <optional>
 #include <random>
 #include <sstream>
@@ -220,6 +222,43 @@
     std::optional<runtime::SpanRecorder> m_spans;
 };
 
+/// The logs in the data folder. It must outlive the process's run.
+class Stores {
+public:
+    Stores(Process& process, const std::string& folder)
+        : m_folder(check(folder, runtime::storage::DataFolder::open(folder)))
+        , m_configuration(check(folder,
+              runtime::storage::Storage<runtime::storage::ConfigurationLog>::open(
+                  process.base(), folder, Adapters::postTo(process))))
+    {
+        process.recoverConfiguration(m_configuration->takeImage());
+        process.onEffect<node::PersistConfiguration>([this](auto& it) { m_configuration->carryOut(it); });
+        for (const auto& [home, state] : process.state().ledger.homes) {
+            auto& store = m_ledgers[home];
+            store = check(folder, LedgerStorage::open(process.base(), folder, Adapters::postTo(process), { home }));
+            process.recoverLedger(home, store->takeImage());
+        }
+        process.onEffect<node::PersistLedger>([this](auto& it) { m_ledgers.at(it.home)->carryOut(it); });
+    }
+
+    Stores(const Stores&) = delete;
+    Stores& operator=(const Stores&) = delete;
+
+private:
+    using LedgerStorage = runtime::storage::Storage<runtime::storage::LedgerLog>;
+
+    template <typename T> static T check(const std::string& folder, Result<T>&& opened)
+    {
+        if (!opened)
+            throw std::runtime_error("data folder " + folder + ": " + opened.error().message());
+        return std::move(opened.value());
+    }
+
+    runtime::storage::DataFolder m_folder;
+    std::unique_ptr<runtime::storage::Storage<runtime::storage::ConfigurationLog>> m_configuration;
+    std::map<DataCentreId, std::unique_ptr<LedgerStorage>> m_ledgers;
+};
+
 } // namespace
 
 int run(const Settings& settings)
@@ -233,15 +272,9 @@
     if (adapters.forwarder)
         interceptForwardedCalls(process, adapters);
     const Observers observers(process, adapters.callMetrics, settings);
-    std::unique_ptr<runtime::storage::Storage> storage;
-    if (!settings.dataFolder.empty()) {
-        auto opened = runtime::storage::Storage::open(process.base(), settings.dataFolder, Adapters::postTo(process));
-        if (!opened)
-            throw std::runtime_error("data folder " + settings.dataFolder + ": " + opened.error().message());
-        storage = std::move(opened.value());
-        process.recoverConfiguration(storage->takeImage());
-        process.onEffect<node::PersistConfiguration>([&](auto& it) { storage->carryOut(it); });
-    }
+    std::optional<Stores> stores;
+    if (!settings.dataFolder.empty())
+        stores.emplace(process, settings.dataFolder);
     process.onEffect<node::ReplyAnnouncement>([&](auto& it) { adapters.announcements.reply(it); });
     process.onEffect<node::SendOrder>([&](auto& it) { adapters.orders.send(it); });
     process.onEffect<node::ReplyOperator>([&](auto& it) { adapters.operators->carryOut(it); });
--- a/packages/runtime/include/rosemarymill/runtime/loop/process.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/loop/process.hpp
@@ -42,6 +42,13 @@
     void setAnnounceAddress(std::string address) { m_state.settings.announceAddress = std::move(address); }
 
     /// Hands over the configuration log read from the data folder, before run().
+    /// Hands over the state of a ledger home's log before the start.
+    void recoverLedger(const DataCentreId& home, ledger::LogImage image)
+    {
+        if (const auto it = m_state.ledger.homes.find(home); it != m_state.ledger.homes.end())
+            it->second.image = std::move(image);
+    }
+
     void recoverConfiguration(configuration::LogImage image) { m_state.configurationLog.image = std::move(image); }
 
     /// Registers the handler of one effect type. A second registration replaces the first.
--- a/packages/runtime/include/rosemarymill/runtime/storage/fwd.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/storage/fwd.hpp
@@ -5,6 +5,9 @@
 
 class DataFolder;
 class LogFile;
-class Storage;
+struct ConfigurationLog;
+struct LedgerLog;
+
+template <typename Log> class Storage;
 
 } // namespace rosemarymill::runtime::storage
--- a/packages/runtime/include/rosemarymill/runtime/storage/storage.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/storage/storage.hpp
@@ -1,46 +1,89 @@
 #pragma once
 
 #include <rosemarymill/core/configuration/replica.hpp>
+#include <rosemarymill/core/ledger/replica.hpp>
 #include <rosemarymill/core/node/effect.hpp>
+#include <rosemarymill/core/node/event.hpp>
 #include <rosemarymill/runtime/base/handles.hpp>
 #include <rosemarymill/runtime/loop/post_event.hpp>
-#include <rosemarymill/runtime/storage/data_folder.hpp>
 #include <rosemarymill/runtime/storage/log_file.hpp>
+#include <rosemarymill/wire/configuration/codec.hpp>
+#include <rosemarymill/wire/ledger/codec.hpp>
 
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace rosemarymill::runtime::storage {
 
-/// Carries out PersistConfiguration. Records of one turn of the loop are synced together. On a full disk they stay
-/// queued and are tried again every second.
-class Storage {
+/// What the storage needs to know of the configuration log.
+struct ConfigurationLog {
+    using Codec = wire::configuration::Codec;
+    using Image = configuration::LogImage;
+    using Effect = node::PersistConfiguration;
+
+    [[nodiscard]] static std::string name() { return configuration::logName; }
+    [[nodiscard]] static node::Event persisted(Instant now, std::uint64_t sequence)
+    {
+        return node::ConfigurationPersisted { now, sequence };
+    }
+    [[nodiscard]] static node::Event changed(Instant now, bool writable)
+    {
+        return node::ConfigurationStorageChanged { now, writable };
+    }
+};
+
+/// What the storage needs to know of the log of one ledger home.
+struct LedgerLog {
+    using Codec = wire::ledger::Codec;
+    using Image = ledger::LogImage;
+    using Effect = node::PersistLedger;
+
+    DataCentreId home;
+
+    [[nodiscard]] std::string name() const { return ledger::logName(home); }
+    [[nodiscard]] node::Event persisted(Instant now, std::uint64_t sequence) const
+    {
+        return node::LedgerPersisted { now, home, sequence };
+    }
+    [[nodiscard]] node::Event changed(Instant now, bool writable) const
+    {
+        return node::LedgerStorageChanged { now, home, writable };
+    }
+};
+
+/// Carries out the persist effects of one log. Records of one turn of the loop are synced together. On a full disk they
+/// stay queued and are tried again every second.
+template <typename Log> class Storage {
 public:
-    /// Opens the data folder and reads its log. Errors are those of DataFolder and LogFile, and DecodeError.
+    /// Reads the log in a data folder that this process has locked. Errors are those of LogFile, and DecodeError.
     [[nodiscard]] static Result<std::unique_ptr<Storage>> open(
-        event_base* base, const std::filesystem::path& folder, PostEvent post);
+        event_base* base, const std::filesystem::path& folder, PostEvent post, Log description = {});
 
     /// State read at the opening. It is handed over once.
-    [[nodiscard]] configuration::LogImage takeImage() noexcept { return std::move(m_image); }
+    [[nodiscard]] typename Log::Image takeImage() noexcept { return std::move(m_image); }
 
-    void carryOut(const node::PersistConfiguration& effect);
+    void carryOut(const typename Log::Effect& effect);
 
 private:
-    Storage(event_base* base, DataFolder folder, LogFile log, configuration::LogImage image, PostEvent post);
+    Storage(event_base* base, LogFile log, typename Log::Image image, PostEvent post, Log description);
 
     static void onFlush(evutil_socket_t, short, void* self);
     void flush();
 
-    DataFolder m_folder;
     LogFile m_log;
-    configuration::LogImage m_image;
+    typename Log::Image m_image;
     PostEvent m_post;
+    Log m_description;
     EventHandle m_flush;
     std::vector<wire::agreement::RawRecord> m_queue;
     std::uint64_t m_lastSequence { 0 };
     bool m_writable { true };
 };
 
+extern template class Storage<ConfigurationLog>;
+extern template class Storage<LedgerLog>;
+
 } // namespace rosemarymill::runtime::storage
--- a/packages/runtime/src/storage/storage.cpp
+++ b/packages/runtime/src/storage/storage.cpp
@@ -2,7 +2,6 @@
 
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
-#include <rosemarymill/wire/configuration/codec.hpp>
 
 #include <boost/outcome/try.hpp>
 
@@ -10,45 +9,48 @@
 
 namespace {
 
-using Codec = wire::configuration::Codec;
-
 constexpr timeval flushNow { 0, 0 };
 constexpr timeval retryDelay { 1, 0 };
 
 } // namespace
 
-Result<std::unique_ptr<Storage>> Storage::open(event_base* base, const std::filesystem::path& folder, PostEvent post)
+template <typename Log>
+Result<std::unique_ptr<Storage<Log>>> Storage<Log>::open(
+    event_base* base, const std::filesystem::path& folder, PostEvent post, Log description)
 {
-    BOOST_OUTCOME_TRY(dataFolder, DataFolder::open(folder));
-    BOOST_OUTCOME_TRY(log, LogFile::open(folder, configuration::logName));
+    BOOST_OUTCOME_TRY(log, LogFile::open(folder, description.name()));
     if (log.truncatedBytes() > 0)
         writeLog(node::LogLevel::Warning, "storage",
             "Removed " + std::to_string(log.truncatedBytes()) + " bytes of an unfinished write.");
-    BOOST_OUTCOME_TRY(image, wire::agreement::fromRaw<Codec>(log.takeImage()));
+    BOOST_OUTCOME_TRY(image, wire::agreement::fromRaw<typename Log::Codec>(log.takeImage()));
     return std::unique_ptr<Storage>(
-        new Storage(base, std::move(dataFolder), std::move(log), std::move(image), std::move(post)));
+        new Storage(base, std::move(log), std::move(image), std::move(post), std::move(description)));
 }
 
-Storage::Storage(event_base* base, DataFolder folder, LogFile log, configuration::LogImage image, PostEvent post)
-    : m_folder(std::move(folder))
-    , m_log(std::move(log))
+template <typename Log>
+Storage<Log>::Storage(event_base* base, LogFile log, typename Log::Image image, PostEvent post, Log description)
+    : m_log(std::move(log))
     , m_image(std::move(image))
     , m_post(std::move(post))
+    , m_description(std::move(description))
     , m_flush(event_new(base, -1, 0, onFlush, this))
 {
 }
 
-void Storage::carryOut(const node::PersistConfiguration& effect)
+template <typename Log> void Storage<Log>::carryOut(const typename Log::Effect& effect)
 {
-    m_queue.push_back(wire::agreement::toRaw<Codec>(effect.record));
+    m_queue.push_back(wire::agreement::toRaw<typename Log::Codec>(effect.record));
     m_lastSequence = effect.sequence;
     if (m_writable)
         event_add(m_flush.get(), &flushNow);
 }
 
-void Storage::onFlush(evutil_socket_t, short, void* self) { static_cast<Storage*>(self)->flush(); }
+template <typename Log> void Storage<Log>::onFlush(evutil_socket_t, short, void* self)
+{
+    static_cast<Storage*>(self)->flush();
+}
 
-void Storage::flush()
+template <typename Log> void Storage<Log>::flush()
 {
     const auto written = m_log.append(m_queue);
     const bool changed = m_writable != written.has_value();
@@ -60,10 +62,13 @@
     if (changed) {
         if (!m_writable)
             writeLog(node::LogLevel::Error, "storage", "The log cannot be written: " + written.error().message() + ".");
-        m_post(node::ConfigurationStorageChanged { readClock(), m_writable });
+        m_post(m_description.changed(readClock(), m_writable));
     }
     if (m_writable)
-        m_post(node::ConfigurationPersisted { readClock(), m_lastSequence });
+        m_post(m_description.persisted(readClock(), m_lastSequence));
 }
 
+template class Storage<ConfigurationLog>;
+template class Storage<LedgerLog>;
+
 } // namespace rosemarymill::runtime::storage
--- a/packages/wire/src/node/codec.cpp
+++ b/packages/wire/src/node/codec.cpp
@@ -4,6 +4,7 @@
 #include <rosemarymill/wire/admission/codec.hpp>
 #include <rosemarymill/wire/agreement/codec.hpp>
 #include <rosemarymill/wire/configuration/codec.hpp>
+#include <rosemarymill/wire/ledger/codec.hpp>
 #include <rosemarymill/wire/membership/codec.hpp>
 #include <rosemarymill/wire/placement/codec.hpp>
 #include <rosemarymill/wire/quarantine/codec.hpp>
@@ -23,6 +24,12 @@
 Result<PeerMessage> decodeLogMessage(std::span<const std::byte> payload)
 {
     BOOST_OUTCOME_TRY(raw, agreement::decode(payload));
+    constexpr std::string_view ledgerPrefix = rosemarymill::ledger::logNamePrefix;
+    if (raw.log.text().starts_with(ledgerPrefix)) {
+        BOOST_OUTCOME_TRY(ledgerMessage, agreement::fromRaw<ledger::Codec>(raw.message));
+        const DataCentreId home { raw.log.text().substr(ledgerPrefix.size()) };
+        return PeerMessage { rosemarymill::ledger::LogMessage { home, std::move(ledgerMessage) } };
+    }
     if (raw.log.text() != rosemarymill::configuration::logName)
         return DecodeError::UnexpectedKind;
     BOOST_OUTCOME_TRY(message, agreement::fromRaw<ConfigurationCodec>(raw.message));
@@ -41,37 +48,45 @@
 // Each module adds one handler here and one case below.
 std::optional<FrameKind> encode(const PeerMessage& message, Buffer& payload)
 {
-    return std::visit(Overloaded {
-                          [&](const rosemarymill::configuration::LogMessage& it) -> std::optional<FrameKind> {
-                              agreement::encode(
-                                  agreement::LogMessage { agreement::LogId { rosemarymill::configuration::logName },
+    return std::visit(
+        Overloaded {
+            [&](const rosemarymill::configuration::LogMessage& it) -> std::optional<FrameKind> {
+                agreement::encode(agreement::LogMessage { agreement::LogId { rosemarymill::configuration::logName },
                                       agreement::toRaw<ConfigurationCodec>(it) },
-                                  payload);
-                              return FrameKind::Agreement;
-                          },
-                          [&](const rosemarymill::configuration::Message& it) -> std::optional<FrameKind> {
-                              wire::configuration::encode(it, payload);
-                              return FrameKind::Configuration;
-                          },
-                          [](std::monostate) -> std::optional<FrameKind> { return std::nullopt; },
-                          [&](const rosemarymill::admission::Message& it) -> std::optional<FrameKind> {
-                              admission::encode(it, payload);
-                              return FrameKind::Admission;
-                          },
-                          [&](const rosemarymill::quarantine::Message& it) -> std::optional<FrameKind> {
-                              quarantine::encode(it, payload);
-                              return FrameKind::Quarantine;
-                          },
-                          [](const rosemarymill::ledger::Message&) -> std::optional<FrameKind> { return std::nullopt; },
-                          [&](const rosemarymill::membership::Message& it) -> std::optional<FrameKind> {
-                              membership::encode(it, payload);
-                              return FrameKind::Membership;
-                          },
-                          [&](const rosemarymill::placement::Message& it) -> std::optional<FrameKind> {
-                              placement::encode(it, payload);
-                              return FrameKind::Placement;
-                          },
-                      },
+                    payload);
+                return FrameKind::Agreement;
+            },
+            [&](const rosemarymill::configuration::Message& it) -> std::optional<FrameKind> {
+                wire::configuration::encode(it, payload);
+                return FrameKind::Configuration;
+            },
+            [](std::monostate) -> std::optional<FrameKind> { return std::nullopt; },
+            [&](const rosemarymill::admission::Message& it) -> std::optional<FrameKind> {
+                admission::encode(it, payload);
+                return FrameKind::Admission;
+            },
+            [&](const rosemarymill::quarantine::Message& it) -> std::optional<FrameKind> {
+                quarantine::encode(it, payload);
+                return FrameKind::Quarantine;
+            },
+            [&](const rosemarymill::ledger::Message& it) -> std::optional<FrameKind> {
+                ledger::encode(it, payload);
+                return FrameKind::Ledger;
+            },
+            [&](const rosemarymill::ledger::LogMessage& it) -> std::optional<FrameKind> {
+                const agreement::LogId log { rosemarymill::ledger::logName(it.home) };
+                agreement::encode(agreement::LogMessage { log, agreement::toRaw<ledger::Codec>(it.message) }, payload);
+                return FrameKind::Agreement;
+            },
+            [&](const rosemarymill::membership::Message& it) -> std::optional<FrameKind> {
+                membership::encode(it, payload);
+                return FrameKind::Membership;
+            },
+            [&](const rosemarymill::placement::Message& it) -> std::optional<FrameKind> {
+                placement::encode(it, payload);
+                return FrameKind::Placement;
+            },
+        },
         message);
 }
 
@@ -88,6 +103,10 @@
         BOOST_OUTCOME_TRY(message, admission::decode(payload));
         return PeerMessage { std::move(message) };
     }
+    case FrameKind::Ledger: {
+        BOOST_OUTCOME_TRY(message, ledger::decode(payload));
+        return PeerMessage { std::move(message) };
+    }
     case FrameKind::Quarantine: {
         BOOST_OUTCOME_TRY(message, quarantine::decode(payload));
         return PeerMessage { std::move(message) };
--- a/tests/core/configuration/machine.cpp
+++ b/tests/core/configuration/machine.cpp
@@ -153,3 +153,24 @@
     CHECK(readiness.ready());
     CHECK(readiness.unconfirmed());
 }
+
+// I7: a key whose home moves with the list could run a second time at the new home.
+TEST_CASE("The list of ledger homes cannot be changed once it is set", "[configuration]")
+{
+    Machine machine;
+    SubmitManifest first;
+    first.submissionId = "first";
+    first.digest = "1";
+    first.manifest.ledgerHomes = { DataCentreId { "mixco" }, DataCentreId { "antigua" } };
+    CHECK(machine.apply(1, Command { first }).result == Result::Accepted);
+    auto turned = first;
+    turned.submissionId = "turned";
+    turned.digest = "2";
+    turned.manifest.ledgerHomes = { DataCentreId { "antigua" }, DataCentreId { "mixco" } };
+    CHECK(machine.apply(2, Command { turned }).result == Result::Accepted);
+    auto changed = first;
+    changed.submissionId = "changed";
+    changed.digest = "3";
+    changed.manifest.ledgerHomes = { DataCentreId { "mixco" } };
+    CHECK(machine.apply(3, Command { changed }).result == Result::Conflict);
+}
