--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -52,6 +52,7 @@
 {
     for (const auto& figure : figures()) {
         std::vector<Sample> samples;
+        samples.reserve(measurements.size());
         for (const auto& it : measurements)
             samples.push_back({ it.size, pick(it.costs).*figure.value });
         const auto line = bench::fitLine(samples);
--- a/packages/wire/src/admission/codec.cpp
+++ b/packages/wire/src/admission/codec.cpp
@@ -11,7 +11,6 @@
 
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
-using rosemarymill::admission::AccountDemand;
 using rosemarymill::admission::DigestEntry;
 using rosemarymill::admission::Grant;
 using rosemarymill::admission::HomeDigest;
@@ -42,6 +41,7 @@
 std::vector<Offset<fbs::Grant>> write(FlatBufferBuilder& builder, const std::vector<Grant>& grants)
 {
     std::vector<Offset<fbs::Grant>> offsets;
+    offsets.reserve(grants.size());
     for (const auto& it : grants)
         offsets.push_back(
             fbs::CreateGrantDirect(builder, it.server.text().c_str(), it.reportSentAt.time_since_epoch().count(),
@@ -52,6 +52,7 @@
 std::vector<Offset<fbs::DigestEntry>> write(FlatBufferBuilder& builder, const std::vector<DigestEntry>& servers)
 {
     std::vector<Offset<fbs::DigestEntry>> offsets;
+    offsets.reserve(servers.size());
     for (const auto& it : servers)
         offsets.push_back(fbs::CreateDigestEntryDirect(builder, it.server.text().c_str(), it.bootId.text().c_str(),
             it.vm.text().c_str(), it.address.c_str(), it.service.text().c_str(), it.limit, it.free, it.tokenMemory,
--- a/packages/wire/src/agreement/codec.cpp
+++ b/packages/wire/src/agreement/codec.cpp
@@ -67,7 +67,7 @@
     packed.last_index = it.lastIndex;
     packed.last_term = it.lastTerm;
     packed.preliminary = it.preliminary;
-    body.Set(std::move(packed));
+    body.Set(fb::VoteRequestT { packed });
 }
 
 void packBody(const core::VoteReply& it, fb::BodyUnion& body)
@@ -77,7 +77,7 @@
     packed.granted = it.granted;
     packed.preliminary = it.preliminary;
     packed.joined = it.joined;
-    body.Set(std::move(packed));
+    body.Set(fb::VoteReplyT { packed });
 }
 
 void packBody(const core::Append<Buffer>& it, fb::BodyUnion& body)
@@ -98,7 +98,7 @@
     packed.term = it.term;
     packed.accepted = it.accepted;
     packed.match = it.match;
-    body.Set(std::move(packed));
+    body.Set(fb::AppendReplyT { packed });
 }
 
 void packBody(const core::InstallSnapshot<Buffer>& it, fb::BodyUnion& body)
@@ -113,7 +113,7 @@
 {
     fb::OutdatedIncarnationT packed;
     packed.seen = it.seen;
-    body.Set(std::move(packed));
+    body.Set(fb::OutdatedIncarnationT { packed });
 }
 
 std::optional<core::Body<Buffer, Buffer>> unpackBody(const fb::BodyUnion& body)
--- a/packages/wire/src/configuration/pack.cpp
+++ b/packages/wire/src/configuration/pack.cpp
@@ -9,6 +9,7 @@
 std::vector<std::string> textsOf(const std::vector<DataCentreId>& ids)
 {
     std::vector<std::string> texts;
+    texts.reserve(ids.size());
     for (const auto& it : ids)
         texts.push_back(it.text());
     return texts;
