--- a/tests/core/admission/lease_safety.cpp
+++ b/tests/core/admission/lease_safety.cpp
@@ -77,7 +77,7 @@
         return Duration { std::uniform_int_distribution<std::int64_t> { a.count(), b.count() }(m_random) };
     }
 
-    std::uint32_t running() const
+    [[nodiscard]] std::uint32_t running() const
     {
         std::size_t sum = 0;
         for (const auto& entry : m_entries)
