--- a/tests/core/ledger/at_most_once.cpp
+++ b/tests/core/ledger/at_most_once.cpp
@@ -33,7 +33,7 @@
         m_network.lossPercent = 25;
         m_network.maxDelay = 1500ms;
         m_home.home = home;
-        reduceHome(LeadershipChanged { m_now, true, homeVm });
+        reduceHome(LeadershipChanged { m_now, true, m_homeVm });
         for (std::size_t i = 0; i < dispatchers; ++i)
             restart(i);
     }
@@ -91,7 +91,7 @@
         client = ClientState {};
         client.vm = vmOf(i);
         client.boot = BootId { m_defect == Defect::ReusesBootId ? "boot" : "boot-" + std::to_string(++m_boots) };
-        client.homes[home].voters = { VmId { "follower" }, homeVm };
+        client.homes[home].voters = { VmId { "follower" }, m_homeVm };
         m_numbers[i] = 0;
         std::erase_if(m_running, [&](const auto& it) { return it.dispatcher == i; });
     }
@@ -106,7 +106,7 @@
             restart(draw(dispatchers));
         if (draw(150) == 0) {
             reduceHome(LeadershipChanged { m_now, false, {} });
-            reduceHome(LeadershipChanged { m_now, true, homeVm });
+            reduceHome(LeadershipChanged { m_now, true, m_homeVm });
             m_proposed.clear();
         }
     }
@@ -158,10 +158,10 @@
         if (to == VmId { "follower" }) {
             const auto* request = std::get_if<Request>(&message);
             if (request)
-                send(to, from, NotLeader { home, tokenOf(request->command), homeVm });
+                send(to, from, NotLeader { home, tokenOf(request->command), m_homeVm });
             return;
         }
-        if (to == homeVm) {
+        if (to == m_homeVm) {
             if (const auto* request = std::get_if<Request>(&message))
                 reduceHome(RequestReceived { m_now, from, *request });
             return;
@@ -187,7 +187,7 @@
             if (const auto* it = std::get_if<Propose>(&effect))
                 m_proposed.push_back(it->command);
             if (const auto* it = std::get_if<SendToDispatcher>(&effect))
-                send(homeVm, it->to, it->message);
+                send(m_homeVm, it->to, it->message);
         }
     }
 
@@ -225,7 +225,7 @@
         m_running.push_back({ i, number, key, m_now + Duration { 1000 * draw(3000) } });
     }
 
-    const VmId homeVm { "voter-1" };
+    const VmId m_homeVm { "voter-1" };
     test::VirtualNetwork<Message> m_network;
     Defect m_defect;
     Instant m_now { 100s };
