--- a/tests/process/configuration_cluster.hpp
+++ b/tests/process/configuration_cluster.hpp
@@ -63,6 +63,7 @@
         if (i != diskless)
             args.insert(args.end(), { "--data-folder", folder.string() });
         std::vector<char*> argv;
+        argv.reserve(args.size() + 1);
         for (auto& it : args)
             argv.push_back(it.data());
         argv.push_back(nullptr);
