Share the packing of FlatBuffers objects and shorten the replica

Change: packTable and unpackTable in wire/codec, the replica's bookkeeping records in progress.hpp, the voter arithmetic beside the settings it depends on. Conclusion: further codecs with the object API use the shared functions.

--- a/packages/core/include/rosemarymill/core/agreement/event.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/event.hpp
@@ -4,6 +4,7 @@
 #include <rosemarymill/core/base/sink.hpp>
 #include <rosemarymill/core/base/time.hpp>
 
+#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <string>
@@ -52,6 +53,14 @@
     std::uint64_t trailingEntries { 64 };
     /// Largest weight of the entries in one Append, in bytes. A frame holds 1 MiB.
     std::size_t appendWeight { 256 * 1024 };
+
+    /// Voters that decide together.
+    [[nodiscard]] std::size_t majority() const noexcept { return voters.size() / 2 + 1; }
+
+    [[nodiscard]] bool isVoter(const VmId& vm) const
+    {
+        return std::find(voters.begin(), voters.end(), vm) != voters.end();
+    }
 };
 
 /// First event of a replica.
--- a/packages/core/include/rosemarymill/core/agreement/replica.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/replica.hpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/core/agreement/event.hpp>
 #include <rosemarymill/core/agreement/log.hpp>
+#include <rosemarymill/core/agreement/progress.hpp>
 #include <rosemarymill/core/agreement/rules.hpp>
 #include <rosemarymill/core/base/hash.hpp>
 
@@ -79,23 +80,9 @@
     [[nodiscard]] bool caughtUp() const noexcept { return m_caughtUp; }
 
 private:
-    struct Peer {
-        Index next { 1 };
-        Index match { 0 };
-        std::uint64_t incarnation { 0 };
-        Instant heardAt { Duration::min() };
-        Instant snapshotSentAt { Duration::min() };
-    };
-    struct PendingRecord {
-        std::uint64_t sequence { 0 };
-        Index lastIndex { 0 };
-        Index commit { 0 };
-    };
-    struct HeldMessage {
-        std::uint64_t sequence { 0 };
-        VmId to;
-        Body<Command, Snapshot> body;
-    };
+    using Peer = detail::Peer;
+    using PendingRecord = detail::PendingRecord;
+    using HeldMessage = detail::HeldMessage<Command, Snapshot>;
 
     /// A snapshot is not sent again to the same voter within this time, so that heartbeats do not repeat it.
     static constexpr Duration snapshotResendInterval = 1s;
@@ -123,7 +110,7 @@
 
     void handle(const Received<Command, Snapshot>& event, Effects& effects)
     {
-        if (!isVoter(event.from) || event.from == m_settings.self)
+        if (!m_settings.isVoter(event.from) || event.from == m_settings.self)
             return;
         if (const auto* it = std::get_if<OutdatedIncarnation>(&event.message.body))
             return handleOutdated(*it, effects);
@@ -180,7 +167,7 @@
     void startElection(bool preliminary)
     {
         resetElectionTimer();
-        if (!m_writable || !isVoter(m_settings.self))
+        if (!m_writable || !m_settings.isVoter(m_settings.self))
             return;
         m_leader = {};
         m_role = preliminary ? Role::Follower : Role::Candidate;
@@ -206,7 +193,7 @@
     {
         const auto trusted = std::count_if(
             m_grants.begin(), m_grants.end(), [](const auto& it) { return it.second || !Rules::distrustsLostDisks; });
-        if (static_cast<std::size_t>(trusted) < majority() && m_grants.size() < m_settings.voters.size())
+        if (static_cast<std::size_t>(trusted) < m_settings.majority() && m_grants.size() < m_settings.voters.size())
             return;
         m_electing = false;
         if (m_preliminary)
@@ -361,7 +348,7 @@
         for (const auto& voter : m_settings.voters)
             matches.push_back(voter == m_settings.self ? m_durable : m_peers[voter].match);
         std::sort(matches.begin(), matches.end(), std::greater<> {});
-        const auto index = matches[majority() - 1];
+        const auto index = matches[m_settings.majority() - 1];
         if (index <= m_hard.commit || (Rules::commitsOnlyOwnTerm && m_log.termAt(index) != m_hard.term))
             return;
         setCommit(index);
@@ -375,7 +362,7 @@
             return it == m_settings.self
                 || (peer != m_peers.end() && m_now < peer->second.heardAt + m_settings.electionMin);
         });
-        return static_cast<std::size_t>(heard) >= majority();
+        return static_cast<std::size_t>(heard) >= m_settings.majority();
     }
 
     // Replication at a follower
@@ -569,13 +556,6 @@
 
     // Helpers
 
-    [[nodiscard]] std::size_t majority() const noexcept { return m_settings.voters.size() / 2 + 1; }
-
-    [[nodiscard]] bool isVoter(const VmId& vm) const
-    {
-        return std::find(m_settings.voters.begin(), m_settings.voters.end(), vm) != m_settings.voters.end();
-    }
-
     void resetElectionTimer()
     {
         std::uniform_int_distribution<Duration::rep> range(
--- a/packages/wire/include/rosemarymill/wire/codec/codec.hpp
+++ b/packages/wire/include/rosemarymill/wire/codec/codec.hpp
@@ -41,6 +41,25 @@
     return verifier.VerifyBuffer<Table>(nullptr) ? flatbuffers::GetRoot<Table>(data) : nullptr;
 }
 
+/// Appends an object of the schema's object API as a finished table.
+template <typename Packed> void packTable(const Packed& packed, Buffer& buf)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(Packed::TableType::Pack(builder, &packed));
+    appendTable(builder, buf);
+}
+
+/// Reads a payload into an object of the schema's object API. The error is DecodeError::Malformed.
+template <typename Packed> [[nodiscard]] Result<Packed> unpackTable(std::span<const std::byte> payload)
+{
+    const auto* table = verifiedTable<typename Packed::TableType>(payload);
+    if (!table)
+        return make_error_code(DecodeError::Malformed);
+    Packed packed;
+    table->UnPackTo(&packed);
+    return packed;
+}
+
 /// Text of a string field; an absent field is an empty text.
 [[nodiscard]] inline std::string textOf(const flatbuffers::String* field)
 {
--- a/packages/wire/src/configuration/codec.cpp
+++ b/packages/wire/src/configuration/codec.cpp
@@ -2,19 +2,14 @@
 
 #include "pack.hpp"
 
+#include <boost/outcome/try.hpp>
+
 namespace rosemarymill::wire::configuration {
 
 namespace {
 
 using namespace detail;
 
-template <typename Table, typename Packed> void finish(const Packed& packed, Buffer& buf)
-{
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(Table::Pack(builder, &packed));
-    appendTable(builder, buf);
-}
-
 fb::PushT packMessage(const core::Push& it)
 {
     fb::PushT packed;
@@ -87,16 +82,12 @@
 {
     fb::MessageT packed;
     std::visit([&](const auto& it) { packed.message.Set(packMessage(it)); }, message);
-    finish<fb::Message>(packed, buf);
+    packTable(packed, buf);
 }
 
 Result<core::Message> decode(std::span<const std::byte> payload)
 {
-    const auto* table = verifiedTable<fb::Message>(payload);
-    if (!table)
-        return DecodeError::Malformed;
-    fb::MessageT packed;
-    table->UnPackTo(&packed);
+    BOOST_OUTCOME_TRY(packed, unpackTable<fb::MessageT>(payload));
     if (const auto* push = packed.message.AsPush())
         return unpackMessage(*push);
     if (const auto* pull = packed.message.AsPull())
@@ -108,7 +99,7 @@
     return DecodeError::Malformed;
 }
 
-void Codec::encodeCommand(const Command& command, Buffer& buf) { finish<fb::Command>(pack(command), buf); }
+void Codec::encodeCommand(const Command& command, Buffer& buf) { packTable(pack(command), buf); }
 
 void Codec::encodeSnapshot(const Snapshot& snapshot, Buffer& buf)
 {
@@ -117,16 +108,12 @@
     packed.entries = packAll(snapshot.entries);
     packed.submissions = packAll(snapshot.submissions);
     packed.cancelled = packAll(snapshot.cancelled);
-    finish<fb::Snapshot>(packed, buf);
+    packTable(packed, buf);
 }
 
 Result<Codec::Command> Codec::decodeCommand(std::span<const std::byte> payload)
 {
-    const auto* table = verifiedTable<fb::Command>(payload);
-    if (!table)
-        return DecodeError::Malformed;
-    fb::CommandT packed;
-    table->UnPackTo(&packed);
+    BOOST_OUTCOME_TRY(packed, unpackTable<fb::CommandT>(payload));
     auto command = unpack(packed);
     if (!command)
         return DecodeError::Malformed;
@@ -135,11 +122,7 @@
 
 Result<Codec::Snapshot> Codec::decodeSnapshot(std::span<const std::byte> payload)
 {
-    const auto* table = verifiedTable<fb::Snapshot>(payload);
-    if (!table)
-        return DecodeError::Malformed;
-    fb::SnapshotT packed;
-    table->UnPackTo(&packed);
+    BOOST_OUTCOME_TRY(packed, unpackTable<fb::SnapshotT>(payload));
     return Snapshot { Revision { packed.revision }, unpackAll(packed.entries), unpackAll(packed.submissions),
         unpackAll(packed.cancelled) };
 }
--- a/packages/wire/src/ledger/codec.cpp
+++ b/packages/wire/src/ledger/codec.cpp
@@ -6,6 +6,8 @@
 #include <memory>
 #include <optional>
 
+#include <boost/outcome/try.hpp>
+
 namespace rosemarymill::wire::ledger {
 
 namespace {
@@ -13,13 +15,6 @@
 namespace core = rosemarymill::ledger;
 namespace fb = generated::ledger;
 
-template <typename Packed> void finish(const Packed& packed, Buffer& buf)
-{
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(Packed::TableType::Pack(builder, &packed));
-    appendTable(builder, buf);
-}
-
 std::unique_ptr<fb::KeyT> pack(const core::Key& it)
 {
     auto packed = std::make_unique<fb::KeyT>();
@@ -198,22 +193,18 @@
 
 } // namespace
 
-void encode(const core::Message& message, Buffer& buf) { finish(pack(message), buf); }
+void encode(const core::Message& message, Buffer& buf) { packTable(pack(message), buf); }
 
 Result<core::Message> decode(std::span<const std::byte> payload)
 {
-    const auto* table = verifiedTable<fb::Message>(payload);
-    if (!table)
-        return DecodeError::Malformed;
-    fb::MessageT packed;
-    table->UnPackTo(&packed);
+    BOOST_OUTCOME_TRY(packed, unpackTable<fb::MessageT>(payload));
     auto message = unpack(packed);
     if (!message)
         return DecodeError::Malformed;
     return std::move(*message);
 }
 
-void Codec::encodeCommand(const Command& command, Buffer& buf) { finish(pack(command), buf); }
+void Codec::encodeCommand(const Command& command, Buffer& buf) { packTable(pack(command), buf); }
 
 void Codec::encodeSnapshot(const Snapshot& snapshot, Buffer& buf)
 {
@@ -221,16 +212,12 @@
     packed.now = snapshot.now;
     for (const auto& [key, record] : snapshot.records)
         packed.records.push_back(pack(key, record));
-    finish(packed, buf);
+    packTable(packed, buf);
 }
 
 Result<Codec::Command> Codec::decodeCommand(std::span<const std::byte> payload)
 {
-    const auto* table = verifiedTable<fb::Command>(payload);
-    if (!table)
-        return DecodeError::Malformed;
-    fb::CommandT packed;
-    table->UnPackTo(&packed);
+    BOOST_OUTCOME_TRY(packed, unpackTable<fb::CommandT>(payload));
     auto command = unpack(packed);
     if (!command)
         return DecodeError::Malformed;
@@ -239,11 +226,7 @@
 
 Result<Codec::Snapshot> Codec::decodeSnapshot(std::span<const std::byte> payload)
 {
-    const auto* table = verifiedTable<fb::Snapshot>(payload);
-    if (!table)
-        return DecodeError::Malformed;
-    fb::SnapshotT packed;
-    table->UnPackTo(&packed);
+    BOOST_OUTCOME_TRY(packed, unpackTable<fb::SnapshotT>(payload));
     Snapshot snapshot;
     snapshot.now = packed.now;
     for (const auto& it : packed.records) {
