--- a/tests/process/configuration_cluster.hpp
+++ b/tests/process/configuration_cluster.hpp
@@ -18,7 +18,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-/// Three voters and one process without a disk, as real processes on loopback.
+/// Three voters of the configuration and of a ledger home, and one process without a disk, as real processes on
+/// loopback.
 namespace rosemarymill::test {
 
 class ConfigurationCluster {
@@ -58,7 +59,8 @@
             if (other != i)
                 args.insert(args.end(), { "--peer", name(other) + "@mixco=" + address(m_ports[other][2]) });
             if (other != diskless)
-                args.insert(args.end(), { "--configuration-voter", name(other) });
+                args.insert(
+                    args.end(), { "--configuration-voter", name(other), "--ledger-voter", "mixco=" + name(other) });
         }
         if (i != diskless)
             args.insert(args.end(), { "--data-folder", folder.string() });
@@ -101,6 +103,9 @@
         return nlohmann::json::parse(response.body)["configuration"]["revision"];
     }
 
+    /// Address for callers and backend servers.
+    [[nodiscard]] std::string callers(std::size_t i) const { return address(m_ports[i][0]); }
+
     int readyStatus(std::size_t i) { return request(*m_base, m_ports[i][1], EVHTTP_REQ_GET, "/readyz").status; }
 
     /// Applies until the log has a leader. Returns false after 20 s.
