--- /dev/null
+++ b/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <rosemarymill/core/dispatch/call.hpp>
+#include <rosemarymill/core/fleet/server.hpp>
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <span>
+#include <variant>
+#include <vector>
+
+/// Choice of a server for each request on an entry VM.
+namespace rosemarymill::dispatch {
+
+/// Bounds of the choice.
+struct BalancerSettings {
+    DataCentreId dataCentre;
+    /// Requests beyond a server's slots that may wait there, as a part of the slots.
+    double queueShare { 0.25 };
+    /// Added to the load of servers in other data centres, as a part of their slots.
+    double remotePenalty { 0.05 };
+    /// A load that a server told is used for this long; afterwards only this VM's own requests count.
+    Duration reportLife { 1500ms };
+    /// First and longest time for which a failing server gets no requests.
+    Duration minSuspension { 250ms };
+    Duration maxSuspension { 4s };
+    /// Factor by which cold servers may be given more than their rate, and the requests beside it, from the platform.
+    double coldOvershoot { 1 };
+    double coldSlack { 0 };
+};
+
+/// What is asked of the choice.
+struct Query {
+    ServiceName service;
+    /// Empty for plain services.
+    ModelName model;
+    std::span<const ServerId> tried;
+    /// Requests per second that a cold server of the service bears; 0 means no limit.
+    double coldRate { 0 };
+    Instant now;
+};
+
+/// Why no server was chosen.
+enum class NoServer : std::uint8_t {
+    /// No server serves the model or service.
+    Unknown,
+    /// All servers that serve it have failed this call or failed recently.
+    Failing,
+    /// All servers are full.
+    Full,
+    /// All servers with room are cold.
+    Cold
+};
+
+/// Refusal with the time after which a request is expected to be served.
+struct Refusal {
+    NoServer reason { NoServer::Unknown };
+    Duration retryAfter {};
+};
+
+/// Server chosen, with the inputs of the choice.
+struct Choice {
+    const fleet::Target* target { nullptr };
+    /// Requests at the server in relation to its slots, as estimated.
+    double load { 0 };
+    unsigned candidates { 0 };
+};
+
+/// Servers known to an entry VM with the load it sees. Chooses the least loaded one.
+class Balancer {
+public:
+    Balancer(BalancerSettings settings, std::uint64_t seed)
+        : m_settings(std::move(settings))
+        , m_random(static_cast<std::minstd_rand::result_type>(seed))
+    {
+    }
+
+    /// Takes over a change of the targets. Servers that still hold requests of this VM are kept until they end.
+    void apply(const fleet::TargetDelta& delta, Instant now);
+
+    [[nodiscard]] std::variant<Choice, Refusal> choose(const Query& query);
+
+    /// A request was sent to the server; ended() follows.
+    void sent(const ServerId& server, Instant now);
+    void ended(const ServerId& server);
+
+    /// The server told its running and waiting requests.
+    void loadReported(const ServerId& server, unsigned requests, Instant now);
+
+    /// The server answered or sent part of a stream.
+    void succeeded(const ServerId& server, Instant now);
+
+    /// The server did not take or finish a request. It gets no requests for a time that doubles.
+    void failed(const ServerId& server, Instant now);
+
+    /// The server took no request because it was full.
+    void full(const ServerId& server, Instant now);
+
+    /// The server's process is known to be gone; it gets no requests until it is announced again.
+    void gone(const ServerId& server);
+
+    void setEntryVms(unsigned n) noexcept { m_entryVms = n; }
+    [[nodiscard]] unsigned entryVms() const noexcept { return m_entryVms; }
+    [[nodiscard]] const fleet::Target* find(const ServerId& server) const;
+    [[nodiscard]] Instant lastProgress(const ServerId& server) const;
+    [[nodiscard]] std::size_t size() const noexcept;
+
+private:
+    struct Entry {
+        fleet::Target target;
+        bool withdrawn { false };
+        bool gone { false };
+        unsigned outstanding { 0 };
+        unsigned reported { 0 };
+        unsigned outstandingAtReport { 0 };
+        Instant reportedAt;
+        Instant progressAt;
+        Instant suspendedUntil;
+        Duration suspension {};
+        Instant coldUntil;
+        /// Requests that this VM may send to the server while it is cold.
+        double coldTokens { 0 };
+        Instant coldTokensAt;
+    };
+
+    [[nodiscard]] double loadOf(const Entry& entry, Instant now) const;
+    [[nodiscard]] static bool isCold(const Entry& entry, const Query& query);
+    void refillColdTokens(Entry& entry, double rate, Instant now) const;
+    void withdraw(const ServerId& server);
+
+    BalancerSettings m_settings;
+    std::minstd_rand m_random;
+    std::map<ServerId, Entry> m_entries;
+    /// Assumed before a control VM tells the number, so that shares of limits start small.
+    unsigned m_entryVms { 16 };
+};
+
+} // namespace rosemarymill::dispatch
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/dispatch/call.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <rosemarymill/core/base/time.hpp>
+#include <rosemarymill/core/routes/document.hpp>
+
+#include <cstdint>
+
+/// What happens to a call after an attempt at one server has ended.
+namespace rosemarymill::dispatch {
+
+/// How an attempt ended.
+enum class AttemptEnd : std::uint8_t {
+    /// No byte of the request can have reached the server.
+    NotSent,
+    /// The server said that it did not and will not run the request.
+    Rejected,
+    /// The server ran the request and answered with a server error.
+    ServerError,
+    /// The connection ended, or the answer was unusable. The request may have run.
+    Broken,
+    /// The server stopped sending. The request may have run.
+    Stalled
+};
+
+/// What a call has been through so far.
+struct CallState {
+    bool repeatable { false };
+    bool streaming { false };
+    unsigned maxServers { 1 };
+    /// Attempts that may have run at servers that still count.
+    unsigned runs { 0 };
+    /// Attempts that may have run at all.
+    unsigned possibleRuns { 0 };
+    unsigned rejections { 0 };
+    unsigned unsent { 0 };
+    /// The client has received the head of the answer.
+    bool headSent { false };
+    Instant deadline;
+};
+
+/// Next step of a call.
+enum class Step : std::uint8_t {
+    /// Send the request to another server; a stream continues after its last event.
+    TryNext,
+    /// Hand the server's answer to the client.
+    PassOn,
+    /// Tell the client that the request has not run.
+    Refuse,
+    /// Tell the client that the outcome is unknown.
+    Fail,
+    /// Cut the answer that has begun.
+    Abort
+};
+
+/// Attempts rejected or not sent after which a call is given up.
+inline constexpr unsigned maxRejections = 3;
+inline constexpr unsigned maxUnsent = 4;
+
+/// Time that has to be left before the deadline for another attempt to be worth its cost.
+inline constexpr Duration minTimeForRetry = 60ms;
+
+/// Decides the next step. The state already counts the attempt. `budgetLeft` tells whether the service's retry budget
+/// allows another arrival at a server.
+[[nodiscard]] Step nextStep(const CallState& state, AttemptEnd end, bool budgetLeft, Instant now) noexcept;
+
+} // namespace rosemarymill::dispatch
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/dispatch/retry_budget.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <rosemarymill/core/base/time.hpp>
+
+#include <cstdint>
+#include <deque>
+
+namespace rosemarymill::dispatch {
+
+/// Limits that all entry VMs share on repeated arrivals at one service.
+struct RetryLimits {
+    /// Repeats for each request of clients.
+    double ratio { 0.2 };
+    /// Repeats in a window beside the ratio.
+    double slack { 0 };
+    Duration window { 10s };
+};
+
+/// One entry VM's part of a retry budget over a sliding window. The slack is divided among the entry VMs.
+class RetryBudget {
+public:
+    explicit RetryBudget(RetryLimits limits)
+        : m_limits(limits)
+    {
+    }
+
+    void countRequest(Instant now) { count(now, m_requests); }
+
+    /// Whether one more repeat is within this VM's part.
+    [[nodiscard]] bool available(Instant now, unsigned entryVms);
+
+    void countRepeat(Instant now) { count(now, m_repeats); }
+
+private:
+    struct Bucket {
+        Instant begin;
+        std::uint64_t n { 0 };
+    };
+
+    void count(Instant now, std::deque<Bucket>& buckets) const;
+    std::uint64_t total(Instant now, std::deque<Bucket>& buckets) const;
+
+    RetryLimits m_limits;
+    std::deque<Bucket> m_requests;
+    std::deque<Bucket> m_repeats;
+};
+
+} // namespace rosemarymill::dispatch
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/fleet/fwd.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+/// Forward declarations of the fleet module.
+namespace rosemarymill::fleet {
+
+class Control;
+class Machine;
+class Registry;
+struct Group;
+struct ServerRecord;
+struct Target;
+
+} // namespace rosemarymill::fleet
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/fleet/machine.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <rosemarymill/core/agreement/replica.hpp>
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <variant>
+
+/// State that survives the loss of control VMs: the document, and the data centres out of service.
+namespace rosemarymill::fleet {
+
+/// Stores a document when its version is higher than the stored one.
+struct StoreDocument {
+    std::string submission;
+    std::uint64_t version { 0 };
+    std::string bytes;
+
+    friend bool operator==(const StoreDocument&, const StoreDocument&) = default;
+};
+
+/// Takes a data centre out of service or brings it back.
+struct SetOutOfService {
+    std::string submission;
+    DataCentreId dataCentre;
+    bool outOfService { true };
+
+    friend bool operator==(const SetOutOfService&, const SetOutOfService&) = default;
+};
+
+/// Changes nothing. Its commit shows that the leader still leads, so that a read after it is up to date.
+struct Barrier {
+    std::string submission;
+
+    friend bool operator==(const Barrier&, const Barrier&) = default;
+};
+
+using Command = std::variant<StoreDocument, SetOutOfService, Barrier>;
+
+/// Submission of a command.
+[[nodiscard]] inline const std::string& submissionOf(const Command& command)
+{
+    return std::visit([](const auto& it) -> const std::string& { return it.submission; }, command);
+}
+
+/// Complete state of the machine.
+struct Snapshot {
+    std::uint64_t version { 0 };
+    std::string bytes;
+    std::set<DataCentreId> outOfService;
+
+    friend bool operator==(const Snapshot&, const Snapshot&) = default;
+};
+
+/// State machine of the control log.
+class Machine {
+public:
+    using Command = fleet::Command;
+    using Snapshot = fleet::Snapshot;
+
+    struct Answer {
+        std::string submission;
+        /// Whether the command changed the state.
+        bool changed { false };
+    };
+
+    Answer apply(agreement::Index, const Command& command);
+    [[nodiscard]] Snapshot snapshot() const { return m_state; }
+    void restore(Snapshot snapshot) { m_state = std::move(snapshot); }
+    [[nodiscard]] static std::size_t weight(const Command& command);
+
+    [[nodiscard]] const Snapshot& state() const noexcept { return m_state; }
+
+private:
+    Snapshot m_state;
+};
+
+/// The control log.
+using Replica = agreement::Replica<Machine>;
+using LogMessage = agreement::Message<Command, Snapshot>;
+using LogRecord = agreement::Record<Command, Snapshot>;
+using LogImage = agreement::Image<Command, Snapshot>;
+
+/// Name of the control log, in messages and in the data folder.
+inline constexpr const char* logName = "fleet";
+
+} // namespace rosemarymill::fleet
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/fleet/message.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <rosemarymill/core/fleet/server.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Messages between entry VMs and control VMs.
+namespace rosemarymill::fleet {
+
+/// Asks a control VM for members, document and targets. Sent once on each connection.
+struct Subscribe {
+    /// Address for other processes; empty for entry VMs.
+    std::string address;
+    bool control { false };
+    /// Version of the document that the sender holds.
+    std::uint64_t documentVersion { 0 };
+};
+
+/// Who leads, which control VMs are known, and how many entry VMs share limits.
+struct Members {
+    /// Address of the leader; empty when none is known.
+    std::string leader;
+    std::uint64_t term { 0 };
+    std::vector<std::string> controls;
+    std::vector<std::string> voters;
+    unsigned entryVms { 0 };
+};
+
+/// The document as it was submitted.
+struct DocumentPush {
+    std::uint64_t version { 0 };
+    std::string bytes;
+};
+
+/// Change of the servers that entry VMs may use.
+struct TargetsPush {
+    TargetDelta delta;
+};
+
+/// What an entry VM saw since its last report.
+struct Report {
+    std::vector<ServerId> progressed;
+    std::vector<ServerId> stalled;
+    bool traffic { false };
+    std::uint64_t documentVersion { 0 };
+};
+
+/// Keeps a quiet connection known to be working.
+struct Alive { };
+
+using Message = std::variant<Subscribe, Members, DocumentPush, TargetsPush, Report, Alive>;
+
+} // namespace rosemarymill::fleet
--- /dev/null
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -0,0 +1,222 @@
+#include <rosemarymill/core/dispatch/balancer.hpp>
+
+#include <algorithm>
+
+namespace rosemarymill::dispatch {
+
+namespace {
+
+/// Random part of a server's load, so that entry VMs with equal views do not choose the same server.
+constexpr double loadNoise = 0.08;
+
+/// Time after which a refused request is expected to be served, by the reason of the refusal.
+constexpr Duration retryAfterUnknown = 1s;
+constexpr Duration retryAfterFull = 500ms;
+constexpr Duration retryAfterCold = 300ms;
+
+/// Time for which a full server gets no requests.
+constexpr Duration fullPause = 100ms;
+
+/// Part of the cold rate that is used, since the VMs' windows do not begin together.
+constexpr double coldSafety = 0.7;
+
+} // namespace
+
+void Balancer::apply(const fleet::TargetDelta& delta, Instant now)
+{
+    if (delta.full) {
+        for (auto& [id, entry] : m_entries)
+            entry.withdrawn = true;
+    }
+    for (const auto& target : delta.upserts) {
+        auto& entry = m_entries[target.id];
+        if (entry.target.id.empty())
+            entry.progressAt = now;
+        if (entry.withdrawn || entry.gone) {
+            entry.suspendedUntil = {};
+            entry.suspension = {};
+        }
+        entry.target = target;
+        entry.withdrawn = false;
+        entry.gone = false;
+        if (target.coldLeft > Duration::zero()) {
+            if (now >= entry.coldUntil) {
+                entry.coldTokens = 0;
+                entry.coldTokensAt = now;
+            }
+            entry.coldUntil = now + target.coldLeft;
+        }
+    }
+    for (const auto& id : delta.withdrawn)
+        withdraw(id);
+    for (const auto& id : delta.lost)
+        withdraw(id);
+    std::erase_if(m_entries, [](const auto& it) { return it.second.withdrawn && it.second.outstanding == 0; });
+}
+
+void Balancer::withdraw(const ServerId& server)
+{
+    if (const auto it = m_entries.find(server); it != m_entries.end())
+        it->second.withdrawn = true;
+}
+
+double Balancer::loadOf(const Entry& entry, Instant now) const
+{
+    auto requests = static_cast<double>(entry.outstanding);
+    if (now < entry.reportedAt + m_settings.reportLife) {
+        const auto own = requests - static_cast<double>(entry.outstandingAtReport);
+        requests = std::max(requests, static_cast<double>(entry.reported) + own);
+    }
+    return requests / std::max(1U, entry.target.slots);
+}
+
+void Balancer::refillColdTokens(Entry& entry, double rate, Instant now) const
+{
+    const auto share = (rate * m_settings.coldOvershoot + m_settings.coldSlack) * coldSafety
+        / static_cast<double>(std::max(m_entryVms, 1U));
+    // The tokens of one second never exceed the share: at most half is saved up, and the rest arrives in a second.
+    const auto seconds = std::chrono::duration<double>(now - entry.coldTokensAt).count();
+    entry.coldTokens = std::min(std::max(share / 2, 1.0), entry.coldTokens + seconds * share / 2);
+    entry.coldTokensAt = now;
+}
+
+bool Balancer::isCold(const Entry& entry, const Query& query)
+{
+    return query.coldRate > 0 && query.now < entry.coldUntil;
+}
+
+std::variant<Choice, Refusal> Balancer::choose(const Query& query)
+{
+    std::uniform_real_distribution<double> noise(0, loadNoise);
+    Entry* best = nullptr;
+    double bestScore = 0;
+    Choice choice;
+    Refusal refusal { NoServer::Unknown, retryAfterUnknown };
+    const auto limit = 1 + m_settings.queueShare;
+    const auto setReason = [&](NoServer reason, Duration retryAfter) {
+        if (reason > refusal.reason)
+            refusal = { reason, retryAfter };
+    };
+    for (auto& [id, entry] : m_entries) {
+        const auto& target = entry.target;
+        if (entry.withdrawn || entry.gone || target.service != query.service || target.model != query.model)
+            continue;
+        ++choice.candidates;
+        if (query.now < entry.suspendedUntil
+            || std::find(query.tried.begin(), query.tried.end(), id) != query.tried.end()) {
+            setReason(NoServer::Failing, retryAfterFull);
+            continue;
+        }
+        const auto load = loadOf(entry, query.now);
+        if (load >= limit) {
+            setReason(NoServer::Full, retryAfterFull);
+            continue;
+        }
+        if (isCold(entry, query)) {
+            refillColdTokens(entry, query.coldRate, query.now);
+            if (entry.coldTokens < 1) {
+                setReason(NoServer::Cold, retryAfterCold);
+                continue;
+            }
+        }
+        const auto score
+            = load + noise(m_random) + (target.dataCentre == m_settings.dataCentre ? 0 : m_settings.remotePenalty);
+        if (best && score >= bestScore)
+            continue;
+        best = &entry;
+        bestScore = score;
+        choice.load = load;
+    }
+    if (!best)
+        return refusal;
+    if (isCold(*best, query))
+        best->coldTokens -= 1;
+    choice.target = &best->target;
+    return choice;
+}
+
+void Balancer::sent(const ServerId& server, Instant now)
+{
+    const auto it = m_entries.find(server);
+    if (it == m_entries.end())
+        return;
+    if (it->second.outstanding++ == 0)
+        it->second.progressAt = now;
+}
+
+void Balancer::ended(const ServerId& server)
+{
+    const auto it = m_entries.find(server);
+    if (it == m_entries.end())
+        return;
+    auto& entry = it->second;
+    if (entry.outstanding > 0)
+        --entry.outstanding;
+    if (entry.withdrawn && entry.outstanding == 0)
+        m_entries.erase(it);
+}
+
+void Balancer::loadReported(const ServerId& server, unsigned requests, Instant now)
+{
+    const auto it = m_entries.find(server);
+    if (it == m_entries.end())
+        return;
+    it->second.reported = requests;
+    it->second.outstandingAtReport = it->second.outstanding;
+    it->second.reportedAt = now;
+}
+
+void Balancer::succeeded(const ServerId& server, Instant now)
+{
+    const auto it = m_entries.find(server);
+    if (it == m_entries.end())
+        return;
+    it->second.progressAt = now;
+    it->second.suspension = {};
+}
+
+void Balancer::failed(const ServerId& server, Instant now)
+{
+    const auto it = m_entries.find(server);
+    if (it == m_entries.end())
+        return;
+    auto& entry = it->second;
+    // Failures of requests that were sent before the suspension began are the same failure.
+    if (now < entry.suspendedUntil)
+        return;
+    entry.suspension = std::clamp(entry.suspension * 2, m_settings.minSuspension, m_settings.maxSuspension);
+    entry.suspendedUntil = now + entry.suspension;
+}
+
+void Balancer::full(const ServerId& server, Instant now)
+{
+    const auto it = m_entries.find(server);
+    if (it != m_entries.end())
+        it->second.suspendedUntil = std::max(it->second.suspendedUntil, now + fullPause);
+}
+
+void Balancer::gone(const ServerId& server)
+{
+    if (const auto it = m_entries.find(server); it != m_entries.end())
+        it->second.gone = true;
+}
+
+const fleet::Target* Balancer::find(const ServerId& server) const
+{
+    const auto it = m_entries.find(server);
+    return it == m_entries.end() || it->second.withdrawn ? nullptr : &it->second.target;
+}
+
+Instant Balancer::lastProgress(const ServerId& server) const
+{
+    const auto it = m_entries.find(server);
+    return it == m_entries.end() ? Instant {} : it->second.progressAt;
+}
+
+std::size_t Balancer::size() const noexcept
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(), [](const auto& it) { return !it.second.withdrawn; }));
+}
+
+} // namespace rosemarymill::dispatch
--- /dev/null
+++ b/packages/core/src/fleet/control.cpp
@@ -0,0 +1,245 @@
+#include <rosemarymill/core/fleet/control.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemarymill::fleet {
+
+namespace {
+
+std::string milliseconds(Duration it) { return std::to_string(it / 1ms) + " ms"; }
+
+/// Whether entry VMs have to hear of the difference. The rest of a cold start only shrinks on its own.
+bool differs(const Target& a, const Target& b)
+{
+    auto comparable = a;
+    comparable.coldLeft = b.coldLeft;
+    return comparable != b || (a.coldLeft == Duration::zero()) != (b.coldLeft == Duration::zero());
+}
+
+} // namespace
+
+void Control::reduce(const ControlEvent& event, Effects& effects)
+{
+    std::visit(
+        [&](const auto& it) {
+            m_now = it.now;
+            handle(it, effects);
+        },
+        event);
+}
+
+void Control::handle(const event::HeartbeatReceived& event, Effects& effects)
+{
+    if (!m_leads)
+        return;
+    const auto* before = m_registry.find(event.record.id);
+    const bool known = before != nullptr;
+    const bool wasDraining = known && before->record.draining;
+    const auto result = m_registry.apply(m_now, event.record);
+    const auto name = event.record.id.text();
+    if (result != HeartbeatResult::Accepted) {
+        log("ignore heartbeat", name, result == HeartbeatResult::Outdated ? "outdated" : "earlier life", effects);
+        return;
+    }
+    m_lost.erase(event.record.id);
+    if (!known)
+        log("add server", name, "heartbeat from " + event.record.address, effects);
+    if (event.record.draining && !wasDraining)
+        log("drain server", name, "announced by the server", effects);
+    auto& server = *m_registry.find(event.record.id);
+    if (server.record.group && server.record.group->state != MemberState::Joining && !server.record.loaded.empty())
+        server.lastModel = server.record.loaded.front();
+    if (server.record.group)
+        adopt(server.record, effects);
+    if (!known || server.record.draining != wasDraining || server.record.group)
+        reviewGroups(effects);
+    publish(false, effects);
+}
+
+void Control::handle(const event::ServerLeft& event, Effects& effects)
+{
+    if (!m_leads)
+        return;
+    log("remove server", event.server.text(), "it left", effects);
+    if (auto* server = m_registry.find(event.server)) {
+        // The process serves a little longer; its groups are closed in order.
+        server->record.draining = true;
+        server->heardAt = m_now;
+    }
+    reviewGroups(effects);
+    publish(false, effects);
+}
+
+void Control::handle(const event::LeadershipChanged& event, Effects& effects)
+{
+    m_leads = event.leads;
+    m_term = event.term;
+    m_leadsSince = m_now;
+    m_settled = false;
+    m_registry.clear();
+    m_groups.clear();
+    m_staging.clear();
+    m_published.clear();
+    m_lost.clear();
+    m_loadStarts.clear();
+    log(m_leads ? "lead" : "follow", "term " + std::to_string(m_term), "election", effects);
+}
+
+void Control::handle(const event::DocumentChanged& event, Effects& effects)
+{
+    m_table = event.table;
+    if (m_leads)
+        publish(false, effects);
+}
+
+void Control::handle(const event::OutOfServiceChanged& event, Effects& effects)
+{
+    m_outOfService = event.dataCentres;
+    if (m_leads)
+        publish(false, effects);
+}
+
+void Control::handle(const event::ProbeAnswered& event, Effects& effects)
+{
+    auto* server = m_registry.find(event.server);
+    if (!m_leads || !server)
+        return;
+    if (event.result == event::ProbeResult::Alive) {
+        server->probedAliveAt = m_now;
+        server->failedProbes = 0;
+        return;
+    }
+    ++server->failedProbes;
+    server->gone = event.result == event::ProbeResult::Gone;
+    if (server->gone || server->failedProbes == m_settings.deadProbes)
+        log("suspect server", event.server.text(),
+            std::string(server->gone ? "no process at its address" : "probes unanswered") + ", silent for "
+                + milliseconds(m_now - server->aliveAt()),
+            effects);
+    reviewGroups(effects);
+    publish(false, effects);
+}
+
+void Control::handle(const event::ProgressReported& event, Effects&)
+{
+    if (auto* group = groupOf(event.server))
+        group->progressAt = m_now;
+}
+
+void Control::handle(const event::StallReported& event, Effects& effects)
+{
+    auto* group = m_leads ? groupOf(event.server) : nullptr;
+    if (!group || group->phase != GroupPhase::Open)
+        return;
+    for (const auto& member : group->members) {
+        if (auto* server = m_registry.find(member); server && m_now >= server->probeSentAt + m_settings.probeInterval)
+            probe(*server, effects);
+    }
+}
+
+void Control::handle(const event::TrafficStarted&, Effects& effects)
+{
+    if (!std::exchange(m_traffic, true))
+        log("limit loads", "weight store", "traffic started", effects);
+}
+
+void Control::handle(const event::Tick&, Effects& effects)
+{
+    if (!m_leads)
+        return;
+    if (!m_settled && m_now >= m_leadsSince + m_settings.settle) {
+        m_settled = true;
+        publish(true, effects);
+    }
+    probeSilentServers(effects);
+    reviewGroups(effects);
+    formGroups(effects);
+    publish(false, effects);
+}
+
+bool Control::isAlive(const KnownServer& server) const
+{
+    return !server.gone && m_now < server.aliveAt() + m_settings.probeAfter + m_settings.probeInterval;
+}
+
+bool Control::isDead(const KnownServer& server) const
+{
+    return server.gone || server.failedProbes >= m_settings.deadProbes;
+}
+
+void Control::probe(KnownServer& server, Effects& effects)
+{
+    server.probeSentAt = m_now;
+    effects(effect::ProbeServer { server.record.id, server.record.address });
+}
+
+void Control::probeSilentServers(Effects& effects)
+{
+    std::vector<ServerId> forgotten;
+    for (auto& [id, server] : m_registry.servers()) {
+        const auto silent = m_now - server.aliveAt();
+        if (silent >= m_settings.forgetAfter)
+            forgotten.push_back(id);
+        else if (silent >= m_settings.probeAfter && !isDead(server)
+            && m_now >= server.probeSentAt + m_settings.probeInterval)
+            probe(server, effects);
+    }
+    for (const auto& id : forgotten) {
+        log("forget server", id.text(), "silent for " + milliseconds(m_settings.forgetAfter), effects);
+        m_registry.remove(id);
+    }
+}
+
+std::map<ServerId, Target> Control::currentTargets() const
+{
+    std::map<ServerId, Target> targets;
+    if (!m_table)
+        return targets;
+    for (const auto& [id, server] : m_registry.servers()) {
+        const auto& record = server.record;
+        const auto* service = m_table->service(record.service);
+        if (!service || service->engine || record.draining || server.gone || m_outOfService.contains(record.dataCentre))
+            continue;
+        targets.emplace(
+            id, Target { id, record.address, record.service, record.dataCentre, {}, record.slots, record.coldLeft });
+    }
+    for (const auto& [name, group] : m_groups) {
+        const auto* head = m_registry.find(group.head());
+        if (group.phase != GroupPhase::Open || !head || m_outOfService.contains(head->record.dataCentre))
+            continue;
+        const auto& record = head->record;
+        const auto* service = m_table->service(record.service);
+        const auto slots = service && service->engine ? service->engine->slots : record.slots;
+        targets.emplace(record.id,
+            Target {
+                record.id, record.address, record.service, record.dataCentre, group.model, slots, record.coldLeft });
+    }
+    return targets;
+}
+
+void Control::publish(bool full, Effects& effects)
+{
+    auto targets = currentTargets();
+    TargetDelta delta;
+    delta.full = full;
+    for (const auto& [id, target] : targets) {
+        const auto it = m_published.find(id);
+        if (full || it == m_published.end() || differs(it->second, target))
+            delta.upserts.push_back(target);
+    }
+    for (const auto& [id, target] : m_published) {
+        if (!targets.contains(id))
+            (m_lost.contains(id) ? delta.lost : delta.withdrawn).push_back(id);
+    }
+    m_published = std::move(targets);
+    if (!delta.empty())
+        effects(effect::PublishTargets { std::move(delta) });
+}
+
+void Control::log(std::string decision, std::string subject, std::string reason, Effects& effects) const
+{
+    effects(effect::LogDecision { std::move(decision), std::move(subject), std::move(reason) });
+}
+
+} // namespace rosemarymill::fleet
--- /dev/null
+++ b/packages/core/src/fleet/machine.cpp
@@ -0,0 +1,28 @@
+#include <rosemarymill/core/fleet/machine.hpp>
+
+namespace rosemarymill::fleet {
+
+Machine::Answer Machine::apply(agreement::Index, const Command& command)
+{
+    Answer answer { submissionOf(command), false };
+    if (const auto* it = std::get_if<StoreDocument>(&command)) {
+        answer.changed = it->version > m_state.version;
+        if (answer.changed) {
+            m_state.version = it->version;
+            m_state.bytes = it->bytes;
+        }
+    } else if (const auto* change = std::get_if<SetOutOfService>(&command)) {
+        answer.changed = change->outOfService ? m_state.outOfService.insert(change->dataCentre).second
+                                              : m_state.outOfService.erase(change->dataCentre) > 0;
+    }
+    return answer;
+}
+
+std::size_t Machine::weight(const Command& command)
+{
+    constexpr std::size_t smallCommand = 64;
+    const auto* it = std::get_if<StoreDocument>(&command);
+    return smallCommand + (it ? it->bytes.size() : 0);
+}
+
+} // namespace rosemarymill::fleet
--- /dev/null
+++ b/packages/core/src/fleet/registry.cpp
@@ -0,0 +1,70 @@
+#include <rosemarymill/core/fleet/registry.hpp>
+
+namespace rosemarymill::fleet {
+
+HeartbeatResult Registry::apply(Instant now, ServerRecord record)
+{
+    if (const auto it = m_departed.find(record.id); it != m_departed.end()) {
+        if (record.bornMs <= it->second)
+            return HeartbeatResult::FromEarlierLife;
+        m_departed.erase(it);
+    }
+    auto& bornAtAddress = m_bornAtAddress[record.address];
+    if (record.bornMs < bornAtAddress)
+        return HeartbeatResult::FromEarlierLife;
+    const auto known = m_servers.find(record.id);
+    if (known != m_servers.end()) {
+        const auto& held = known->second.record;
+        if (record.bornMs < held.bornMs)
+            return HeartbeatResult::FromEarlierLife;
+        if (record.bornMs == held.bornMs && record.sequence <= held.sequence)
+            return HeartbeatResult::Outdated;
+        if (record.bornMs > held.bornMs || record.address != held.address)
+            m_servers.erase(known);
+    }
+    bornAtAddress = record.bornMs;
+    // Another process that had the address before is gone.
+    if (const auto it = m_byAddress.find(record.address); it != m_byAddress.end() && it->second != record.id)
+        m_servers.erase(it->second);
+    m_byAddress[record.address] = record.id;
+    auto& server = m_servers[record.id];
+    server.record = std::move(record);
+    server.heardAt = now;
+    server.failedProbes = 0;
+    server.gone = false;
+    return HeartbeatResult::Accepted;
+}
+
+void Registry::remove(const ServerId& id)
+{
+    const auto it = m_servers.find(id);
+    if (it == m_servers.end())
+        return;
+    const auto& record = it->second.record;
+    m_departed[id] = record.bornMs;
+    if (const auto at = m_byAddress.find(record.address); at != m_byAddress.end() && at->second == id)
+        m_byAddress.erase(at);
+    m_servers.erase(it);
+}
+
+KnownServer* Registry::find(const ServerId& id)
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? nullptr : &it->second;
+}
+
+const KnownServer* Registry::find(const ServerId& id) const
+{
+    const auto it = m_servers.find(id);
+    return it == m_servers.end() ? nullptr : &it->second;
+}
+
+void Registry::clear()
+{
+    m_servers.clear();
+    m_byAddress.clear();
+    m_bornAtAddress.clear();
+    m_departed.clear();
+}
+
+} // namespace rosemarymill::fleet
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,11 +1,16 @@
 #include <rosemarymill/daemon/run.hpp>
 #include <rosemarymill/daemon/settings.hpp>
 
+#include <platform/run.hpp>
+
 #include <exception>
 #include <iostream>
+#include <string_view>
 
 int main(int argc, char** argv)
 {
+    if (argc == 2 && std::string_view { argv[1] } == "platform")
+        return rosemarymill::platform::run();
     const auto parsed = rosemarymill::daemon::parseSettings(argc, argv);
     if (parsed.settings.help) {
         std::cout << parsed.usage;
--- a/packages/runtime/include/rosemarymill/runtime/link/connection.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/link/connection.hpp
@@ -48,6 +48,9 @@
     /// Whether the other end has introduced itself and little is waiting in the socket's buffer.
     [[nodiscard]] bool writable() const;
 
+    /// Bytes that wait in the socket's buffer.
+    [[nodiscard]] std::size_t unsentBytes() const;
+
     [[nodiscard]] const std::optional<wire::link::Hello>& remote() const noexcept { return m_remote; }
 
     /// Checks the time limits. Returns the reason when the connection has to be closed, or an empty text.
--- a/packages/runtime/include/rosemarymill/runtime/link/counters.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/link/counters.hpp
@@ -10,7 +10,7 @@
 namespace rosemarymill::runtime {
 
 /// Frame kinds, including the unused kind 0.
-inline constexpr std::size_t frameKinds = static_cast<std::size_t>(wire::FrameKind::Forward) + 1;
+inline constexpr std::size_t frameKinds = static_cast<std::size_t>(wire::FrameKind::Fleet) + 1;
 
 /// Frames of one kind in one direction. The bytes include the frame headers.
 struct FrameCount {
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <rosemarymill/core/fleet/control.hpp>
+#include <rosemarymill/core/fleet/machine.hpp>
+#include <rosemarymill/runtime/nodes/control_link.hpp>
+#include <rosemarymill/runtime/nodes/environment.hpp>
+#include <rosemarymill/runtime/nodes/server_client.hpp>
+#include <rosemarymill/runtime/nodes/subscriber_server.hpp>
+#include <rosemarymill/runtime/nodes/voter_links.hpp>
+#include <rosemarymill/runtime/storage/data_folder.hpp>
+#include <rosemarymill/runtime/storage/storage.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <iosfwd>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rosemarymill::runtime::nodes {
+
+/// Fixed choices of a control VM.
+struct ControlNodeSettings {
+    /// Address for other processes, which also names the voter.
+    std::string address;
+    DataCentreId dataCentre;
+    /// Addresses of control VMs to start from.
+    std::vector<std::string> seeds;
+    /// The system starts for the first time: the seeds found the control log.
+    bool bootstrap { false };
+    std::string dataFolder;
+    fleet::ControlSettings decisions;
+    std::uint64_t seed { 0 };
+};
+
+/// Process on a control VM: voter of the control log, and the one that decides while it leads.
+class ControlNode {
+public:
+    /// Told whether a command is committed; false means that nobody knows.
+    using Committed = std::function<void(bool)>;
+    /// Receives the state of the log, or null when this VM cannot be sure that it is the latest.
+    using StateRead = std::function<void(const fleet::Snapshot*)>;
+
+    /// Time after which a proposal that is not committed is answered as unknown: callers wait a second.
+    static constexpr Duration proposalTimeout = 900ms;
+
+    /// Throws std::runtime_error when the address cannot be bound or the data folder cannot be read.
+    ControlNode(event_base* base, ControlNodeSettings settings, Environment environment);
+    ~ControlNode();
+    ControlNode(const ControlNode&) = delete;
+    ControlNode& operator=(const ControlNode&) = delete;
+
+    void setSeeds(const std::vector<std::string>& seeds);
+
+    /// Whether this VM leads and has applied all that was committed before.
+    [[nodiscard]] bool leads() const noexcept { return m_leads; }
+    /// Address of the leader as far as this VM knows, or an empty text.
+    [[nodiscard]] std::string leader() const;
+
+    /// A server announced itself. Only for the leader.
+    void heartbeat(fleet::ServerRecord record);
+    void serverLeft(const ServerId& server);
+
+    /// Replicates a change of the document.
+    void storeDocument(std::uint64_t version, std::string bytes, Committed done);
+    void setOutOfService(const DataCentreId& dataCentre, bool outOfService, Committed done);
+    /// Reads the latest state through the log.
+    void read(StateRead done);
+
+    void writeMetrics(std::ostream& out) const;
+
+private:
+    using Replica = fleet::Replica;
+
+    struct Proposal {
+        Instant deadline;
+        Committed done;
+    };
+
+    void loadVoters();
+    void storeVoters();
+    void startReplica();
+    void post(Replica::Event&& event);
+    void carryOut(Replica::Effect& effect);
+    void carryOut(fleet::ControlEffect& effect);
+    void decide(const fleet::ControlEvent& event);
+    void reviewLeadership();
+    void applied();
+    void propose(fleet::Command command, Committed done);
+    void finishProposal(const std::string& submission, bool committed);
+    void failProposals(Instant now, bool all);
+    void sendOrder(const fleet::effect::SendOrder& effect);
+    void probe(const fleet::effect::ProbeServer& effect);
+
+    [[nodiscard]] fleet::Members members() const;
+    void onSubscribed(Subscriber& subscriber);
+    bool onLogFrame(const VmId& from, std::span<const std::byte> payload);
+    void onReport(const Subscriber& from, const fleet::Report& report);
+    void countEntryVms();
+    void tick();
+
+    event_base* m_base;
+    ControlNodeSettings m_settings;
+    Environment m_environment;
+    wire::link::Hello m_self;
+    std::unique_ptr<storage::DataFolder> m_folder;
+    std::unique_ptr<storage::Storage<storage::FleetLog>> m_storage;
+    std::vector<std::string> m_voters;
+    std::unique_ptr<Replica> m_replica;
+    std::deque<Replica::Event> m_events;
+    bool m_reducing { false };
+    fleet::Control m_control;
+    fleet::Control::Effects m_decisions;
+    bool m_leads { false };
+    std::uint64_t m_documentVersion { 0 };
+    std::shared_ptr<const routes::Table> m_table;
+    std::set<DataCentreId> m_outOfService;
+    std::map<std::string, Proposal> m_proposals;
+    std::uint64_t m_submissions { 0 };
+    ServerClient m_servers;
+    VoterLinks m_voterLinks;
+    SubscriberServer m_subscribers;
+    /// Used while this VM does not vote, to learn who does.
+    ControlLink m_link;
+    /// Entry VMs by the time when they were last connected.
+    std::map<VmId, Instant> m_entryVms;
+    unsigned m_entryCount { 0 };
+    std::string m_lastLeader;
+    unsigned m_ticks { 0 };
+    EventHandle m_tick;
+};
+
+} // namespace rosemarymill::runtime::nodes
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <rosemarymill/runtime/nodes/control_link.hpp>
+#include <rosemarymill/runtime/nodes/environment.hpp>
+#include <rosemarymill/runtime/proxy/proxy.hpp>
+
+#include <functional>
+#include <iosfwd>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rosemarymill::runtime::nodes {
+
+/// Fixed choices of an entry VM.
+struct EntryNodeSettings {
+    VmId vm;
+    DataCentreId dataCentre;
+    std::vector<std::string> seeds;
+    proxy::ProxySettings proxy;
+    /// Time for a graceful shutdown, after which the platform kills the process.
+    Duration grace { 8s };
+    std::uint64_t seed { 0 };
+};
+
+/// Process on an entry VM: serves clients with the document and the servers that it last learned.
+class EntryNode {
+public:
+    /// Interval of the reports to the leader.
+    static constexpr Duration reportInterval = 400ms;
+    /// A stall of one server is reported at most this often.
+    static constexpr Duration stallInterval = 300ms;
+    /// After SIGTERM the balancer needs up to three questions, a second apart, to send no more connections.
+    static constexpr Duration drainTime = 3500ms;
+    /// Part of the grace that is kept for the end of the process.
+    static constexpr Duration exitMargin = 400ms;
+
+    EntryNode(event_base* base, EntryNodeSettings settings, Environment environment);
+    EntryNode(const EntryNode&) = delete;
+    EntryNode& operator=(const EntryNode&) = delete;
+
+    void setSeeds(std::vector<std::string> seeds) { m_link.setSeeds(std::move(seeds)); }
+
+    /// Whether clients should be sent here.
+    [[nodiscard]] bool ready() const;
+
+    /// Begins a graceful shutdown. `finished` is called once all requests are answered or the grace is over.
+    void shutDown(std::function<void()> finished);
+
+    void writeMetrics(std::ostream& out) const;
+
+private:
+    void receive(const fleet::Message& message);
+    void receive(const fleet::DocumentPush& push);
+    void reportStall(const ServerId& server);
+    void report(Instant now);
+    void tick();
+
+    event_base* m_base;
+    EntryNodeSettings m_settings;
+    Environment m_environment;
+    proxy::Proxy m_proxy;
+    ControlLink m_link;
+    bool m_targetsKnown { false };
+    bool m_trafficReported { false };
+    Instant m_reportedAt;
+    std::map<ServerId, Instant> m_stalls;
+    std::function<void()> m_finished;
+    Instant m_drainSince;
+    EventHandle m_tick;
+};
+
+} // namespace rosemarymill::runtime::nodes
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/environment.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <rosemarymill/core/base/result.hpp>
+#include <rosemarymill/core/fleet/control.hpp>
+#include <rosemarymill/core/routes/document.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+/// What the adapter of an environment supplies to the processes of a fleet.
+namespace rosemarymill::runtime::nodes {
+
+/// Request to a server's own interface.
+struct ServerRequest {
+    std::string method;
+    std::string path;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+/// Document that could be read, or the rules that it breaks.
+struct DecodedDocument {
+    routes::Document document;
+    std::vector<routes::Fault> faults;
+};
+
+struct Environment {
+    /// Reads a document as operators submit it.
+    std::function<DecodedDocument(std::string_view bytes)> decodeDocument;
+    std::function<ServerRequest(const ServerId&, const fleet::Order&)> encodeOrder;
+    /// Meaning of the status by which a server answered an order; 0 means no answer.
+    std::function<fleet::event::OrderResult(unsigned status)> judgeOrder;
+    std::function<ServerRequest(const ServerId&)> encodeProbe;
+    std::function<fleet::event::ProbeResult(unsigned status)> judgeProbe;
+};
+
+} // namespace rosemarymill::runtime::nodes
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/voter_links.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <rosemarymill/core/fleet/machine.hpp>
+#include <rosemarymill/runtime/link/connection.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+struct event_base;
+
+namespace rosemarymill::runtime::nodes {
+
+/// Outgoing connections of a voter to the other voters of the control log. Voters are named by their addresses.
+/// Messages are lost while a connection is down: the log repeats what matters.
+class VoterLinks {
+public:
+    /// Pause between two attempts to connect to a voter.
+    static constexpr Duration retryPause = 200ms;
+    /// Bytes that may wait for one voter; more means that it does not read.
+    static constexpr std::size_t maxWaiting = 4 * 1024 * 1024;
+
+    VoterLinks(event_base* base, wire::link::Hello self);
+    ~VoterLinks();
+
+    void send(const VmId& to, const fleet::LogMessage& message, Instant now);
+
+    /// Destroys closed connections. Not to be called from within a callback.
+    void tick() { m_closed.clear(); }
+
+private:
+    struct Link {
+        std::unique_ptr<LinkConnection> connection;
+        Instant retryAt;
+        std::uint64_t generation { 0 };
+    };
+
+    event_base* m_base;
+    wire::link::Hello m_self;
+    LinkCounters m_counters;
+    std::map<VmId, Link> m_links;
+    std::vector<std::unique_ptr<LinkConnection>> m_closed;
+};
+
+} // namespace rosemarymill::runtime::nodes
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <rosemarymill/core/dispatch/balancer.hpp>
+#include <rosemarymill/core/routes/table.hpp>
+#include <rosemarymill/runtime/proxy/event_buffer.hpp>
+#include <rosemarymill/runtime/proxy/upstream.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rosemarymill::runtime::proxy {
+
+/// One request of a client, from its last byte to the last byte of its answer.
+class Call {
+public:
+    Call(Proxy& proxy, ClientConnection& client, MessageHead head, std::string body);
+    ~Call();
+    Call(const Call&) = delete;
+    Call& operator=(const Call&) = delete;
+
+    /// Checks the request against the routing table and sends it to a server, or answers it.
+    void start();
+
+    /// Called every few milliseconds: time limits, stalled servers, waiting streams.
+    void tick(Instant now);
+
+    /// The servers are known to be dead or stalled.
+    void serverLost(const ServerId& server);
+
+    /// The client has gone: the request is cancelled at the server.
+    void clientGone();
+
+    /// The client took bytes; reading from the server may continue.
+    void clientDrained();
+
+    // Called by the connection to the server.
+    void onConnected();
+    void onAnswer();
+    void onUpstreamEnd(Upstream::End end);
+
+    [[nodiscard]] const Upstream* upstream() const noexcept { return m_upstream; }
+
+private:
+    /// Answer of a server that was held back because the call may go on elsewhere.
+    struct HeldAnswer {
+        MessageHead head;
+        std::string body;
+    };
+
+    [[nodiscard]] bool admit();
+    void attempt();
+    [[nodiscard]] std::string requestFor(const fleet::Target& target, Instant now) const;
+    [[nodiscard]] Duration timeLeft(Instant now) const;
+
+    void onHead();
+    void onStreamBytes();
+    void onPlainComplete();
+    void endAttempt(dispatch::AttemptEnd end, std::string_view why);
+    void dropUpstream();
+    void finishAttempt();
+
+    void passOn(const MessageHead& head, std::string_view body);
+    void beginStream(const MessageHead& head);
+    void finishStream();
+    void refuse(unsigned status, std::string_view why, Duration retryAfter);
+    void giveUp(dispatch::Step step, std::string_view why);
+    void refuseWithoutServer(const dispatch::Refusal& refusal);
+    void log(std::string_view outcome, unsigned status, std::string_view why);
+
+    Proxy& m_proxy;
+    ClientConnection& m_client;
+    MessageHead m_head;
+    std::string m_body;
+    std::shared_ptr<const routes::Table> m_table;
+    const routes::Route* m_route { nullptr };
+    const routes::Account* m_account { nullptr };
+    const routes::Service* m_service { nullptr };
+    ModelName m_model;
+    std::string m_attemptId;
+
+    dispatch::CallState m_state;
+    std::vector<ServerId> m_tried;
+    Instant m_startedAt;
+    Instant m_clientDeadline;
+
+    Upstream* m_upstream { nullptr };
+    ServerId m_server;
+    Instant m_attemptAt;
+    Instant m_lastBytesAt;
+    Instant m_firstEventAt;
+    double m_chosenLoad { 0 };
+    unsigned m_candidates { 0 };
+    bool m_headSeen { false };
+    bool m_streaming { false };
+    /// The stream waits for a server to continue on, since this time.
+    std::optional<Instant> m_waitingSince;
+    EventBuffer m_events;
+    std::uint64_t m_eventCount { 0 };
+    HeldAnswer m_held;
+    bool m_readingPaused { false };
+    bool m_done { false };
+};
+
+} // namespace rosemarymill::runtime::proxy
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/message.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// HTTP/1.1 messages as they stand on a connection.
+namespace rosemarymill::runtime::proxy {
+
+struct Header {
+    std::string name;
+    std::string value;
+};
+
+/// Compares header names and tokens without regard to ASCII case.
+[[nodiscard]] bool equalsIgnoreCase(std::string_view a, std::string_view b) noexcept;
+
+/// Whether a comma-separated list holds a token.
+[[nodiscard]] bool listHolds(std::string_view list, std::string_view token) noexcept;
+
+/// Start line and headers.
+struct MessageHead {
+    std::string method;
+    /// Request target as sent.
+    std::string target;
+    unsigned status { 0 };
+    std::string reason;
+    std::vector<Header> headers;
+    /// Whether the connection may carry another message after this one.
+    bool keepAlive { false };
+    std::optional<std::uint64_t> length;
+    bool chunked { false };
+    /// The other end asks for another protocol.
+    bool upgrade { false };
+
+    /// Value of the first header with this name, or an empty text.
+    [[nodiscard]] std::string_view find(std::string_view name) const noexcept;
+    [[nodiscard]] bool has(std::string_view name) const noexcept;
+};
+
+/// Whether a header concerns only one connection and is not passed on.
+[[nodiscard]] bool isHopByHop(const MessageHead& head, std::string_view name) noexcept;
+
+/// Strict incremental parser of the messages on one connection, by http_parser: evhttp and libevhtp neither stream
+/// bodies in both directions nor show bytes that follow a response.
+class Parser {
+public:
+    enum class Side { Request, Response };
+
+    explicit Parser(Side side);
+    ~Parser();
+    Parser(const Parser&) = delete;
+    Parser& operator=(const Parser&) = delete;
+
+    /// Parses bytes up to the end of the current message and returns how many were used.
+    std::size_t feed(std::string_view bytes);
+
+    /// The connection has ended. Returns whether that completes the message.
+    bool finish();
+
+    /// Prepares for the next message. For a response: whether it answers a HEAD request and so has no body.
+    void reset(bool withoutBody = false);
+
+    [[nodiscard]] const MessageHead& head() const noexcept;
+    [[nodiscard]] MessageHead takeHead() noexcept;
+    [[nodiscard]] bool started() const noexcept;
+    [[nodiscard]] bool headComplete() const noexcept;
+    [[nodiscard]] bool complete() const noexcept;
+    [[nodiscard]] bool failed() const noexcept;
+    /// Bytes of start line and headers so far.
+    [[nodiscard]] std::size_t headBytes() const noexcept;
+    /// Body bytes that were parsed and not yet taken.
+    [[nodiscard]] std::string& body() noexcept;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace rosemarymill::runtime::proxy
--- /dev/null
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <rosemarymill/core/dispatch/balancer.hpp>
+#include <rosemarymill/core/dispatch/retry_budget.hpp>
+#include <rosemarymill/core/routes/table.hpp>
+#include <rosemarymill/runtime/base/address.hpp>
+#include <rosemarymill/runtime/base/handles.hpp>
+#include <rosemarymill/runtime/metrics/summary.hpp>
+#include <rosemarymill/runtime/proxy/call.hpp>
+#include <rosemarymill/runtime/proxy/client_connection.hpp>
+#include <rosemarymill/runtime/proxy/names.hpp>
+#include <rosemarymill/runtime/proxy/upstream.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <iosfwd>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+struct evconnlistener;
+
+namespace rosemarymill::runtime::proxy {
+
+/// Fixed choices of the proxy.
+struct ProxySettings {
+    SocketAddress address;
+    DataCentreId dataCentre;
+    HeaderNames names;
+    dispatch::RetryLimits retryLimits;
+    dispatch::BalancerSettings balancer;
+    std::uint64_t seed { 0 };
+};
+
+/// Counters of the proxy since the start.
+struct ProxyCounters {
+    std::uint64_t requests { 0 };
+    std::uint64_t answered { 0 };
+    std::uint64_t refused { 0 };
+    std::uint64_t failed { 0 };
+    std::uint64_t aborted { 0 };
+    std::uint64_t abandoned { 0 };
+    std::uint64_t repeats { 0 };
+    std::uint64_t resumed { 0 };
+    std::uint64_t events { 0 };
+};
+
+/// Takes requests from clients and sends them to backend servers by the routing table.
+class Proxy {
+public:
+    /// Told about a server at which requests are stuck.
+    using StallHandler = std::function<void(const ServerId&)>;
+
+    /// Listens on the address. Throws std::runtime_error when it cannot be bound.
+    Proxy(event_base* base, ProxySettings settings);
+    ~Proxy();
+    Proxy(const Proxy&) = delete;
+    Proxy& operator=(const Proxy&) = delete;
+
+    /// Puts a routing table in force for all later requests.
+    void setTable(std::shared_ptr<const routes::Table> table);
+    [[nodiscard]] const std::shared_ptr<const routes::Table>& table() const noexcept { return m_table; }
+
+    void applyTargets(const fleet::TargetDelta& delta);
+    [[nodiscard]] dispatch::Balancer& balancer() noexcept { return m_balancer; }
+
+    void onStall(StallHandler handler) { m_stallHandler = std::move(handler); }
+
+    /// Servers that sent bytes since the last call.
+    [[nodiscard]] std::set<ServerId> takeProgress() { return std::exchange(m_progress, {}); }
+
+    /// Answers carry `Connection: close` from now on.
+    void startDraining() noexcept { m_draining = true; }
+    [[nodiscard]] bool draining() const noexcept { return m_draining; }
+    /// Closes connections without a request.
+    void closeIdle();
+
+    [[nodiscard]] std::size_t activeCalls() const noexcept { return m_calls.size(); }
+    [[nodiscard]] const ProxyCounters& counters() const noexcept { return m_counters; }
+    void writeMetrics(std::ostream& out) const;
+
+    [[nodiscard]] SocketAddress address() const;
+
+private:
+    friend class Call;
+    friend class ClientConnection;
+
+    struct FreeListener {
+        void operator()(evconnlistener* it) const noexcept;
+    };
+
+    void tick();
+    void remove(ClientConnection& client);
+    void finish(std::unique_ptr<Call> call);
+    void scheduleCleanUp();
+    [[nodiscard]] dispatch::RetryBudget& budget(const ServiceName& service);
+    [[nodiscard]] const routes::Limits& limits() const noexcept;
+
+    event_base* m_base;
+    ProxySettings m_settings;
+    std::shared_ptr<const routes::Table> m_table;
+    dispatch::Balancer m_balancer;
+    std::map<ServiceName, dispatch::RetryBudget> m_budgets;
+    UpstreamPool m_pool;
+    std::unordered_map<ClientConnection*, std::unique_ptr<ClientConnection>> m_clients;
+    /// Destroyed outside of callbacks.
+    std::vector<std::unique_ptr<ClientConnection>> m_removed;
+    std::vector<std::unique_ptr<Call>> m_finished;
+    std::set<Call*> m_calls;
+    std::set<ServerId> m_progress;
+    StallHandler m_stallHandler;
+    ProxyCounters m_counters;
+    TimeSummary m_firstByte;
+    TimeSummary m_total;
+    std::minstd_rand m_random;
+    bool m_draining { false };
+    unsigned m_ticks { 0 };
+    EventHandle m_tick;
+    EventHandle m_cleanUp;
+    std::unique_ptr<evconnlistener, FreeListener> m_listener;
+};
+
+} // namespace rosemarymill::runtime::proxy
--- a/packages/runtime/include/rosemarymill/runtime/storage/storage.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/storage/storage.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rosemarymill/core/configuration/replica.hpp>
+#include <rosemarymill/core/fleet/machine.hpp>
 #include <rosemarymill/core/ledger/replica.hpp>
 #include <rosemarymill/core/node/effect.hpp>
 #include <rosemarymill/core/node/event.hpp>
@@ -8,10 +9,12 @@
 #include <rosemarymill/runtime/loop/post_event.hpp>
 #include <rosemarymill/runtime/storage/log_file.hpp>
 #include <rosemarymill/wire/configuration/codec.hpp>
+#include <rosemarymill/wire/fleet/codec.hpp>
 #include <rosemarymill/wire/ledger/codec.hpp>
 
 #include <cstdint>
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,6 +26,7 @@
     using Codec = wire::configuration::Codec;
     using Image = configuration::LogImage;
     using Effect = node::PersistConfiguration;
+    using Event = node::Event;
 
     [[nodiscard]] static std::string name() { return configuration::logName; }
     [[nodiscard]] static node::Event persisted(Instant now, std::uint64_t sequence)
@@ -40,6 +44,7 @@
     using Codec = wire::ledger::Codec;
     using Image = ledger::LogImage;
     using Effect = node::PersistLedger;
+    using Event = node::Event;
 
     DataCentreId home;
 
@@ -54,13 +59,33 @@
     }
 };
 
+/// What the storage needs to know of the control log.
+struct FleetLog {
+    using Codec = wire::fleet::Codec;
+    using Image = fleet::LogImage;
+    using Effect = agreement::Persist<fleet::Command, fleet::Snapshot>;
+    using Event = fleet::Replica::Event;
+
+    [[nodiscard]] static std::string name() { return fleet::logName; }
+    [[nodiscard]] static Event persisted(Instant now, std::uint64_t sequence)
+    {
+        return agreement::Persisted { now, sequence };
+    }
+    [[nodiscard]] static Event changed(Instant now, bool writable)
+    {
+        return agreement::StorageChanged { now, writable };
+    }
+};
+
 /// Carries out the persist effects of one log. Records of one turn of the loop are synced together. On a full disk they
 /// stay queued and are tried again every second.
 template <typename Log> class Storage {
 public:
+    using Post = std::function<void(typename Log::Event&&)>;
+
     /// Reads the log in a data folder that this process has locked. Errors are those of LogFile, and DecodeError.
     [[nodiscard]] static Result<std::unique_ptr<Storage>> open(
-        event_base* base, const std::filesystem::path& folder, PostEvent post, Log description = {});
+        event_base* base, const std::filesystem::path& folder, Post post, Log description = {});
 
     /// State read at the opening. It is handed over once.
     [[nodiscard]] typename Log::Image takeImage() noexcept { return std::move(m_image); }
@@ -68,14 +93,14 @@
     void carryOut(const typename Log::Effect& effect);
 
 private:
-    Storage(event_base* base, LogFile log, typename Log::Image image, PostEvent post, Log description);
+    Storage(event_base* base, LogFile log, typename Log::Image image, Post post, Log description);
 
     static void onFlush(evutil_socket_t, short, void* self);
     void flush();
 
     LogFile m_log;
     typename Log::Image m_image;
-    PostEvent m_post;
+    Post m_post;
     Log m_description;
     EventHandle m_flush;
     std::vector<wire::agreement::RawRecord> m_queue;
@@ -85,5 +110,6 @@
 
 extern template class Storage<ConfigurationLog>;
 extern template class Storage<LedgerLog>;
+extern template class Storage<FleetLog>;
 
 } // namespace rosemarymill::runtime::storage
--- a/packages/runtime/src/base/log.cpp
+++ b/packages/runtime/src/base/log.cpp
@@ -12,8 +12,15 @@
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/make_shared.hpp>
 
+#include <chrono>
+#include <cstdint>
 #include <iostream>
+#include <streambuf>
 #include <string>
+#include <utility>
+
+#include <fcntl.h>
+#include <unistd.h>
 
 #include <nlohmann/json.hpp>
 
@@ -49,6 +56,7 @@
               logging::extract_or_default<logging::trivial::severity_level>("Severity", view, logging::trivial::info)))
         , part(logging::extract_or_default<std::string>("Part", view, std::string {}))
         , text(logging::extract_or_default<std::string>("Message", view, std::string {}))
+        , fields(logging::extract_or_default<std::string>("Fields", view, std::string {}))
     {
     }
 
@@ -56,12 +64,16 @@
     std::string level;
     std::string part;
     std::string text;
+    /// JSON members without braces.
+    std::string fields;
 };
 
 void formatText(const logging::record_view& view, logging::formatting_ostream& out)
 {
     const Record it(view);
     out << it.time << ' ' << it.level << ' ' << it.part << ": " << it.text;
+    if (!it.fields.empty())
+        out << ' ' << it.fields;
 }
 
 void formatJson(const logging::record_view& view, logging::formatting_ostream& out)
@@ -69,7 +81,10 @@
     const Record it(view);
     const nlohmann::ordered_json document { { "time", it.time }, { "level", it.level }, { "part", it.part },
         { "text", it.text } };
-    out << document.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
+    auto line = document.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
+    if (!it.fields.empty())
+        line.insert(line.size() - 1, "," + it.fields);
+    out << line;
 }
 
 } // namespace
@@ -98,4 +113,99 @@
         << text;
 }
 
+void writeDecision(std::string_view part, std::string_view text, std::initializer_list<LogField> fields)
+{
+    static unsigned second = 0;
+    static unsigned written = 0;
+    static unsigned dropped = 0;
+    const auto now = static_cast<unsigned>(
+        std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch()).count());
+    if (now != second) {
+        second = now;
+        written = 0;
+        if (dropped > 0)
+            writeLog(node::LogLevel::Warning, "log",
+                std::to_string(std::exchange(dropped, 0)) + " decisions were not logged.");
+    }
+    if (++written > maxDecisionsPerSecond) {
+        ++dropped;
+        return;
+    }
+    nlohmann::ordered_json members;
+    for (const auto& [name, value] : fields) {
+        if (!value.empty())
+            members[std::string(name)] = value;
+    }
+    auto dumped = members.empty() ? std::string {}
+                                  : members.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
+    if (!dumped.empty())
+        dumped = dumped.substr(1, dumped.size() - 2);
+    BOOST_LOG_SCOPED_LOGGER_ATTR(
+        logging::trivial::logger::get(), "Fields", logging::attributes::constant<std::string>(std::move(dumped)));
+    writeLog(node::LogLevel::Info, part, text);
+}
+
+namespace {
+
+/// Stream buffer over a descriptor that is never waited for. Only whole lines are dropped.
+class NonBlockingOutput : public std::streambuf {
+public:
+    explicit NonBlockingOutput(int fd)
+        : m_fd(fd)
+    {
+        const auto flags = fcntl(fd, F_GETFL);
+        if (flags >= 0)
+            static_cast<void>(fcntl(fd, F_SETFL, flags | O_NONBLOCK));
+    }
+
+protected:
+    int_type overflow(int_type c) override
+    {
+        if (c != traits_type::eof())
+            m_line.push_back(traits_type::to_char_type(c));
+        return c;
+    }
+
+    std::streamsize xsputn(const char* data, std::streamsize n) override
+    {
+        m_line.append(data, static_cast<std::size_t>(n));
+        return n;
+    }
+
+    int sync() override
+    {
+        if (m_rest.size() + m_line.size() > maxPending) {
+            ++m_dropped;
+        } else {
+            if (m_dropped > 0)
+                m_rest += "{\"part\":\"log\",\"text\":\"" + std::to_string(std::exchange(m_dropped, 0))
+                    + " lines were dropped\"}\n";
+            m_rest += m_line;
+        }
+        m_line.clear();
+        const auto n = ::write(m_fd, m_rest.data(), m_rest.size());
+        if (n > 0)
+            m_rest.erase(0, static_cast<std::size_t>(n));
+        return 0;
+    }
+
+private:
+    /// Bytes that wait for the output's reader.
+    static constexpr std::size_t maxPending = 64 * 1024;
+
+    int m_fd;
+    std::string m_line;
+    std::string m_rest;
+    std::uint64_t m_dropped { 0 };
+};
+
+} // namespace
+
+void setUpStandardOutputLog(node::LogLevel lowest)
+{
+    static NonBlockingOutput buffer(STDOUT_FILENO);
+    static std::ostream stream(&buffer);
+    setUpLog(stream, lowest, LogFormat::Json);
+}
+
 } // namespace rosemarymill::runtime
--- a/packages/runtime/src/link/connection.cpp
+++ b/packages/runtime/src/link/connection.cpp
@@ -55,10 +55,9 @@
     m_lastFrame = readClock();
 }
 
-bool LinkConnection::writable() const
-{
-    return m_remote && !m_closed && evbuffer_get_length(bufferevent_get_output(m_buf.get())) < writeAheadBytes;
-}
+bool LinkConnection::writable() const { return m_remote && !m_closed && unsentBytes() < writeAheadBytes; }
+
+std::size_t LinkConnection::unsentBytes() const { return evbuffer_get_length(bufferevent_get_output(m_buf.get())); }
 
 std::string LinkConnection::overdue(Instant now) const
 {
--- a/packages/runtime/src/link/send_queue.cpp
+++ b/packages/runtime/src/link/send_queue.cpp
@@ -17,6 +17,7 @@
     case wire::FrameKind::Agreement:
     case wire::FrameKind::Ledger:
     case wire::FrameKind::Forward:
+    case wire::FrameKind::Fleet:
         break;
     }
     return false;
--- a/packages/runtime/src/metrics/process.cpp
+++ b/packages/runtime/src/metrics/process.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::array<const char*, frameKinds> kindNames { "", "hello", "agreement", "configuration", "membership",
-    "placement", "admission", "ledger", "quarantine", "forward" };
+    "placement", "admission", "ledger", "quarantine", "forward", "fleet" };
 
 double secondsOf(const timeval& it) { return static_cast<double>(it.tv_sec) + static_cast<double>(it.tv_usec) / 1e6; }
 
--- /dev/null
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -0,0 +1,451 @@
+#include <rosemarymill/runtime/nodes/control_node.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
+#include <rosemarymill/wire/agreement/codec.hpp>
+
+#include <algorithm>
+#include <ostream>
+#include <stdexcept>
+
+namespace rosemarymill::runtime::nodes {
+
+namespace core = rosemarymill::fleet;
+
+namespace {
+
+/// Time between two looks at the log's timers.
+constexpr timeval tickInterval { 0, 50'000 };
+
+/// Ticks between two looks at servers and groups: every 100 ms.
+constexpr unsigned decisionTicks = 2;
+
+/// Ticks between two counts of the entry VMs: every second.
+constexpr unsigned countTicks = 20;
+
+/// An entry VM that was connected this recently still counts for the shares of limits.
+constexpr Duration entryMemory = 30s;
+
+/// Time for a server to answer an order or a probe.
+constexpr Duration orderTimeout = 600ms;
+constexpr Duration probeTimeout = 350ms;
+
+/// Heartbeat of the log's leader. Two heartbeats may be lost before a follower's shortest election timeout.
+constexpr Duration logHeartbeat = 200ms;
+
+constexpr const char* votersName = "voters";
+
+template <typename T> T opened(const std::string& folder, Result<T>&& result)
+{
+    if (!result)
+        throw std::runtime_error("data folder " + folder + ": " + result.error().message());
+    return std::move(result.value());
+}
+
+void writeDurably(const std::filesystem::path& folder, const std::string& name, const std::string& text)
+{
+    const auto path = folder / name;
+    const auto temporary = folder / (name + ".new");
+    const auto file = opened(folder, storage::Descriptor::openFile(temporary));
+    const auto bytes = std::as_bytes(std::span { text });
+    for (const auto& result : { file.truncate(0), file.writeAt(bytes, 0), file.sync() }) {
+        if (!result)
+            throw std::runtime_error(temporary.string() + ": " + result.error().message());
+    }
+    std::filesystem::rename(temporary, path);
+    if (const auto result = storage::syncFolder(folder); !result)
+        throw std::runtime_error(folder.string() + ": " + result.error().message());
+}
+
+} // namespace
+
+ControlNode::ControlNode(event_base* base, ControlNodeSettings settings, Environment environment)
+    : m_base(base)
+    , m_settings(std::move(settings))
+    , m_environment(std::move(environment))
+    , m_self { VmId { m_settings.address }, m_settings.dataCentre, BootId { std::to_string(m_settings.seed) } }
+    , m_control(m_settings.decisions)
+    , m_servers(base)
+    , m_voterLinks(base, m_self)
+    , m_subscribers(base, m_settings.address, m_self,
+          { [this](Subscriber& it) { onSubscribed(it); },
+              [this](Subscriber& it, const core::Report& report) { onReport(it, report); },
+              [this](const VmId& from, std::span<const std::byte> payload) { return onLogFrame(from, payload); },
+              [](const Subscriber&) {} })
+    , m_link(base, m_self,
+          { [](const core::Message&) {},
+              [this] {
+                  return core::Subscribe { m_settings.address, true, m_documentVersion };
+              } })
+    , m_tick(event_new(
+          base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<ControlNode*>(self)->tick(); },
+          this))
+{
+    m_folder = std::make_unique<storage::DataFolder>(
+        opened(m_settings.dataFolder, storage::DataFolder::open(m_settings.dataFolder)));
+    setSeeds(m_settings.seeds);
+    loadVoters();
+    if (!m_voters.empty())
+        startReplica();
+    event_add(m_tick.get(), &tickInterval);
+}
+
+ControlNode::~ControlNode() = default;
+
+void ControlNode::setSeeds(const std::vector<std::string>& seeds)
+{
+    std::vector<std::string> others;
+    std::copy_if(seeds.begin(), seeds.end(), std::back_inserter(others),
+        [&](const auto& it) { return it != m_settings.address; });
+    m_link.setSeeds(std::move(others));
+}
+
+void ControlNode::loadVoters()
+{
+    const auto path = std::filesystem::path(m_settings.dataFolder) / votersName;
+    if (std::filesystem::exists(path)) {
+        const auto file = opened(m_settings.dataFolder, storage::Descriptor::openFile(path));
+        const auto bytes = opened(m_settings.dataFolder, file.readAll());
+        std::string line;
+        for (const auto it : bytes) {
+            if (static_cast<char>(it) != '\n')
+                line.push_back(static_cast<char>(it));
+            else
+                m_voters.push_back(std::exchange(line, {}));
+        }
+    } else if (m_settings.bootstrap) {
+        m_voters = m_settings.seeds;
+        std::sort(m_voters.begin(), m_voters.end());
+        storeVoters();
+    }
+}
+
+void ControlNode::storeVoters()
+{
+    std::string text;
+    for (const auto& it : m_voters)
+        text += it + '\n';
+    writeDurably(m_settings.dataFolder, votersName, text);
+}
+
+void ControlNode::startReplica()
+{
+    if (std::find(m_voters.begin(), m_voters.end(), m_settings.address) == m_voters.end())
+        return;
+    m_storage = opened(m_settings.dataFolder,
+        storage::Storage<storage::FleetLog>::open(
+            m_base, m_settings.dataFolder, [this](Replica::Event&& event) { post(std::move(event)); }));
+    agreement::Settings settings;
+    settings.self = VmId { m_settings.address };
+    for (const auto& it : m_voters)
+        settings.voters.emplace_back(it);
+    settings.seed = m_settings.seed;
+    settings.bootNonce = m_settings.seed;
+    settings.heartbeat = logHeartbeat;
+    m_replica = std::make_unique<Replica>(settings, m_storage->takeImage());
+    if (m_replica->damaged())
+        writeLog(node::LogLevel::Error, "fleet", "The control log is damaged; this VM does not vote.");
+    post(agreement::Started { readClock() });
+    applied();
+}
+
+void ControlNode::post(Replica::Event&& event)
+{
+    m_events.push_back(std::move(event));
+    if (m_reducing)
+        return;
+    m_reducing = true;
+    while (!m_events.empty()) {
+        const auto next = std::move(m_events.front());
+        m_events.pop_front();
+        Replica::Effects effects;
+        m_replica->reduce(next, effects);
+        for (auto& it : effects)
+            carryOut(it);
+    }
+    m_reducing = false;
+    reviewLeadership();
+}
+
+void ControlNode::carryOut(Replica::Effect& effect)
+{
+    std::visit(Overloaded {
+                   [&](agreement::Send<core::Command, core::Snapshot>& it) {
+                       m_voterLinks.send(it.to, it.message, readClock());
+                   },
+                   [&](agreement::Persist<core::Command, core::Snapshot>& it) { m_storage->carryOut(it); },
+                   [&](agreement::Applied<core::Command, core::Machine::Answer>& it) {
+                       if (it.answer.changed)
+                           applied();
+                       finishProposal(it.answer.submission, true);
+                   },
+                   [&](agreement::Restored&) { applied(); },
+                   [&](agreement::RoleChanged& it) {
+                       writeDecision("fleet", "log role changed",
+                           { { "role", std::to_string(static_cast<int>(it.role)) }, { "term", std::to_string(it.term) },
+                               { "leader", it.leader.text() } });
+                   },
+                   [&](agreement::Refused<core::Command>& it) { finishProposal(submissionOf(it.command), false); },
+                   [&](agreement::FolderOutdated&) {
+                       writeLog(node::LogLevel::Warning, "fleet", "The data folder is an old copy.");
+                   },
+                   [&](agreement::Diverged&) {
+                       writeLog(node::LogLevel::Error, "fleet", "A committed entry differs from the leader's.");
+                   },
+               },
+        effect);
+}
+
+std::string ControlNode::leader() const { return m_replica ? m_replica->leader().text() : m_link.members().leader; }
+
+void ControlNode::reviewLeadership()
+{
+    const bool leads = m_replica->role() == agreement::Role::Leader && m_replica->caughtUp();
+    if (leads != m_leads) {
+        m_leads = leads;
+        decide(core::event::LeadershipChanged { readClock(), leads, m_replica->term() });
+        if (leads) {
+            decide(core::event::DocumentChanged { readClock(), m_table });
+            decide(core::event::OutOfServiceChanged { readClock(), m_outOfService });
+            for (auto& it : m_subscribers.subscribers()) {
+                if (it.subscribed)
+                    onSubscribed(it);
+            }
+        } else {
+            failProposals(readClock(), true);
+        }
+    }
+    if (const auto current = leader(); current != m_lastLeader) {
+        m_lastLeader = current;
+        m_subscribers.broadcast(members());
+    }
+}
+
+void ControlNode::applied()
+{
+    const auto& state = m_replica->machine().state();
+    if (state.version > m_documentVersion) {
+        m_documentVersion = state.version;
+        auto decoded = m_environment.decodeDocument(state.bytes);
+        m_table = std::make_shared<routes::Table>(std::move(decoded.document));
+        writeDecision("fleet", "document applied", { { "version", std::to_string(state.version) } });
+        if (m_leads)
+            m_subscribers.broadcast(core::DocumentPush { state.version, state.bytes });
+        decide(core::event::DocumentChanged { readClock(), m_table });
+    }
+    if (state.outOfService != m_outOfService) {
+        m_outOfService = state.outOfService;
+        decide(core::event::OutOfServiceChanged { readClock(), m_outOfService });
+    }
+}
+
+void ControlNode::decide(const core::ControlEvent& event)
+{
+    core::Control::Effects effects;
+    m_control.reduce(event, effects);
+    for (auto& it : effects)
+        carryOut(it);
+}
+
+void ControlNode::carryOut(core::ControlEffect& effect)
+{
+    std::visit(Overloaded {
+                   [&](core::effect::SendOrder& it) { sendOrder(it); },
+                   [&](core::effect::ProbeServer& it) { probe(it); },
+                   [&](core::effect::PublishTargets& it) {
+                       m_subscribers.broadcast(core::TargetsPush { std::move(it.delta) });
+                   },
+                   [&](core::effect::LogDecision& it) {
+                       writeDecision("fleet", it.decision, { { "subject", it.subject }, { "reason", it.reason } });
+                   },
+               },
+        effect);
+}
+
+void ControlNode::sendOrder(const core::effect::SendOrder& effect)
+{
+    m_servers.send(effect.address, m_environment.encodeOrder(effect.server, effect.order), orderTimeout,
+        [this, server = effect.server, order = effect.order](const ServerAnswer& answer) {
+            const auto result
+                = answer.refused ? core::event::OrderResult::Gone : m_environment.judgeOrder(answer.status);
+            decide(core::event::OrderAnswered { readClock(), server, order, result });
+        });
+}
+
+void ControlNode::probe(const core::effect::ProbeServer& effect)
+{
+    m_servers.send(effect.address, m_environment.encodeProbe(effect.server), probeTimeout,
+        [this, server = effect.server](const ServerAnswer& answer) {
+            const auto result
+                = answer.refused ? core::event::ProbeResult::Gone : m_environment.judgeProbe(answer.status);
+            decide(core::event::ProbeAnswered { readClock(), server, result });
+        });
+}
+
+void ControlNode::heartbeat(core::ServerRecord record)
+{
+    decide(core::event::HeartbeatReceived { readClock(), std::move(record) });
+}
+
+void ControlNode::serverLeft(const ServerId& server) { decide(core::event::ServerLeft { readClock(), server }); }
+
+void ControlNode::propose(core::Command command, Committed done)
+{
+    if (!m_replica)
+        return done(false);
+    auto submission
+        = m_settings.address + '/' + std::to_string(m_settings.seed) + '/' + std::to_string(++m_submissions);
+    std::visit([&](auto& it) { it.submission = submission; }, command);
+    m_proposals.emplace(std::move(submission), Proposal { readClock() + proposalTimeout, std::move(done) });
+    post(agreement::Proposed<core::Command> { readClock(), std::move(command) });
+}
+
+void ControlNode::storeDocument(std::uint64_t version, std::string bytes, Committed done)
+{
+    propose(core::StoreDocument { {}, version, std::move(bytes) }, std::move(done));
+}
+
+void ControlNode::setOutOfService(const DataCentreId& dataCentre, bool outOfService, Committed done)
+{
+    propose(core::SetOutOfService { {}, dataCentre, outOfService }, std::move(done));
+}
+
+void ControlNode::read(StateRead done)
+{
+    propose(core::Barrier {},
+        [this, done = std::move(done)](bool committed) { done(committed ? &m_replica->machine().state() : nullptr); });
+}
+
+void ControlNode::finishProposal(const std::string& submission, bool committed)
+{
+    const auto it = m_proposals.find(submission);
+    if (it == m_proposals.end())
+        return;
+    const auto done = std::move(it->second.done);
+    m_proposals.erase(it);
+    done(committed);
+}
+
+void ControlNode::failProposals(Instant now, bool all)
+{
+    std::vector<std::string> failed;
+    for (const auto& [submission, proposal] : m_proposals) {
+        if (all || now >= proposal.deadline)
+            failed.push_back(submission);
+    }
+    for (const auto& it : failed)
+        finishProposal(it, false);
+}
+
+core::Members ControlNode::members() const
+{
+    core::Members members;
+    members.leader = leader();
+    members.term = m_replica ? m_replica->term() : 0;
+    members.voters = m_voters;
+    members.controls = m_voters;
+    members.entryVms = m_entryCount;
+    return members;
+}
+
+void ControlNode::onSubscribed(Subscriber& subscriber)
+{
+    m_subscribers.send(subscriber, members());
+    if (!subscriber.subscription.control)
+        m_entryVms[subscriber.vm()] = readClock();
+    if (!m_leads)
+        return;
+    const auto& state = m_replica->machine().state();
+    if (state.version > subscriber.subscription.documentVersion)
+        m_subscribers.send(subscriber, core::DocumentPush { state.version, state.bytes });
+    core::TargetsPush push;
+    push.delta.full = m_control.settled();
+    for (const auto& [id, target] : m_control.targets())
+        push.delta.upserts.push_back(target);
+    m_subscribers.send(subscriber, push);
+}
+
+bool ControlNode::onLogFrame(const VmId& from, std::span<const std::byte> payload)
+{
+    const auto decoded = wire::agreement::decode(payload);
+    if (!decoded)
+        return false;
+    const auto message = wire::agreement::fromRaw<wire::fleet::Codec>(decoded.value().message);
+    if (!message)
+        return false;
+    if (m_replica)
+        post(agreement::Received<core::Command, core::Snapshot> { readClock(), from, message.value() });
+    return true;
+}
+
+void ControlNode::onReport(const Subscriber& from, const core::Report& report)
+{
+    m_entryVms[from.vm()] = readClock();
+    if (!m_leads)
+        return;
+    if (report.traffic)
+        decide(core::event::TrafficStarted { readClock() });
+    for (const auto& it : report.progressed)
+        decide(core::event::ProgressReported { readClock(), it });
+    for (const auto& it : report.stalled)
+        decide(core::event::StallReported { readClock(), it });
+}
+
+void ControlNode::countEntryVms()
+{
+    const auto now = readClock();
+    for (const auto& it : m_subscribers.subscribers()) {
+        if (it.subscribed && !it.subscription.control)
+            m_entryVms[it.vm()] = now;
+    }
+    std::erase_if(m_entryVms, [&](const auto& it) { return now >= it.second + entryMemory; });
+    const auto n = static_cast<unsigned>(m_entryVms.size());
+    if (n != std::exchange(m_entryCount, n) && m_leads)
+        m_subscribers.broadcast(members());
+}
+
+void ControlNode::tick()
+{
+    const auto now = readClock();
+    m_voterLinks.tick();
+    m_subscribers.tick(now);
+    if (m_replica) {
+        post(agreement::Tick { now });
+        failProposals(now, false);
+    } else {
+        m_link.tick(now);
+        const auto& voters = m_link.members().voters;
+        // A voter that lost its disk takes part again; the log does not count on what it forgot.
+        if (std::find(voters.begin(), voters.end(), m_settings.address) != voters.end()) {
+            m_voters = voters;
+            storeVoters();
+            startReplica();
+        }
+    }
+    ++m_ticks;
+    if (m_leads && m_ticks % decisionTicks == 0)
+        decide(core::event::Tick { now });
+    if (m_ticks % countTicks == 0)
+        countEntryVms();
+}
+
+void ControlNode::writeMetrics(std::ostream& out) const
+{
+    const auto gauge = [&](const char* name, std::uint64_t value) {
+        out << "# TYPE rosemarymill_control_" << name << " gauge\nrosemarymill_control_" << name << ' ' << value
+            << '\n';
+    };
+    std::size_t open = 0;
+    for (const auto& [name, group] : m_control.groups())
+        open += group.phase == core::GroupPhase::Open ? 1 : 0;
+    gauge("leads", m_leads ? 1 : 0);
+    gauge("term", m_replica ? m_replica->term() : 0);
+    gauge("document_version", m_documentVersion);
+    gauge("servers", m_control.registry().servers().size());
+    gauge("groups", m_control.groups().size());
+    gauge("open_groups", open);
+    gauge("entry_vms", m_entryCount);
+    gauge("proposals", m_proposals.size());
+}
+
+} // namespace rosemarymill::runtime::nodes
--- /dev/null
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -0,0 +1,136 @@
+#include <rosemarymill/runtime/nodes/entry_node.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
+
+#include <ostream>
+
+#include <event2/event.h>
+
+namespace rosemarymill::runtime::nodes {
+
+namespace core = rosemarymill::fleet;
+
+namespace {
+
+/// Time between two looks at the connection to the leader.
+constexpr timeval tickInterval { 0, 100'000 };
+
+} // namespace
+
+EntryNode::EntryNode(event_base* base, EntryNodeSettings settings, Environment environment)
+    : m_base(base)
+    , m_settings(std::move(settings))
+    , m_environment(std::move(environment))
+    , m_proxy(base, m_settings.proxy)
+    , m_link(base, { m_settings.vm, m_settings.dataCentre, BootId { std::to_string(m_settings.seed) } },
+          { [this](const core::Message& message) { receive(message); },
+              [this] {
+                  return core::Subscribe { {}, false, m_proxy.table() ? m_proxy.table()->document().version : 0 };
+              } })
+    , m_tick(event_new(
+          base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<EntryNode*>(self)->tick(); },
+          this))
+{
+    m_link.setSeeds(m_settings.seeds);
+    m_proxy.onStall([this](const ServerId& server) { reportStall(server); });
+    event_add(m_tick.get(), &tickInterval);
+}
+
+bool EntryNode::ready() const { return m_proxy.table() && m_targetsKnown && !m_finished; }
+
+void EntryNode::receive(const core::Message& message)
+{
+    if (const auto* document = std::get_if<core::DocumentPush>(&message)) {
+        receive(*document);
+    } else if (const auto* targets = std::get_if<core::TargetsPush>(&message)) {
+        m_targetsKnown = m_targetsKnown || targets->delta.full || !targets->delta.upserts.empty();
+        m_proxy.applyTargets(targets->delta);
+        writeDecision("fleet", "servers changed",
+            { { "full", targets->delta.full ? "yes" : "no" },
+                { "upserts", std::to_string(targets->delta.upserts.size()) },
+                { "withdrawn", std::to_string(targets->delta.withdrawn.size()) },
+                { "lost", std::to_string(targets->delta.lost.size()) },
+                { "known", std::to_string(m_proxy.balancer().size()) } });
+    } else if (const auto* members = std::get_if<core::Members>(&message)) {
+        if (members->entryVms > 0)
+            m_proxy.balancer().setEntryVms(members->entryVms);
+    }
+}
+
+void EntryNode::receive(const core::DocumentPush& push)
+{
+    const auto held = m_proxy.table() ? m_proxy.table()->document().version : 0;
+    // A document that was in force once is never replaced by an older one.
+    if (push.version <= held)
+        return;
+    auto decoded = m_environment.decodeDocument(push.bytes);
+    if (!decoded.faults.empty()) {
+        writeLog(node::LogLevel::Error, "fleet", "A document that cannot be read was not put in force.");
+        return;
+    }
+    m_proxy.setTable(std::make_shared<routes::Table>(std::move(decoded.document)));
+    writeDecision("fleet", "document in force",
+        { { "version", std::to_string(push.version) }, { "before", std::to_string(held) } });
+}
+
+void EntryNode::reportStall(const ServerId& server)
+{
+    const auto now = readClock();
+    auto& reportedAt = m_stalls[server];
+    if (reportedAt != Instant {} && now < reportedAt + stallInterval)
+        return;
+    reportedAt = now;
+    core::Report report;
+    report.stalled.push_back(server);
+    m_link.send(report);
+}
+
+void EntryNode::report(Instant now)
+{
+    m_reportedAt = now;
+    const auto progress = m_proxy.takeProgress();
+    const bool traffic = m_proxy.counters().requests > 0 && !m_trafficReported;
+    if (!m_link.connected() || (progress.empty() && !traffic))
+        return;
+    core::Report report;
+    report.progressed.assign(progress.begin(), progress.end());
+    report.traffic = m_proxy.counters().requests > 0;
+    report.documentVersion = m_proxy.table() ? m_proxy.table()->document().version : 0;
+    m_trafficReported = report.traffic;
+    m_link.send(report);
+}
+
+void EntryNode::shutDown(std::function<void()> finished)
+{
+    if (m_finished)
+        return;
+    m_finished = std::move(finished);
+    m_drainSince = readClock();
+    m_proxy.startDraining();
+}
+
+void EntryNode::tick()
+{
+    const auto now = readClock();
+    m_link.tick(now);
+    if (now >= m_reportedAt + reportInterval)
+        report(now);
+    if (!m_finished)
+        return;
+    const auto drained = now - m_drainSince;
+    if (drained < drainTime)
+        return;
+    m_proxy.closeIdle();
+    if (m_proxy.activeCalls() == 0 || drained >= m_settings.grace - exitMargin)
+        m_finished();
+}
+
+void EntryNode::writeMetrics(std::ostream& out) const
+{
+    m_proxy.writeMetrics(out);
+    out << "# TYPE rosemarymill_control_connected gauge\nrosemarymill_control_connected "
+        << (m_link.connected() ? 1 : 0) << '\n';
+}
+
+} // namespace rosemarymill::runtime::nodes
--- /dev/null
+++ b/packages/runtime/src/nodes/subscriber_server.cpp
@@ -0,0 +1,126 @@
+#include <rosemarymill/runtime/nodes/subscriber_server.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
+#include <rosemarymill/runtime/nodes/control_link.hpp>
+#include <rosemarymill/wire/fleet/codec.hpp>
+
+#include "socket.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+namespace rosemarymill::runtime::nodes {
+
+namespace core = rosemarymill::fleet;
+
+void SubscriberServer::FreeListener::operator()(evconnlistener* it) const noexcept { evconnlistener_free(it); }
+
+SubscriberServer::SubscriberServer(
+    event_base* base, const std::string& address, wire::link::Hello self, Handlers handlers)
+    : m_base(base)
+    , m_self(std::move(self))
+    , m_handlers(std::move(handlers))
+{
+    constexpr int backlog = 512;
+    auto parsed = parseAddress(address);
+    if (parsed)
+        m_listener.reset(evconnlistener_new_bind(
+            base,
+            [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* server) {
+                static_cast<SubscriberServer*>(server)->accept(static_cast<int>(socket));
+            },
+            this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, backlog, parsed.value().get(),
+            static_cast<int>(parsed.value().length)));
+    if (!m_listener)
+        throw std::runtime_error("the address " + address + " cannot be bound");
+}
+
+SubscriberServer::~SubscriberServer() = default;
+
+void SubscriberServer::accept(int socket)
+{
+    if (m_subscribers.size() >= maxSubscribers) {
+        writeLog(node::LogLevel::Warning, "fleet", "A connection was closed: there are too many.");
+        evutil_closesocket(socket);
+        return;
+    }
+    setFleetSocketOptions(socket);
+    const auto place = m_subscribers.emplace(m_subscribers.end());
+    place->heardAt = place->sentAt = readClock();
+    LinkConnection::Handlers handlers;
+    handlers.onHello = [](const wire::link::Hello&) { return true; };
+    handlers.onFrame = [this, place](wire::FrameKind kind, std::span<const std::byte> payload) {
+        return receive(*place, kind, payload);
+    };
+    handlers.onClosed = [this, place](const std::string&) {
+        if (place->subscribed)
+            m_handlers.onClosed(*place);
+        m_closed.splice(m_closed.end(), m_subscribers, place);
+    };
+    auto* buf = bufferevent_socket_new(m_base, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    place->link = std::make_unique<LinkConnection>(buf, m_self, m_counters, std::move(handlers));
+}
+
+bool SubscriberServer::receive(Subscriber& from, wire::FrameKind kind, std::span<const std::byte> payload)
+{
+    from.heardAt = readClock();
+    if (kind == wire::FrameKind::Agreement)
+        return m_handlers.onLogFrame(from.vm(), payload);
+    if (kind != wire::FrameKind::Fleet)
+        return false;
+    const auto message = wire::fleet::decode(payload);
+    if (!message)
+        return false;
+    if (const auto* it = std::get_if<core::Subscribe>(&message.value())) {
+        from.subscription = *it;
+        from.subscribed = true;
+        m_handlers.onSubscribed(from);
+    } else if (const auto* report = std::get_if<core::Report>(&message.value())) {
+        m_handlers.onReport(from, *report);
+    }
+    return true;
+}
+
+void SubscriberServer::send(Subscriber& to, const core::Message& message)
+{
+    to.sentAt = readClock();
+    sendMessage(*to.link, message);
+}
+
+void SubscriberServer::broadcast(const core::Message& message)
+{
+    wire::Buffer payload;
+    wire::fleet::encode(message, payload);
+    std::vector<std::byte> frame;
+    wire::appendFrame(wire::FrameKind::Fleet, payload, frame);
+    const auto now = readClock();
+    for (auto& it : m_subscribers) {
+        if (!it.subscribed)
+            continue;
+        it.sentAt = now;
+        it.link->write(wire::FrameKind::Fleet, frame);
+    }
+}
+
+void SubscriberServer::tick(Instant now)
+{
+    m_closed.clear();
+    for (auto it = m_subscribers.begin(); it != m_subscribers.end();) {
+        const auto next = std::next(it);
+        // Connections of other voters carry log frames only, which come more often than this.
+        if (now >= it->heardAt + ControlLink::silenceLimit) {
+            if (it->subscribed)
+                m_handlers.onClosed(*it);
+            m_closed.splice(m_closed.end(), m_subscribers, it);
+        } else if (it->subscribed && now >= it->sentAt + ControlLink::aliveInterval) {
+            send(*it, core::Alive {});
+        }
+        it = next;
+    }
+}
+
+} // namespace rosemarymill::runtime::nodes
--- /dev/null
+++ b/packages/runtime/src/proxy/proxy.cpp
@@ -0,0 +1,171 @@
+#include <rosemarymill/runtime/proxy/proxy.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+
+#include <ostream>
+#include <stdexcept>
+
+#include <event2/event.h>
+#include <event2/listener.h>
+
+namespace rosemarymill::runtime::proxy {
+
+namespace {
+
+/// Time between two looks at the calls' time limits.
+constexpr timeval tickInterval { 0, 50'000 };
+
+/// Ticks between two looks at idle connections: once a second.
+constexpr unsigned idleTicks = 20;
+
+constexpr int listenBacklog = 1024;
+
+} // namespace
+
+void Proxy::FreeListener::operator()(evconnlistener* it) const noexcept { evconnlistener_free(it); }
+
+Proxy::Proxy(event_base* base, ProxySettings settings)
+    : m_base(base)
+    , m_settings(std::move(settings))
+    , m_balancer(m_settings.balancer, m_settings.seed)
+    , m_pool(base)
+    , m_random(static_cast<std::minstd_rand::result_type>(m_settings.seed))
+    , m_tick(event_new(
+          base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<Proxy*>(self)->tick(); }, this))
+    , m_cleanUp(event_new(
+          base, -1, 0,
+          [](evutil_socket_t, short, void* self) {
+              auto& it = *static_cast<Proxy*>(self);
+              it.m_finished.clear();
+              it.m_removed.clear();
+              it.m_pool.cleanUp();
+          },
+          this))
+{
+    auto address = m_settings.address;
+    m_listener.reset(evconnlistener_new_bind(
+        base,
+        [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
+            auto& proxy = *static_cast<Proxy*>(self);
+            auto client = std::make_unique<ClientConnection>(proxy, static_cast<int>(socket));
+            auto* it = client.get();
+            proxy.m_clients.emplace(it, std::move(client));
+        },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, listenBacklog, address.get(),
+        static_cast<int>(address.length)));
+    if (!m_listener)
+        throw std::runtime_error("the address " + formatAddress(address) + " cannot be bound");
+    event_add(m_tick.get(), &tickInterval);
+}
+
+Proxy::~Proxy()
+{
+    m_clients.clear();
+    m_finished.clear();
+    m_removed.clear();
+}
+
+void Proxy::setTable(std::shared_ptr<const routes::Table> table) { m_table = std::move(table); }
+
+void Proxy::applyTargets(const fleet::TargetDelta& delta)
+{
+    m_balancer.apply(delta, readClock());
+    for (const auto& server : delta.lost) {
+        const auto calls = m_calls;
+        for (auto* it : calls)
+            it->serverLost(server);
+    }
+}
+
+const routes::Limits& Proxy::limits() const noexcept
+{
+    static const routes::Limits defaults;
+    return m_table ? m_table->document().limits : defaults;
+}
+
+dispatch::RetryBudget& Proxy::budget(const ServiceName& service)
+{
+    return m_budgets.try_emplace(service, m_settings.retryLimits).first->second;
+}
+
+void Proxy::scheduleCleanUp() { event_active(m_cleanUp.get(), EV_TIMEOUT, 0); }
+
+void Proxy::finish(std::unique_ptr<Call> call)
+{
+    m_calls.erase(call.get());
+    m_finished.push_back(std::move(call));
+    scheduleCleanUp();
+}
+
+void Proxy::remove(ClientConnection& client)
+{
+    const auto it = m_clients.find(&client);
+    if (it == m_clients.end())
+        return;
+    client.dropCall();
+    client.close();
+    m_removed.push_back(std::move(it->second));
+    m_clients.erase(it);
+    scheduleCleanUp();
+}
+
+void Proxy::closeIdle()
+{
+    std::vector<ClientConnection*> idle;
+    for (const auto& [client, owner] : m_clients) {
+        if (client->idle())
+            idle.push_back(client);
+    }
+    for (auto* it : idle)
+        remove(*it);
+}
+
+void Proxy::tick()
+{
+    const auto now = readClock();
+    const auto calls = m_calls;
+    for (auto* it : calls)
+        it->tick(now);
+    if (++m_ticks % idleTicks != 0)
+        return;
+    m_pool.tick(now);
+    std::vector<ClientConnection*> overdue;
+    for (const auto& [client, owner] : m_clients) {
+        if (client->overdue(now))
+            overdue.push_back(client);
+    }
+    for (auto* it : overdue)
+        remove(*it);
+    scheduleCleanUp();
+}
+
+SocketAddress Proxy::address() const { return localAddress(evconnlistener_get_fd(m_listener.get())).value(); }
+
+void Proxy::writeMetrics(std::ostream& out) const
+{
+    const auto counter = [&](const char* name, std::uint64_t value) {
+        out << "# TYPE rosemarymill_proxy_" << name << "_total counter\nrosemarymill_proxy_" << name << "_total "
+            << value << '\n';
+    };
+    const auto gauge = [&](const char* name, std::size_t value) {
+        out << "# TYPE rosemarymill_proxy_" << name << " gauge\nrosemarymill_proxy_" << name << ' ' << value << '\n';
+    };
+    counter("requests", m_counters.requests);
+    counter("answered", m_counters.answered);
+    counter("refused", m_counters.refused);
+    counter("failed", m_counters.failed);
+    counter("aborted", m_counters.aborted);
+    counter("abandoned", m_counters.abandoned);
+    counter("repeats", m_counters.repeats);
+    counter("resumed", m_counters.resumed);
+    counter("events", m_counters.events);
+    gauge("calls", m_calls.size());
+    gauge("clients", m_clients.size());
+    gauge("server_connections", m_pool.connections());
+    gauge("targets", m_balancer.size());
+    gauge("document_version", m_table ? m_table->document().version : 0);
+    m_firstByte.write(out, "rosemarymill_proxy_first_event_seconds", {});
+    m_total.write(out, "rosemarymill_proxy_call_seconds", {});
+}
+
+} // namespace rosemarymill::runtime::proxy
--- /dev/null
+++ b/packages/runtime/src/proxy/upstream.cpp
@@ -0,0 +1,237 @@
+#include <rosemarymill/runtime/proxy/upstream.hpp>
+
+#include <rosemarymill/runtime/base/address.hpp>
+#include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/proxy/call.hpp>
+#include <rosemarymill/runtime/proxy/socket.hpp>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+namespace rosemarymill::runtime::proxy {
+
+namespace {
+
+/// Idle time after which a connection is not used again when the server names no time of its own; servers may close
+/// idle connections within a second.
+constexpr Duration defaultIdleLimit = 300ms;
+
+/// Longest idle time of a connection that is used again.
+constexpr Duration maxIdleLimit = 10s;
+
+/// Margin on the time for which a server keeps an idle connection.
+constexpr Duration idleMargin = 700ms;
+
+/// A request that must not run twice goes only to a connection that was in use this recently.
+constexpr Duration freshLimit = 200ms;
+
+} // namespace
+
+namespace detail {
+
+void FreeBufferevent::operator()(bufferevent* it) const noexcept { bufferevent_free(it); }
+
+} // namespace detail
+
+Upstream::Upstream(UpstreamPool& pool, ServerId server, const std::string& address)
+    : m_pool(pool)
+    , m_server(std::move(server))
+    , m_buf(bufferevent_socket_new(pool.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
+    , m_parser(Parser::Side::Response)
+{
+    bufferevent_setcb(m_buf.get(), onRead, nullptr, onEvent, this);
+    bufferevent_enable(m_buf.get(), EV_READ | EV_WRITE);
+    auto parsed = parseAddress(address);
+    // A failure to connect at once is reported by an event, as a later one.
+    if (!parsed
+        || bufferevent_socket_connect(m_buf.get(), parsed.value().get(), static_cast<int>(parsed.value().length)) != 0)
+        bufferevent_trigger_event(m_buf.get(), BEV_EVENT_ERROR, BEV_TRIG_DEFER_CALLBACKS);
+    else
+        setServerSocketOptions(bufferevent_getfd(m_buf.get()));
+}
+
+Upstream::~Upstream() = default;
+
+void Upstream::send(Call& call, std::string request, bool headRequest)
+{
+    m_call = &call;
+    ++m_uses;
+    m_parser.reset(headRequest);
+    if (m_connected)
+        bufferevent_write(m_buf.get(), request.data(), request.size());
+    else
+        m_request = std::move(request);
+}
+
+void Upstream::setReading(bool reading)
+{
+    if (reading)
+        bufferevent_enable(m_buf.get(), EV_READ);
+    else
+        bufferevent_disable(m_buf.get(), EV_READ);
+}
+
+void Upstream::onRead(bufferevent*, void* self)
+{
+    auto& it = *static_cast<Upstream*>(self);
+    if (it.m_call)
+        it.readAnswer();
+    else
+        it.readIdle();
+}
+
+void Upstream::readIdle() { m_pool.discard(*this); }
+
+void Upstream::readAnswer()
+{
+    auto* input = bufferevent_get_input(m_buf.get());
+    for (;;) {
+        const auto n = evbuffer_get_contiguous_space(input);
+        if (n == 0)
+            break;
+        const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(n)));
+        const auto used = m_parser.feed({ data, n });
+        evbuffer_drain(input, used);
+        if (m_parser.failed())
+            return fail(End::Invalid);
+        // An interim answer precedes the final one.
+        constexpr unsigned firstFinalStatus = 200;
+        if (m_parser.complete() && m_parser.head().status < firstFinalStatus) {
+            if (m_parser.head().status == 101)
+                return fail(End::Invalid);
+            m_parser.reset();
+            continue;
+        }
+        if (m_parser.complete())
+            break;
+    }
+    if (m_parser.headComplete())
+        m_call->onAnswer();
+}
+
+void Upstream::onEvent(bufferevent* buf, short what, void* self)
+{
+    auto& it = *static_cast<Upstream*>(self);
+    if (what & BEV_EVENT_CONNECTED) {
+        it.m_connected = true;
+        setServerSocketOptions(bufferevent_getfd(buf));
+        if (it.m_call) {
+            bufferevent_write(buf, it.m_request.data(), it.m_request.size());
+            it.m_request = {};
+            it.m_call->onConnected();
+        }
+        return;
+    }
+    if (!it.m_call)
+        return it.m_pool.discard(it);
+    if (!it.m_connected)
+        return it.fail(EVUTIL_SOCKET_ERROR() == ECONNREFUSED ? End::Refused : End::NotConnected);
+    // What arrived before the end belongs to the answer.
+    if (evbuffer_get_length(bufferevent_get_input(buf)) > 0) {
+        auto* call = it.m_call;
+        it.readAnswer();
+        if (call->upstream() != &it)
+            return;
+    }
+    if ((what & BEV_EVENT_EOF) && it.m_parser.finish())
+        return it.m_call->onAnswer();
+    it.fail((what & BEV_EVENT_EOF) ? End::Closed : End::Reset);
+}
+
+void Upstream::fail(End end)
+{
+    // The call discards this connection.
+    m_call->onUpstreamEnd(end);
+}
+
+bool Upstream::reusable() const
+{
+    return m_connected && m_parser.complete() && m_parser.head().keepAlive
+        && evbuffer_get_length(bufferevent_get_input(m_buf.get())) == 0
+        && evbuffer_get_length(bufferevent_get_output(m_buf.get())) == 0;
+}
+
+Duration Upstream::keepAliveTime() const
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto text = m_parser.head().find("Keep-Alive");
+    const auto at = text.find(parameter);
+    unsigned seconds = 0;
+    if (at == std::string_view::npos
+        || std::from_chars(text.data() + at + parameter.size(), text.data() + text.size(), seconds).ec != std::errc {})
+        return defaultIdleLimit;
+    return std::clamp(Duration { std::chrono::seconds { seconds } } - idleMargin, defaultIdleLimit, maxIdleLimit);
+}
+
+Upstream& UpstreamPool::acquire(const fleet::Target& target, bool repeatable, Instant now)
+{
+    if (const auto idle = m_idle.find(target.id); idle != m_idle.end() && !idle->second.empty()) {
+        auto& upstream = *idle->second.back();
+        const auto limit = repeatable ? upstream.m_idleLimit : std::min(upstream.m_idleLimit, freshLimit);
+        if (now < upstream.m_idleSince + limit) {
+            idle->second.pop_back();
+            return upstream;
+        }
+    }
+    auto upstream = std::make_unique<Upstream>(*this, target.id, target.address);
+    auto& result = *upstream;
+    m_all.emplace(&result, std::move(upstream));
+    ++m_counts[target.id];
+    return result;
+}
+
+void UpstreamPool::release(Upstream& upstream, Instant now)
+{
+    upstream.m_call = nullptr;
+    if (!upstream.reusable())
+        return discard(upstream);
+    upstream.setReading(true);
+    upstream.m_idleSince = now;
+    upstream.m_idleLimit = upstream.keepAliveTime();
+    m_idle[upstream.m_server].push_back(&upstream);
+}
+
+void UpstreamPool::discard(Upstream& upstream)
+{
+    const auto it = m_all.find(&upstream);
+    if (it == m_all.end())
+        return;
+    if (const auto idle = m_idle.find(upstream.m_server); idle != m_idle.end()) {
+        idle->second.remove(&upstream);
+        if (idle->second.empty())
+            m_idle.erase(idle);
+    }
+    if (const auto count = m_counts.find(upstream.m_server); count != m_counts.end() && --count->second == 0)
+        m_counts.erase(count);
+    upstream.m_call = nullptr;
+    upstream.m_buf.reset();
+    m_discarded.push_back(std::move(it->second));
+    m_all.erase(it);
+}
+
+void UpstreamPool::tick(Instant now)
+{
+    std::vector<Upstream*> stale;
+    for (const auto& [server, idle] : m_idle) {
+        for (auto* it : idle) {
+            if (now >= it->m_idleSince + it->m_idleLimit)
+                stale.push_back(it);
+        }
+    }
+    for (auto* it : stale)
+        discard(*it);
+}
+
+std::size_t UpstreamPool::connections(const ServerId& server) const
+{
+    const auto it = m_counts.find(server);
+    return it == m_counts.end() ? 0 : it->second;
+}
+
+} // namespace rosemarymill::runtime::proxy
--- a/packages/runtime/src/storage/storage.cpp
+++ b/packages/runtime/src/storage/storage.cpp
@@ -16,7 +16,7 @@
 
 template <typename Log>
 Result<std::unique_ptr<Storage<Log>>> Storage<Log>::open(
-    event_base* base, const std::filesystem::path& folder, PostEvent post, Log description)
+    event_base* base, const std::filesystem::path& folder, Post post, Log description)
 {
     BOOST_OUTCOME_TRY(log, LogFile::open(folder, description.name()));
     if (log.truncatedBytes() > 0)
@@ -28,7 +28,7 @@
 }
 
 template <typename Log>
-Storage<Log>::Storage(event_base* base, LogFile log, typename Log::Image image, PostEvent post, Log description)
+Storage<Log>::Storage(event_base* base, LogFile log, typename Log::Image image, Post post, Log description)
     : m_log(std::move(log))
     , m_image(std::move(image))
     , m_post(std::move(post))
@@ -70,5 +70,6 @@
 
 template class Storage<ConfigurationLog>;
 template class Storage<LedgerLog>;
+template class Storage<FleetLog>;
 
 } // namespace rosemarymill::runtime::storage
--- a/packages/wire/include/rosemarymill/wire/frame/frame.hpp
+++ b/packages/wire/include/rosemarymill/wire/frame/frame.hpp
@@ -23,7 +23,9 @@
     Admission = 6,
     Ledger = 7,
     Quarantine = 8,
-    Forward = 9
+    Forward = 9,
+    /// Between entry VMs and control VMs.
+    Fleet = 10
 };
 
 /// Size of a frame header in bytes.
--- /dev/null
+++ b/packages/wire/src/fleet/codec.cpp
@@ -0,0 +1,207 @@
+#include <rosemarymill/wire/fleet/codec.hpp>
+
+#include <rosemarymill/wire/generated/fleet_generated.hpp>
+
+#include <boost/outcome/try.hpp>
+
+namespace rosemarymill::wire::fleet {
+
+namespace {
+
+namespace core = rosemarymill::fleet;
+namespace fb = generated::fleet;
+
+std::vector<std::uint8_t> bytesOf(const std::string& text) { return { text.begin(), text.end() }; }
+
+std::string textOf(const std::vector<std::uint8_t>& bytes) { return { bytes.begin(), bytes.end() }; }
+
+template <typename Names> std::vector<std::string> textsOf(const Names& names)
+{
+    std::vector<std::string> texts;
+    for (const auto& it : names)
+        texts.push_back(it.text());
+    return texts;
+}
+
+std::vector<ServerId> serversOf(const std::vector<std::string>& texts) { return { texts.begin(), texts.end() }; }
+
+template <typename Union, typename Packed> Union asUnion(Packed packed)
+{
+    Union result;
+    result.Set(std::move(packed));
+    return result;
+}
+
+fb::AnyCommandUnion pack(const core::StoreDocument& it)
+{
+    fb::StoreDocumentT packed;
+    packed.submission = it.submission;
+    packed.version = it.version;
+    packed.bytes = bytesOf(it.bytes);
+    return asUnion<fb::AnyCommandUnion>(std::move(packed));
+}
+
+fb::AnyCommandUnion pack(const core::SetOutOfService& it)
+{
+    fb::SetOutOfServiceT packed;
+    packed.submission = it.submission;
+    packed.data_centre = it.dataCentre.text();
+    packed.out_of_service = it.outOfService;
+    return asUnion<fb::AnyCommandUnion>(std::move(packed));
+}
+
+fb::AnyCommandUnion pack(const core::Barrier& it)
+{
+    fb::BarrierT packed;
+    packed.submission = it.submission;
+    return asUnion<fb::AnyCommandUnion>(std::move(packed));
+}
+
+fb::AnyMessageUnion pack(const core::Subscribe& it)
+{
+    fb::SubscribeT packed;
+    packed.address = it.address;
+    packed.control = it.control;
+    packed.document_version = it.documentVersion;
+    return asUnion<fb::AnyMessageUnion>(std::move(packed));
+}
+
+fb::AnyMessageUnion pack(const core::Members& it)
+{
+    fb::MembersT packed;
+    packed.leader = it.leader;
+    packed.term = it.term;
+    packed.controls = it.controls;
+    packed.voters = it.voters;
+    packed.entry_vms = it.entryVms;
+    return asUnion<fb::AnyMessageUnion>(std::move(packed));
+}
+
+fb::AnyMessageUnion pack(const core::DocumentPush& it)
+{
+    fb::DocumentT packed;
+    packed.version = it.version;
+    packed.bytes = bytesOf(it.bytes);
+    return asUnion<fb::AnyMessageUnion>(std::move(packed));
+}
+
+fb::TargetT packTarget(const core::Target& it)
+{
+    fb::TargetT packed;
+    packed.id = it.id.text();
+    packed.address = it.address;
+    packed.service = it.service.text();
+    packed.data_centre = it.dataCentre.text();
+    packed.model = it.model.text();
+    packed.slots = it.slots;
+    packed.cold_left_us = it.coldLeft.count();
+    return packed;
+}
+
+fb::AnyMessageUnion pack(const core::TargetsPush& it)
+{
+    fb::TargetsT packed;
+    packed.full = it.delta.full;
+    for (const auto& target : it.delta.upserts)
+        packed.upserts.push_back(std::make_unique<fb::TargetT>(packTarget(target)));
+    packed.withdrawn = textsOf(it.delta.withdrawn);
+    packed.lost = textsOf(it.delta.lost);
+    return asUnion<fb::AnyMessageUnion>(std::move(packed));
+}
+
+fb::AnyMessageUnion pack(const core::Report& it)
+{
+    fb::ReportT packed;
+    packed.progressed = textsOf(it.progressed);
+    packed.stalled = textsOf(it.stalled);
+    packed.traffic = it.traffic;
+    packed.document_version = it.documentVersion;
+    return asUnion<fb::AnyMessageUnion>(std::move(packed));
+}
+
+fb::AnyMessageUnion pack(const core::Alive&) { return asUnion<fb::AnyMessageUnion>(fb::AliveT {}); }
+
+core::Target unpack(const fb::TargetT& it)
+{
+    return { ServerId { it.id }, it.address, ServiceName { it.service }, DataCentreId { it.data_centre },
+        ModelName { it.model }, it.slots, Duration { it.cold_left_us } };
+}
+
+core::TargetsPush unpack(const fb::TargetsT& it)
+{
+    core::TargetsPush push;
+    push.delta.full = it.full;
+    for (const auto& target : it.upserts)
+        push.delta.upserts.push_back(unpack(*target));
+    push.delta.withdrawn = serversOf(it.withdrawn);
+    push.delta.lost = serversOf(it.lost);
+    return push;
+}
+
+} // namespace
+
+void encode(const core::Message& message, Buffer& buf)
+{
+    fb::MessageT packed;
+    packed.message = std::visit([](const auto& it) { return pack(it); }, message);
+    packTable(packed, buf);
+}
+
+Result<core::Message> decode(std::span<const std::byte> payload)
+{
+    BOOST_OUTCOME_TRY(packed, unpackTable<fb::MessageT>(payload));
+    const auto& any = packed.message;
+    if (const auto* it = any.AsSubscribe())
+        return core::Subscribe { it->address, it->control, it->document_version };
+    if (const auto* it = any.AsMembers())
+        return core::Members { it->leader, it->term, it->controls, it->voters, it->entry_vms };
+    if (const auto* it = any.AsDocument())
+        return core::DocumentPush { it->version, textOf(it->bytes) };
+    if (const auto* it = any.AsTargets())
+        return unpack(*it);
+    if (const auto* it = any.AsReport())
+        return core::Report { serversOf(it->progressed), serversOf(it->stalled), it->traffic, it->document_version };
+    if (any.AsAlive())
+        return core::Alive {};
+    return DecodeError::UnexpectedKind;
+}
+
+void Codec::encodeCommand(const Command& command, Buffer& buf)
+{
+    fb::CommandT packed;
+    packed.command = std::visit([](const auto& it) { return pack(it); }, command);
+    packTable(packed, buf);
+}
+
+void Codec::encodeSnapshot(const Snapshot& snapshot, Buffer& buf)
+{
+    fb::SnapshotT packed;
+    packed.version = snapshot.version;
+    packed.bytes = bytesOf(snapshot.bytes);
+    packed.out_of_service = textsOf(snapshot.outOfService);
+    packTable(packed, buf);
+}
+
+Result<Codec::Command> Codec::decodeCommand(std::span<const std::byte> payload)
+{
+    BOOST_OUTCOME_TRY(packed, unpackTable<fb::CommandT>(payload));
+    const auto& any = packed.command;
+    if (const auto* it = any.AsStoreDocument())
+        return core::StoreDocument { it->submission, it->version, textOf(it->bytes) };
+    if (const auto* it = any.AsSetOutOfService())
+        return core::SetOutOfService { it->submission, DataCentreId { it->data_centre }, it->out_of_service };
+    if (const auto* it = any.AsBarrier())
+        return core::Barrier { it->submission };
+    return DecodeError::UnexpectedKind;
+}
+
+Result<Codec::Snapshot> Codec::decodeSnapshot(std::span<const std::byte> payload)
+{
+    BOOST_OUTCOME_TRY(packed, unpackTable<fb::SnapshotT>(payload));
+    core::Snapshot snapshot { packed.version, textOf(packed.bytes), {} };
+    for (const auto& it : packed.out_of_service)
+        snapshot.outOfService.insert(DataCentreId { it });
+    return snapshot;
+}
+
+} // namespace rosemarymill::wire::fleet
--- a/packages/wire/src/frame/frame.cpp
+++ b/packages/wire/src/frame/frame.cpp
@@ -51,8 +51,7 @@
 
 bool isKnownKind(std::uint16_t kind) noexcept
 {
-    return kind >= static_cast<std::uint16_t>(FrameKind::Hello)
-        && kind <= static_cast<std::uint16_t>(FrameKind::Forward);
+    return kind >= static_cast<std::uint16_t>(FrameKind::Hello) && kind <= static_cast<std::uint16_t>(FrameKind::Fleet);
 }
 
 } // namespace
