Form groups before traffic, adopt and release them once, judge stalls by the whole fleet

Change: loads run ahead of the first request, the founding voter elects itself at once, released groups are remembered, a new leader continues groups that were about to open, and a stall counts only without progress anywhere. Entry VMs report progress every 200 ms, scaled by their number.

--- a/packages/core/include/rosemarymill/core/agreement/event.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/event.hpp
@@ -47,6 +47,9 @@
     /// no majority for the lower limit steps down.
     Duration electionMin { 1s };
     Duration electionMax { 2s };
+    /// First election of the voter that founds the log, so that a new system need not wait for an election timeout.
+    /// Zero means that this voter does not found the log.
+    Duration foundingDelay {};
     /// Applied entries after which a snapshot is taken.
     std::uint64_t snapshotInterval { 256 };
     /// Entries kept behind a snapshot, so that a voter that missed few entries needs no snapshot.
--- a/packages/core/include/rosemarymill/core/agreement/replica.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/replica.hpp
@@ -94,6 +94,8 @@
         m_hard.incarnation = nextIncarnation(m_hard.incarnation, m_settings.bootNonce);
         m_hardChanged = true;
         resetElectionTimer();
+        if (m_settings.foundingDelay > Duration::zero() && m_log.lastIndex() == 0)
+            m_electionAt = m_now + m_settings.foundingDelay;
     }
 
     void handle(const Tick&, Effects&)
--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,8 +27,11 @@
     Duration stallMargin { 1s };
     /// Servers that are silent for this long are probed: half a heartbeat interval over the next one due.
     Duration probeAfter { 1800ms };
-    /// Time between probes of one server.
+    /// Time between probes of one server, and of members of a group whose requests are stuck.
     Duration probeInterval { 400ms };
+    Duration suspectProbeInterval { 150ms };
+    /// Time for which the members of a group are probed after a report of stuck requests.
+    Duration suspicion { 1s };
     /// Unanswered probes after which a server counts as dead.
     unsigned deadProbes { 2 };
     /// Servers that are silent for this long are forgotten.
@@ -38,8 +42,8 @@
     Duration orderRetry { 700ms };
     /// Time beyond the expected one after which a join that is not ready is given up.
     Duration joinMargin { 4s };
-    /// A group whose head moved bytes this recently is whole.
-    Duration progressWindow { 900ms };
+    /// A group whose head moved bytes this recently is whole: two reports of entry VMs and the way.
+    Duration progressWindow { 500ms };
 };
 
 /// What a server is told to do.
@@ -211,15 +215,21 @@
     [[nodiscard]] bool isDead(const KnownServer& server) const;
     void probe(KnownServer& server, Effects& effects);
     void probeSilentServers(Effects& effects);
+    void probeSuspectGroups(Effects& effects);
 
     // Groups
-    void adoptGroups(Effects& effects);
     void adopt(const ServerRecord& record, Effects& effects);
-    void closeUnknownGroups(Effects& effects);
+    /// Continues an adopted group that the earlier leader had not opened.
+    void continueForming(Group& group);
     void reviewGroups(Effects& effects);
     void reviewJoining(Group& group, Effects& effects);
     void reviewOpening(Group& group, Effects& effects);
     void reviewOpen(Group& group, Effects& effects);
+    void released(const Group& group, const std::string& reason, Effects& effects);
+    /// Whether a membership belongs to a group that has closed; its members may join others.
+    [[nodiscard]] bool isReleased(const Membership& membership) const;
+    /// The members' loads go on after the group is given up.
+    void keepLoads(const Group& group);
     /// Returns whether the group is finished and its members are free.
     bool reviewClosing(Group& group, Effects& effects);
     bool reviewAbandoned(Group& group, Effects& effects);
@@ -235,6 +245,10 @@
     void formGroups(Effects& effects);
     bool formGroup(const FabricDomainId& domain, std::vector<KnownServer*>& free, const routes::Service& service,
         Effects& effects);
+    void startGroup(
+        Group group, std::span<KnownServer* const> members, const routes::EngineModel& model, Effects& effects);
+    [[nodiscard]] Duration joinTime(const KnownServer& server, const routes::EngineModel& model) const;
+    [[nodiscard]] bool needsLoad(const KnownServer& server, const ModelName& model) const;
     void stageSpares(const FabricDomainId& domain, std::vector<KnownServer*>& free, const routes::Service& service,
         Effects& effects);
     [[nodiscard]] bool isFree(const KnownServer& server) const;
@@ -257,7 +271,9 @@
     std::uint64_t m_lastEpoch { 0 };
     Registry m_registry;
     std::map<std::string, Group> m_groups;
-    /// Model that each spare server stages, and since when.
+    /// Epochs of the groups that this leader has released, by name.
+    std::map<std::string, std::uint64_t> m_released;
+    /// Model that each host loads beside a group's own joins, and since when.
     std::map<ServerId, std::pair<ModelName, Instant>> m_staging;
     std::shared_ptr<const routes::Table> m_table;
     std::set<DataCentreId> m_outOfService;
--- a/packages/core/include/rosemarymill/core/fleet/group.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/group.hpp
@@ -36,10 +36,16 @@
     std::vector<Instant> orderedAt;
     /// When all members should be ready.
     Instant readyBy;
+    /// The group was formed by an earlier leader.
+    bool adopted { false };
     /// An order to open may still be carried out late, so the head has to leave before members are reused.
     bool openUncertain { false };
     /// The head has closed and was told to leave.
     bool headLeaving { false };
+    /// The head has reported that it serves. A later report that it is ready then shows that it has closed.
+    bool sawOpen { false };
+    /// An entry VM reported stuck requests; members are probed until this time.
+    Instant suspectUntil;
     /// Whether work that waits at the head may be dropped on closing.
     bool shed { true };
     /// Last time that an entry VM received bytes from the head.
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -79,6 +79,7 @@
     m_settled = false;
     m_registry.clear();
     m_groups.clear();
+    m_released.clear();
     m_staging.clear();
     m_published.clear();
     m_lost.clear();
@@ -130,11 +131,24 @@
 void Control::handle(const event::StallReported& event, Effects& effects)
 {
     auto* group = m_leads ? groupOf(event.server) : nullptr;
-    if (!group || group->phase != GroupPhase::Open)
+    if (!group || group->phase != GroupPhase::Open || m_now < group->progressAt + m_settings.progressWindow)
         return;
-    for (const auto& member : group->members) {
-        if (auto* server = m_registry.find(member); server && m_now >= server->probeSentAt + m_settings.probeInterval)
-            probe(*server, effects);
+    if (m_now >= group->suspectUntil)
+        log("suspect group", group->name, "requests are stuck at " + event.server.text(), effects);
+    group->suspectUntil = m_now + m_settings.suspicion;
+    probeSuspectGroups(effects);
+}
+
+void Control::probeSuspectGroups(Effects& effects)
+{
+    for (const auto& [name, group] : m_groups) {
+        if (group.phase != GroupPhase::Open || m_now >= group.suspectUntil)
+            continue;
+        for (const auto& member : group.members) {
+            auto* server = m_registry.find(member);
+            if (server && !isDead(*server) && m_now >= server->probeSentAt + m_settings.suspectProbeInterval)
+                probe(*server, effects);
+        }
     }
 }
 
@@ -153,6 +167,7 @@
         publish(true, effects);
     }
     probeSilentServers(effects);
+    probeSuspectGroups(effects);
     reviewGroups(effects);
     formGroups(effects);
     publish(false, effects);
--- a/packages/core/src/fleet/groups.cpp
+++ b/packages/core/src/fleet/groups.cpp
@@ -31,7 +31,7 @@
             members[membership.rank] = record.id;
         return;
     }
-    if (it != m_groups.end() || record.loaded.empty() || !m_table)
+    if (it != m_groups.end() || record.loaded.empty() || !m_table || isReleased(membership))
         return;
     const auto* service = m_table->service(record.service);
     if (!service || !service->engine)
@@ -51,6 +51,7 @@
     group.orderedAt.resize(model->groupSize);
     group.phase = GroupPhase::Open;
     group.since = m_now;
+    group.adopted = true;
     group.openUncertain = true;
     m_lastEpoch = std::max(m_lastEpoch, membership.epoch);
     log("adopt group", group.name, "reported by " + record.id.text(), effects);
@@ -111,6 +112,43 @@
     return m_now >= group.orderedAt[rank] + m_settings.orderRetry;
 }
 
+void Control::continueForming(Group& group)
+{
+    const auto* head = group.head().empty() ? nullptr : m_registry.find(group.head());
+    const bool complete
+        = std::none_of(group.members.begin(), group.members.end(), [](const auto& it) { return it.empty(); });
+    if (!group.adopted || !complete || !head || !head->record.isMemberOf(group.name, group.epoch))
+        return;
+    const auto state = head->record.group->state;
+    if (state != MemberState::Joining && state != MemberState::Ready)
+        return;
+    group.phase = GroupPhase::Joining;
+    group.since = m_now;
+    group.readyBy = m_now;
+    if (const auto* service = m_table->service(group.service); service && service->engine) {
+        for (const auto& it : service->engine->models)
+            group.readyBy = it.name == group.model ? m_now + it.loadTime : group.readyBy;
+    }
+}
+
+bool Control::isReleased(const Membership& membership) const
+{
+    const auto it = m_released.find(membership.group);
+    return it != m_released.end() && it->second >= membership.epoch;
+}
+
+void Control::released(const Group& group, const std::string& reason, Effects& effects)
+{
+    m_released[group.name] = group.epoch;
+    log("release group", group.name, reason, effects);
+}
+
+void Control::keepLoads(const Group& group)
+{
+    for (const auto& it : group.loading)
+        m_staging.emplace(it, std::make_pair(group.model, group.since));
+}
+
 void Control::startClosing(Group& group, bool shed, const std::string& reason, Effects& effects)
 {
     log("close group", group.name, reason, effects);
@@ -133,6 +171,8 @@
                 "member " + group.members[rank].text()
                     + (server && !isDead(*server) ? " is not ready in time" : " is lost"),
                 effects);
+            keepLoads(group);
+            m_released[group.name] = group.epoch;
             group.members.clear();
             return;
         }
@@ -160,6 +200,7 @@
         return startClosing(group, true, damage, effects);
     if (head->record.group->state == MemberState::Open) {
         log("serve group", group.name, "the head is open", effects);
+        group.sawOpen = true;
         group.phase = GroupPhase::Open;
         group.since = m_now;
         return;
@@ -173,6 +214,10 @@
 void Control::reviewOpen(Group& group, Effects& effects)
 {
     const auto* head = group.head().empty() ? nullptr : m_registry.find(group.head());
+    if (head && head->record.isMemberOf(group.name, group.epoch) && head->record.group->state == MemberState::Open)
+        group.sawOpen = true;
+    if (continueForming(group); group.phase != GroupPhase::Open)
+        return;
     if (const auto damage = damageOf(group); !damage.empty()) {
         const bool drains = damage.ends_with("drains");
         return startClosing(group, !drains, damage, effects);
@@ -186,6 +231,10 @@
     const auto* head = group.head().empty() ? nullptr : m_registry.find(group.head());
     if (head && (head->gone || !head->record.isMemberOf(group.name, group.epoch)))
         return true;
+    const auto state = head ? head->record.group->state : MemberState::Joining;
+    if (head && (state == MemberState::Broken || (group.sawOpen && state == MemberState::Ready))
+        && !group.openUncertain)
+        return true;
     if (!head || isDead(*head)) {
         log("abandon group", group.name, "the head cannot be reached", effects);
         group.phase = GroupPhase::Abandoned;
@@ -252,7 +301,7 @@
             break;
         }
         if (finished && group.phase != GroupPhase::Joining)
-            log("release group", group.name, "its members may join other groups", effects);
+            released(group, "its members may join other groups", effects);
         it = finished ? m_groups.erase(it) : std::next(it);
     }
 }
@@ -287,12 +336,12 @@
             group.headLeaving = true;
             orderMember(group, 0, OrderKind::Leave, effects);
         } else {
-            log("release group", group.name, "the head has closed", effects);
+            released(group, "the head has closed", effects);
             m_groups.erase(it);
         }
     } else if (event.order.kind == OrderKind::Leave && group.phase == GroupPhase::Closing && group.headLeaving
         && event.server == group.head() && (done || event.result == OrderResult::Begun)) {
-        log("release group", group.name, "the head has left", effects);
+        released(group, "the head has left", effects);
         m_groups.erase(it);
     } else if (event.order.kind == OrderKind::Leave && group.phase == GroupPhase::Abandoned
         && (done || event.result == OrderResult::Begun) && group.leftAt == Instant {}) {
--- a/packages/core/src/fleet/placement.cpp
+++ b/packages/core/src/fleet/placement.cpp
@@ -19,6 +19,10 @@
 /// Window of the limit on loads from the weight store.
 constexpr Duration loadWindow = 5s;
 
+/// Factor on the loads that run together before clients send requests: the platform then loads faster, and loads that
+/// have begun go on at that speed.
+constexpr unsigned loadsBeforeTraffic = 2;
+
 /// A second group of the less needed model in a domain is formed only above this part of the highest need.
 constexpr double needTolerance = 0.8;
 
@@ -29,24 +33,35 @@
     return it == engine.models.end() ? nullptr : &*it;
 }
 
-Duration joinTime(const KnownServer& server, const routes::EngineModel& model, const ModelName* staging)
+} // namespace
+
+bool Control::needsLoad(const KnownServer& server, const ModelName& model) const
+{
+    return server.lastModel != model && !server.record.holds(model);
+}
+
+Duration Control::joinTime(const KnownServer& server, const routes::EngineModel& model) const
 {
     if (server.lastModel == model.name)
         return rejoinTime;
     if (server.record.holds(model.name))
         return model.warmUp;
-    if (staging && *staging == model.name)
-        return model.warmUp + model.loadTime / 2;
-    return model.loadTime;
+    const auto staging = m_staging.find(server.record.id);
+    if (staging == m_staging.end())
+        return model.loadTime;
+    const auto& [loads, since] = staging->second;
+    const auto left = std::max(model.loadTime - (m_now - since), Duration::zero());
+    // The load that is under way ends first.
+    return loads == model.name ? left + model.warmUp : left + model.loadTime;
 }
 
-} // namespace
-
 bool Control::isFree(const KnownServer& server) const
 {
     const auto& record = server.record;
     if (!isAlive(server) || isDead(server) || record.draining || m_now < server.reusableAt)
         return false;
+    if (record.group && !m_groups.contains(record.group->group) && !isReleased(*record.group))
+        return false;
     for (const auto& [name, group] : m_groups) {
         if (std::find(group.members.begin(), group.members.end(), record.id) != group.members.end())
             return false;
@@ -77,7 +92,9 @@
     if (count == 0)
         return true;
     const auto running = runningLoads();
-    if (engine.concurrentLoads > 0 && running > 0 && running + count > engine.concurrentLoads)
+    // Loads that wait for the first request would take ten times as long afterwards.
+    const auto concurrent = engine.concurrentLoads * (m_traffic ? 1 : loadsBeforeTraffic);
+    if (engine.concurrentLoads > 0 && running >= concurrent)
         return false;
     while (!m_loadStarts.empty() && m_now >= m_loadStarts.front() + loadWindow)
         m_loadStarts.pop_front();
@@ -92,7 +109,8 @@
 
 void Control::formGroups(Effects& effects)
 {
-    if (!m_table)
+    // A later leader first hears which servers are in groups.
+    if (!m_table || (!m_settled && m_term > 1))
         return;
     for (auto it = m_staging.begin(); it != m_staging.end();) {
         const auto* server = m_registry.find(it->first);
@@ -110,7 +128,12 @@
         if (!service || !service->engine)
             continue;
         while (formGroup(key.second, free, *service, effects)) { }
-        stageSpares(key.second, free, *service, effects);
+    }
+    // Spares are loaded once all groups that can be formed have their loads.
+    for (auto& [key, free] : domains) {
+        const auto* service = m_table->service(key.first);
+        if (service && service->engine)
+            stageSpares(key.second, free, *service, effects);
     }
 }
 
@@ -135,13 +158,11 @@
         if (inDomain(model.name)
             && (free.size() < size + spareServers || need(service, model) < needTolerance * topNeed))
             continue;
-        const auto timeOf = [&](const KnownServer* it) {
-            const auto staging = m_staging.find(it->record.id);
-            return joinTime(*it, model, staging == m_staging.end() ? nullptr : &staging->second.first);
-        };
-        std::stable_sort(free.begin(), free.end(), [&](const auto* a, const auto* b) { return timeOf(a) < timeOf(b); });
-        const auto loads = std::count_if(free.begin(), free.begin() + static_cast<std::ptrdiff_t>(size),
-            [&](const auto* it) { return it->lastModel != model.name && !it->record.holds(model.name); });
+        std::stable_sort(free.begin(), free.end(),
+            [&](const auto* a, const auto* b) { return joinTime(*a, model) < joinTime(*b, model); });
+        const std::span<KnownServer* const> members(free.data(), size);
+        const auto loads = std::count_if(members.begin(), members.end(),
+            [&](const auto* it) { return needsLoad(*it, model.name) && !m_staging.contains(it->record.id); });
         if (!takeLoads(*service.engine, static_cast<unsigned>(loads)))
             continue;
         Group group;
@@ -149,31 +170,37 @@
         group.epoch = m_lastEpoch;
         group.name = "g" + std::to_string(group.epoch);
         group.service = service.name;
-        group.model = model.name;
-        group.since = m_now;
-        group.orderedAt.resize(size);
-        const auto slowest = timeOf(free[size - 1]);
-        group.readyBy = m_now + slowest * (slowest > model.warmUp ? 2 : 1);
-        for (std::size_t rank = 0; rank < size; ++rank) {
-            const auto& server = *free[rank];
-            group.members.push_back(server.record.id);
-            if (server.lastModel != model.name && !server.record.holds(model.name))
-                group.loading.push_back(server.record.id);
-            m_staging.erase(server.record.id);
-        }
-        free.erase(free.begin(), free.begin() + static_cast<std::ptrdiff_t>(size));
         log("form group", group.name,
             "model " + model.name.text() + " in domain " + domain.text() + ", loads " + std::to_string(loads)
-                + ", free servers left " + std::to_string(free.size()),
+                + ", free servers left " + std::to_string(free.size() - size),
             effects);
-        auto& formed = m_groups.emplace(group.name, std::move(group)).first->second;
-        for (std::size_t rank = 0; rank < size; ++rank)
-            orderMember(formed, rank, OrderKind::Join, effects);
+        startGroup(std::move(group), members, model, effects);
+        free.erase(free.begin(), free.begin() + static_cast<std::ptrdiff_t>(size));
         return true;
     }
     return false;
 }
 
+void Control::startGroup(
+    Group group, std::span<KnownServer* const> members, const routes::EngineModel& model, Effects& effects)
+{
+    group.model = model.name;
+    group.since = m_now;
+    group.orderedAt.resize(members.size());
+    const auto slowest = joinTime(*members.back(), model);
+    group.readyBy = m_now + slowest * (slowest > model.warmUp ? 2 : 1);
+    for (const auto* it : members) {
+        group.members.push_back(it->record.id);
+        if (needsLoad(*it, model.name))
+            group.loading.push_back(it->record.id);
+    }
+    for (const auto& it : group.members)
+        m_staging.erase(it);
+    auto& formed = m_groups.emplace(group.name, std::move(group)).first->second;
+    for (std::size_t rank = 0; rank < formed.members.size(); ++rank)
+        orderMember(formed, rank, OrderKind::Join, effects);
+}
+
 void Control::stageSpares(
     const FabricDomainId& domain, std::vector<KnownServer*>& free, const routes::Service& service, Effects& effects)
 {
--- a/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
@@ -27,8 +27,10 @@
 /// Process on an entry VM: serves clients with the document and the servers that it last learned.
 class EntryNode {
 public:
-    /// Interval of the reports to the leader.
-    static constexpr Duration reportInterval = 400ms;
+    /// Shortest interval of the reports to the leader, and the part of it for each entry VM, which bounds the
+    /// leader's work.
+    static constexpr Duration minReportInterval = 200ms;
+    static constexpr Duration reportIntervalPerVm = 5ms;
     /// A stall of one server is reported at most this often.
     static constexpr Duration stallInterval = 300ms;
     /// After SIGTERM the balancer needs up to three questions, a second apart, to send no more connections.
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -33,6 +33,9 @@
 /// Heartbeat of the log's leader. Two heartbeats may be lost before a follower's shortest election timeout.
 constexpr Duration logHeartbeat = 200ms;
 
+/// All machines of a new system start within 300 ms.
+constexpr Duration foundingDelay = 400ms;
+
 constexpr const char* votersName = "voters";
 
 template <typename T> T opened(const std::string& folder, Result<T>&& result)
@@ -142,6 +145,8 @@
     settings.seed = m_settings.seed;
     settings.bootNonce = m_settings.seed;
     settings.heartbeat = logHeartbeat;
+    if (m_settings.bootstrap && m_voters.front() == m_settings.address)
+        settings.foundingDelay = foundingDelay;
     m_replica = std::make_unique<Replica>(settings, m_storage->takeImage());
     if (m_replica->damaged())
         writeLog(node::LogLevel::Error, "fleet", "The control log is damaged; this VM does not vote.");
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -3,6 +3,7 @@
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 
+#include <algorithm>
 #include <ostream>
 
 #include <event2/event.h>
@@ -114,7 +115,7 @@
 {
     const auto now = readClock();
     m_link.tick(now);
-    if (now >= m_reportedAt + reportInterval)
+    if (now >= m_reportedAt + std::max(minReportInterval, reportIntervalPerVm * m_proxy.balancer().entryVms()))
         report(now);
     if (!m_finished)
         return;
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -22,8 +22,15 @@
 /// packet is sent again within this time.
 constexpr Duration connectTimeout = 350ms;
 
+/// A server that is silent to all of this VM's requests for this long is reported to the control VM: a healthy one
+/// sends something with each pass, which takes less than 150 ms even at full load.
+constexpr Duration suspiciousSilence = 300ms;
+
 /// A stream whose server is silent to all of this VM's requests for this long continues elsewhere.
-constexpr Duration serverStall = 600ms;
+constexpr Duration serverStall = 500ms;
+
+/// The same before the first event, which may wait for the prompts of other requests.
+constexpr Duration firstEventStall = 1500ms;
 
 /// A stream without an event for this long continues elsewhere even if its server answers others: clients give up
 /// after two seconds.
@@ -373,8 +380,12 @@
     case AttemptEnd::Broken:
     case AttemptEnd::Stalled:
         ++m_state.possibleRuns;
-        // A server that is gone does not count against the route's limit.
-        m_state.runs += m_proxy.m_balancer.find(server) ? 1 : 0;
+        // A head that is gone, or that sent nothing to anybody since, does not count against the route's limit: work
+        // of a model server begins with its first token.
+        m_state.runs += m_service->engine
+                && (!m_proxy.m_balancer.find(server) || m_proxy.m_balancer.lastProgress(server) <= m_attemptAt)
+            ? 0
+            : 1;
         break;
     }
     const bool budgetLeft = m_proxy.budget(m_service->name).available(now, m_proxy.m_balancer.entryVms());
@@ -517,14 +528,15 @@
         return;
     const auto silent = now - m_lastBytesAt;
     const auto serverSilent = now - m_proxy.m_balancer.lastProgress(m_server);
+    if (m_state.streaming && silent >= suspiciousSilence && serverSilent >= suspiciousSilence && m_proxy.m_stallHandler)
+        m_proxy.m_stallHandler(m_server);
     const bool stalled = m_state.streaming
-        ? (silent >= serverStall && serverSilent >= serverStall) || (m_streaming && silent >= streamStall)
+        ? (silent >= (m_streaming ? serverStall : firstEventStall) && serverSilent >= serverStall)
+            || (m_streaming && silent >= streamStall)
         : silent >= lookupStall;
     if (!stalled)
         return;
     m_proxy.m_balancer.failed(m_server, now);
-    if (m_proxy.m_stallHandler)
-        m_proxy.m_stallHandler(m_server);
     // Without another server to go on with, waiting is better than giving up.
     if (dispatch::nextStep(m_state, AttemptEnd::Stalled,
             m_proxy.budget(m_service->name).available(now, m_proxy.m_balancer.entryVms()), now)
