--- a/packages/runtime/src/nodes/control_link.cpp
+++ b/packages/runtime/src/nodes/control_link.cpp
@@ -74,22 +74,25 @@
 
 void ControlLink::connect(const std::string& address, Instant now)
 {
+    // A connection that was given up may still receive frames and report its end until it is destroyed.
+    const auto current = [this, generation = ++m_generation] { return generation == m_generation && m_link; };
     LinkConnection::Handlers handlers;
-    handlers.onHello = [this](const wire::link::Hello&) {
-        sendMessage(*m_link, m_handlers.subscription());
-        return true;
+    handlers.onHello = [this, current](const wire::link::Hello&) {
+        if (current())
+            sendMessage(*m_link, m_handlers.subscription());
+        return current();
     };
-    handlers.onFrame = [this](wire::FrameKind kind, std::span<const std::byte> payload) {
-        if (kind != wire::FrameKind::Fleet)
-            return false;
-        const auto message = wire::fleet::decode(payload);
+    handlers.onFrame = [this, current](wire::FrameKind kind, std::span<const std::byte> payload) {
+        if (!current())
+            return true;
+        const auto message = kind == wire::FrameKind::Fleet ? wire::fleet::decode(payload)
+                                                            : Result<core::Message> { wire::DecodeError::UnexpectedKind };
         if (message)
             receive(message.value());
         return message.has_value();
     };
-    // A connection that was given up may still report its end.
-    handlers.onClosed = [this, generation = ++m_generation](const std::string& reason) {
-        if (generation == m_generation && m_link)
+    handlers.onClosed = [this, current](const std::string& reason) {
+        if (current())
             close(reason);
     };
     m_address = address;
