Refuse only what cannot have run, and late streams during a shutdown

Change: deadlineStep and acceptsDuringShutdown decide both cases in dispatch, before anything is dropped. Ruled out: closing the listener, which resets clients that the balancer still sends.

--- a/packages/core/src/dispatch/call.cpp
+++ b/packages/core/src/dispatch/call.cpp
@@ -2,6 +2,17 @@
 
 namespace rosemarymill::dispatch {
 
+namespace {
+
+/// Time after the start of a shutdown in which the balancer may still send new clients: two questions, a second apart,
+/// and the time until the first.
+constexpr Duration balancerDelay = 2900ms;
+
+/// Time that the end of a process takes beside its requests.
+constexpr Duration exitMargin = 500ms;
+
+} // namespace
+
 Step nextStep(const CallState& state, AttemptEnd end, bool budgetLeft, Instant now) noexcept
 {
     const bool timeLeft = now + minTimeForRetry < state.deadline;
@@ -29,4 +40,19 @@
     return state.possibleRuns == 0 ? Step::Refuse : Step::Fail;
 }
 
+Step deadlineStep(const CallState& state, bool underWay) noexcept
+{
+    if (state.headSent)
+        return Step::Abort;
+    return state.possibleRuns == 0 && !underWay ? Step::Refuse : Step::Fail;
+}
+
+bool acceptsDuringShutdown(const Shutdown& shutdown, const routes::Route& route, Instant now) noexcept
+{
+    const auto elapsed = now - shutdown.since;
+    if (route.kind == routes::RequestKind::Streaming)
+        return elapsed < balancerDelay;
+    return elapsed + route.timeout + exitMargin < shutdown.grace;
+}
+
 } // namespace rosemarymill::dispatch
--- a/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
@@ -16,6 +16,7 @@
 #include <iosfwd>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -73,9 +74,9 @@
     /// Servers that sent bytes since the last call.
     [[nodiscard]] std::set<ServerId> takeProgress() { return std::exchange(m_progress, {}); }
 
-    /// Answers carry `Connection: close` from now on.
-    void startDraining() noexcept { m_draining = true; }
-    [[nodiscard]] bool draining() const noexcept { return m_draining; }
+    /// Answers carry `Connection: close` from now on, and requests that cannot be finished in time are refused.
+    void shutDown(const dispatch::Shutdown& shutdown) noexcept { m_shutdown = shutdown; }
+    [[nodiscard]] bool draining() const noexcept { return m_shutdown.has_value(); }
     /// Closes connections without a request.
     void closeIdle();
 
@@ -117,7 +118,7 @@
     TimeSummary m_firstByte;
     TimeSummary m_total;
     std::minstd_rand m_random;
-    bool m_draining { false };
+    std::optional<dispatch::Shutdown> m_shutdown;
     unsigned m_ticks { 0 };
     EventHandle m_tick;
     EventHandle m_cleanUp;
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -108,7 +108,7 @@
         return;
     m_finished = std::move(finished);
     m_drainSince = readClock();
-    m_proxy.startDraining();
+    m_proxy.shutDown({ m_drainSince, m_settings.grace });
 }
 
 void EntryNode::tick()
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -129,6 +129,11 @@
         refuse(400, "no request id", {});
         return false;
     }
+    if (m_proxy.m_shutdown && !dispatch::acceptsDuringShutdown(*m_proxy.m_shutdown, *m_route, m_startedAt)) {
+        // Another VM takes the request at once.
+        refuse(503, "shutting down", 20ms);
+        return false;
+    }
     return true;
 }
 
@@ -509,11 +514,12 @@
     if (m_done)
         return;
     if (now >= m_state.deadline) {
+        const auto step = dispatch::deadlineStep(m_state, m_upstream != nullptr);
         dropUpstream();
         finishAttempt();
-        if (m_state.headSent)
-            return giveUp(Step::Abort, "deadline");
-        return refuse(m_state.possibleRuns == 0 && m_server.empty() ? 503 : 504, "deadline", {});
+        if (step == Step::Abort)
+            return giveUp(step, "deadline");
+        return refuse(step == Step::Refuse ? 503 : 504, "deadline", {});
     }
     if (m_waitingSince)
         return attempt();
