Change the voters of a log: learners, one change at a time, replacement of lost control VMs

Cause: the voters of the control log were fixed, so a core machine that is replaced for good at another address was never replaced as a voter, and a second such loss would have ended the quorum. A control VM without a leader tells the others of itself, so a VM that lost its disk or its vote returns as a learner. Tests: 100 schedules with changes among crashes and cuts, a variant that exchanges all voters at once is noticed.

--- a/packages/core/include/rosemarymill/core/agreement/event.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/event.hpp
@@ -4,7 +4,6 @@
 #include <rosemarymill/core/base/sink.hpp>
 #include <rosemarymill/core/base/time.hpp>
 
-#include <algorithm>
 #include <concepts>
 #include <cstddef>
 #include <string>
@@ -38,6 +37,7 @@
 /// Fixed choices of one replica.
 struct Settings {
     VmId self;
+    /// Voters that found the log. Entries of the log replace them later. Empty for a process that first learns the log.
     std::vector<VmId> voters;
     std::uint64_t seed { 0 };
     /// Differs at each start of the process.
@@ -56,14 +56,6 @@
     std::uint64_t trailingEntries { 64 };
     /// Largest weight of the entries in one Append, in bytes. A frame holds 1 MiB.
     std::size_t appendWeight { 256 * 1024 };
-
-    /// Voters that decide together.
-    [[nodiscard]] std::size_t majority() const noexcept { return voters.size() / 2 + 1; }
-
-    [[nodiscard]] bool isVoter(const VmId& vm) const
-    {
-        return std::find(voters.begin(), voters.end(), vm) != voters.end();
-    }
 };
 
 /// First event of a replica.
@@ -88,6 +80,19 @@
     Command command;
 };
 
+/// The leader replicates to these processes as well, without counting them.
+struct SetLearners {
+    Instant now;
+    std::vector<VmId> learners;
+};
+
+/// Adds or removes one voter. Only a leader takes it, when it has committed an entry of its term and no earlier change
+/// of the voters is under way.
+struct ChangeVoters {
+    Instant now;
+    std::vector<VmId> voters;
+};
+
 /// All records up to this sequence number are synced.
 struct Persisted {
     Instant now;
@@ -101,7 +106,8 @@
 };
 
 template <typename Command, typename Snapshot>
-using Event = std::variant<Started, Tick, Received<Command, Snapshot>, Proposed<Command>, Persisted, StorageChanged>;
+using Event = std::variant<Started, Tick, Received<Command, Snapshot>, Proposed<Command>, SetLearners, ChangeVoters,
+    Persisted, StorageChanged>;
 
 /// Sends a message to another voter. Delivery is not guaranteed.
 template <typename Command, typename Snapshot> struct Send {
@@ -136,6 +142,11 @@
     VmId leader;
 };
 
+/// Other voters decide from now on.
+struct VotersChanged {
+    std::vector<VmId> voters;
+};
+
 enum class ProposalError { NotLeader, StorageFull };
 
 /// A proposed command was not taken and is in no log.
@@ -156,6 +167,6 @@
 
 template <typename Command, typename Snapshot, typename Answer>
 using Effect = std::variant<Send<Command, Snapshot>, Persist<Command, Snapshot>, Applied<Command, Answer>, Restored,
-    RoleChanged, Refused<Command>, FolderOutdated, Diverged>;
+    RoleChanged, VotersChanged, Refused<Command>, FolderOutdated, Diverged>;
 
 } // namespace rosemarymill::agreement
--- a/packages/core/include/rosemarymill/core/agreement/record.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/record.hpp
@@ -28,6 +28,8 @@
     Index index { 0 };
     Term term { 0 };
     std::optional<Command> command;
+    /// Not empty: from this entry on these voters decide. Such an entry has no command.
+    std::vector<VmId> voters {};
 
     friend bool operator==(const Entry&, const Entry&) = default;
 };
@@ -37,6 +39,8 @@
     Index index { 0 };
     Term term { 0 };
     Snapshot state;
+    /// Voters after the entry; empty when they are still those of the settings.
+    std::vector<VmId> voters {};
 
     friend bool operator==(const SnapshotImage&, const SnapshotImage&) = default;
 };
--- a/packages/core/include/rosemarymill/core/agreement/replica.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/replica.hpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <random>
 #include <tuple>
@@ -42,6 +43,7 @@
               hash64(m_settings.self.text(), m_settings.seed + image.hard.incarnation)))
     {
         m_durable = m_log.lastIndex();
+        useVoters(m_log.lastIndex());
         if (!m_damaged)
             applyTo(m_hard.commit, nullptr);
     }
@@ -52,6 +54,7 @@
         if (m_damaged)
             return refuseWhenDamaged(event, effects);
         const auto before = view();
+        const auto votersBefore = m_voters;
         std::visit(
             [&](const auto& it) {
                 m_now = it.now;
@@ -61,6 +64,8 @@
         if (m_damaged)
             effects(Diverged { m_hard.commit });
         flush(effects);
+        if (m_voters != votersBefore)
+            effects(VotersChanged { m_voters });
         if (const auto after = view(); after != before)
             effects(RoleChanged { m_role, m_hard.term, m_leader });
     }
@@ -69,6 +74,26 @@
     [[nodiscard]] Role role() const noexcept { return m_role; }
     [[nodiscard]] const VmId& leader() const noexcept { return m_leader; }
     [[nodiscard]] Term term() const noexcept { return m_hard.term; }
+    /// Voters by the latest entry of the log, committed or not.
+    [[nodiscard]] const std::vector<VmId>& voters() const noexcept { return m_voters; }
+    [[nodiscard]] bool isVoter(const VmId& vm) const
+    {
+        return std::find(m_voters.begin(), m_voters.end(), vm) != m_voters.end();
+    }
+
+    /// Leader: when a voter or learner last answered, and whether it holds all that is committed.
+    [[nodiscard]] Instant heardAt(const VmId& vm) const
+    {
+        const auto it = m_peers.find(vm);
+        return it == m_peers.end() ? Instant {} : it->second.heardAt;
+    }
+    [[nodiscard]] bool holdsCommitted(const VmId& vm) const
+    {
+        const auto it = m_peers.find(vm);
+        return it != m_peers.end() && it->second.match >= m_hard.commit;
+    }
+    /// Leader: whether a change of the voters is not committed yet.
+    [[nodiscard]] bool changingVoters() const noexcept { return m_votersIndex > m_hard.commit; }
     [[nodiscard]] Index commit() const noexcept { return m_hard.commit; }
     [[nodiscard]] Index applied() const noexcept { return m_applied; }
     [[nodiscard]] const Log<Command, Snapshot>& log() const noexcept { return m_log; }
@@ -112,7 +137,8 @@
 
     void handle(const Received<Command, Snapshot>& event, Effects& effects)
     {
-        if (!m_settings.isVoter(event.from) || event.from == m_settings.self)
+        // Voters of the sender's log may be unknown here, so requests are judged by term and log alone.
+        if (event.from == m_settings.self)
             return;
         if (const auto* it = std::get_if<OutdatedIncarnation>(&event.message.body))
             return handleOutdated(*it, effects);
@@ -144,6 +170,37 @@
         broadcast();
     }
 
+    void handle(const SetLearners& event, Effects&)
+    {
+        if (m_role != Role::Leader)
+            return;
+        m_learners.clear();
+        std::copy_if(event.learners.begin(), event.learners.end(), std::back_inserter(m_learners),
+            [&](const auto& it) { return !isVoter(it); });
+        for (const auto& it : m_learners)
+            m_peers.try_emplace(it, Peer { m_log.lastIndex() + 1 });
+    }
+
+    void handle(const ChangeVoters& event, Effects&)
+    {
+        const auto differences = std::count_if(event.voters.begin(), event.voters.end(), [&](const auto& it) {
+            return !isVoter(it);
+        }) + std::count_if(m_voters.begin(), m_voters.end(), [&](const auto& it) {
+            return std::find(event.voters.begin(), event.voters.end(), it) == event.voters.end();
+        });
+        const bool keepsSelf
+            = std::find(event.voters.begin(), event.voters.end(), m_settings.self) != event.voters.end();
+        if (m_role != Role::Leader || !m_writable || !m_caughtUp || !keepsSelf)
+            return;
+        if (Rules::changesOneVoterAtOnce && (changingVoters() || differences != 1))
+            return;
+        Entry<Command> entry { m_log.lastIndex() + 1, m_hard.term, std::nullopt, event.voters };
+        m_record.entries.push_back(entry);
+        m_log.append(std::move(entry));
+        useVoters(m_log.lastIndex());
+        broadcast();
+    }
+
     void handle(const Persisted& event, Effects& effects)
     {
         m_persistedSequence = std::max(m_persistedSequence, event.sequence);
@@ -169,7 +226,7 @@
     void startElection(bool preliminary)
     {
         resetElectionTimer();
-        if (!m_writable || !m_settings.isVoter(m_settings.self))
+        if (!m_writable || !isVoter(m_settings.self))
             return;
         m_leader = {};
         m_role = preliminary ? Role::Follower : Role::Candidate;
@@ -184,7 +241,7 @@
         m_grants.clear();
         m_grants[m_settings.self] = m_hard.joined;
         const auto term = preliminary ? m_hard.term + 1 : m_hard.term;
-        for (const auto& voter : m_settings.voters) {
+        for (const auto& voter : m_voters) {
             if (voter != m_settings.self)
                 send(voter, VoteRequest { term, m_log.lastIndex(), m_log.lastTerm(), preliminary }, !preliminary);
         }
@@ -195,7 +252,7 @@
     {
         const auto trusted = std::count_if(
             m_grants.begin(), m_grants.end(), [](const auto& it) { return it.second || !Rules::distrustsLostDisks; });
-        if (static_cast<std::size_t>(trusted) < m_settings.majority() && m_grants.size() < m_settings.voters.size())
+        if (static_cast<std::size_t>(trusted) < majority() && m_grants.size() < m_voters.size())
             return;
         m_electing = false;
         if (m_preliminary)
@@ -214,7 +271,8 @@
             peer.next = m_log.lastIndex() + 1;
             peer.match = 0;
         }
-        for (const auto& voter : m_settings.voters)
+        m_learners.clear();
+        for (const auto& voter : m_voters)
             m_peers.try_emplace(voter, Peer { m_log.lastIndex() + 1 }).first->second.heardAt = m_now;
         appendOwn(std::nullopt);
         broadcast();
@@ -266,7 +324,7 @@
             return;
         }
         const auto wanted = m_preliminary ? m_hard.term + 1 : m_hard.term;
-        if (!m_electing || reply.preliminary != m_preliminary || reply.term != wanted)
+        if (!m_electing || reply.preliminary != m_preliminary || reply.term != wanted || !isVoter(from))
             return;
         m_grants[from] = reply.joined;
         countGrants();
@@ -276,7 +334,7 @@
 
     void appendOwn(std::optional<Command> command)
     {
-        Entry<Command> entry { m_log.lastIndex() + 1, m_hard.term, std::move(command) };
+        Entry<Command> entry { m_log.lastIndex() + 1, m_hard.term, std::move(command), {} };
         m_record.entries.push_back(entry);
         m_log.append(std::move(entry));
     }
@@ -284,9 +342,11 @@
     void broadcast()
     {
         m_nextHeartbeat = m_now + m_settings.heartbeat;
-        for (const auto& voter : m_settings.voters) {
-            if (voter != m_settings.self)
-                sendAppend(voter, m_peers[voter]);
+        for (const auto* receivers : { &m_voters, &m_learners }) {
+            for (const auto& it : *receivers) {
+                if (it != m_settings.self)
+                    sendAppend(it, m_peers[it]);
+            }
         }
     }
 
@@ -347,10 +407,10 @@
         if (m_role != Role::Leader)
             return;
         std::vector<Index> matches;
-        for (const auto& voter : m_settings.voters)
+        for (const auto& voter : m_voters)
             matches.push_back(voter == m_settings.self ? m_durable : m_peers[voter].match);
         std::sort(matches.begin(), matches.end(), std::greater<> {});
-        const auto index = matches[m_settings.majority() - 1];
+        const auto index = matches[majority() - 1];
         if (index <= m_hard.commit || (Rules::commitsOnlyOwnTerm && m_log.termAt(index) != m_hard.term))
             return;
         setCommit(index);
@@ -359,12 +419,12 @@
 
     [[nodiscard]] bool hearsMajority() const
     {
-        const auto heard = std::count_if(m_settings.voters.begin(), m_settings.voters.end(), [&](const auto& it) {
+        const auto heard = std::count_if(m_voters.begin(), m_voters.end(), [&](const auto& it) {
             const auto peer = m_peers.find(it);
             return it == m_settings.self
                 || (peer != m_peers.end() && m_now < peer->second.heardAt + m_settings.electionMin);
         });
-        return static_cast<std::size_t>(heard) >= m_settings.majority();
+        return static_cast<std::size_t>(heard) >= majority();
     }
 
     // Replication at a follower
@@ -431,11 +491,15 @@
             truncateFrom(entry.index);
         m_record.entries.push_back(entry);
         m_log.append(entry);
+        if (!entry.voters.empty())
+            useVoters(entry.index);
     }
 
     void truncateFrom(Index index)
     {
         m_log.truncateFrom(index);
+        if (m_votersIndex >= index)
+            useVoters(m_log.lastIndex());
         m_record.truncateFrom = index;
         m_durable = std::min(m_durable, index - 1);
         for (auto& it : m_pending)
@@ -453,6 +517,7 @@
             if (m_log.termAt(index) != install.snapshot.term)
                 m_record.truncateFrom = 1;
             m_log.install(install.snapshot);
+            useVoters(m_log.lastIndex());
             m_record.snapshot = install.snapshot;
             setCommit(index);
         }
@@ -513,7 +578,8 @@
 
     void takeSnapshot()
     {
-        SnapshotImage<Snapshot> snapshot { m_applied, *m_log.termAt(m_applied), m_machine.snapshot() };
+        SnapshotImage<Snapshot> snapshot { m_applied, *m_log.termAt(m_applied), m_machine.snapshot(),
+            votersAt(m_applied) };
         m_record.snapshot = snapshot;
         m_log.compact(std::move(snapshot), m_settings.trailingEntries);
     }
@@ -556,6 +622,39 @@
             effects(Refused<Command> { ProposalError::NotLeader, it->command });
     }
 
+    // Voters
+
+    /// Voters that decide together.
+    [[nodiscard]] std::size_t majority() const noexcept { return m_voters.size() / 2 + 1; }
+
+    /// Index of the entry that names the voters as of an entry; the snapshot's index or 0 when no entry does.
+    [[nodiscard]] Index votersIndexAt(Index index) const
+    {
+        for (; index > m_log.base(); --index) {
+            if (!m_log.at(index).voters.empty())
+                return index;
+        }
+        return m_log.snapshotIndex();
+    }
+
+    [[nodiscard]] std::vector<VmId> votersAt(Index index) const
+    {
+        const auto named = votersIndexAt(index);
+        if (named > m_log.base() && !m_log.at(named).voters.empty())
+            return m_log.at(named).voters;
+        const auto& snapshot = m_log.snapshot();
+        return snapshot && !snapshot->voters.empty() ? snapshot->voters : m_settings.voters;
+    }
+
+    void useVoters(Index last)
+    {
+        m_votersIndex = votersIndexAt(last);
+        m_voters = votersAt(last);
+        std::erase_if(m_learners, [&](const auto& it) { return isVoter(it); });
+        for (const auto& it : m_voters)
+            m_peers.try_emplace(it, Peer { m_log.lastIndex() + 1 });
+    }
+
     // Helpers
 
     void resetElectionTimer()
@@ -569,6 +668,10 @@
 
     Settings m_settings;
     HardState m_hard;
+    std::vector<VmId> m_voters;
+    /// Entry that names the voters.
+    Index m_votersIndex { 0 };
+    std::vector<VmId> m_learners;
     bool m_damaged { false };
     bool m_writable { true };
     Log<Command, Snapshot> m_log;
--- a/packages/core/include/rosemarymill/core/agreement/rules.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/rules.hpp
@@ -16,6 +16,8 @@
     static constexpr bool appliesOnlyDurable = true;
     /// The vote of a voter that lost its disk counts only when every voter grants it.
     static constexpr bool distrustsLostDisks = true;
+    /// One voter is added or removed at a time, so that the majorities before and after share a voter.
+    static constexpr bool changesOneVoterAtOnce = true;
 };
 
 } // namespace rosemarymill::agreement
--- a/packages/core/src/node/configuration_log.cpp
+++ b/packages/core/src/node/configuration_log.cpp
@@ -31,6 +31,8 @@
         answerPending(state, it.answer, effects);
     }
     void operator()(agreement::Restored&) { changed = true; }
+    /// These logs keep the voters of the settings.
+    void operator()(agreement::VotersChanged&) const { }
     void operator()(agreement::RoleChanged& it) const
     {
         const auto term = " in term " + std::to_string(it.term) + ".";
--- a/packages/core/src/node/ledger_homes.cpp
+++ b/packages/core/src/node/ledger_homes.cpp
@@ -70,6 +70,8 @@
         applyReplicated(state, home, ledger::CommandApplied { state.now, it.command, it.answer }, effects);
     }
     void operator()(agreement::Restored&) const { }
+    /// These logs keep the voters of the settings.
+    void operator()(agreement::VotersChanged&) const { }
     void operator()(agreement::RoleChanged& it) const
     {
         const bool leading = it.role == agreement::Role::Leader;
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_link.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_link.hpp
@@ -51,6 +51,9 @@
     /// Sends a message when there is a connection to the leader.
     void send(const fleet::Message& message);
 
+    /// Closes the connection, which is not needed at present.
+    void disconnect();
+
     /// Whether the leader is connected.
     [[nodiscard]] bool connected() const noexcept { return m_subscribed; }
     [[nodiscard]] const fleet::Members& members() const noexcept { return m_members; }
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/core/fleet/control.hpp>
 #include <rosemarymill/core/fleet/machine.hpp>
+#include <rosemarymill/core/fleet/voters.hpp>
 #include <rosemarymill/runtime/nodes/control_link.hpp>
 #include <rosemarymill/runtime/nodes/environment.hpp>
 #include <rosemarymill/runtime/nodes/server_client.hpp>
@@ -33,6 +34,7 @@
     bool bootstrap { false };
     std::string dataFolder;
     fleet::ControlSettings decisions;
+    fleet::VoterSettings voters;
     std::uint64_t seed { 0 };
 };
 
@@ -80,9 +82,11 @@
         Committed done;
     };
 
-    void loadVoters();
-    void storeVoters();
+    /// Voters that founded the log; empty on a VM that came later or lost its disk.
+    [[nodiscard]] std::vector<std::string> foundingVoters();
     void startReplica();
+    void reviewVoters(Instant now);
+    [[nodiscard]] std::vector<fleet::VoterCandidate> voterCandidates() const;
     void post(Replica::Event&& event);
     void carryOut(Replica::Effect& effect);
     void carryOut(fleet::ControlEffect& effect);
@@ -108,7 +112,6 @@
     wire::link::Hello m_self;
     std::unique_ptr<storage::DataFolder> m_folder;
     std::unique_ptr<storage::Storage<storage::FleetLog>> m_storage;
-    std::vector<std::string> m_voters;
     std::unique_ptr<Replica> m_replica;
     std::deque<Replica::Event> m_events;
     bool m_reducing { false };
@@ -123,7 +126,8 @@
     ServerClient m_servers;
     VoterLinks m_voterLinks;
     SubscriberServer m_subscribers;
-    /// Used while this VM does not vote, to learn who does.
+    std::vector<VmId> m_learners;
+    /// Used while this VM does not vote or knows no leader.
     ControlLink m_link;
     /// Entry VMs by the time when they were last connected.
     std::map<VmId, Instant> m_entryVms;
--- a/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
@@ -56,6 +56,7 @@
     void tick(Instant now);
 
     [[nodiscard]] std::list<Subscriber>& subscribers() noexcept { return m_subscribers; }
+    [[nodiscard]] const std::list<Subscriber>& subscribers() const noexcept { return m_subscribers; }
     [[nodiscard]] const LinkCounters& counters() const noexcept { return m_counters; }
 
 private:
--- a/packages/runtime/src/nodes/control_link.cpp
+++ b/packages/runtime/src/nodes/control_link.cpp
@@ -150,6 +150,13 @@
         send(core::Alive {});
 }
 
+void ControlLink::disconnect()
+{
+    m_closed.clear();
+    if (m_link)
+        close("not needed");
+}
+
 void ControlLink::send(const core::Message& message)
 {
     if (!m_subscribed || !m_link)
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -87,9 +87,7 @@
     m_folder = std::make_unique<storage::DataFolder>(
         opened(m_settings.dataFolder, storage::DataFolder::open(m_settings.dataFolder)));
     setSeeds(m_settings.seeds);
-    loadVoters();
-    if (!m_voters.empty())
-        startReplica();
+    startReplica();
     event_add(m_tick.get(), &tickInterval);
 }
 
@@ -103,49 +101,45 @@
     m_link.setSeeds(std::move(others));
 }
 
-void ControlNode::loadVoters()
+std::vector<std::string> ControlNode::foundingVoters()
 {
     const auto path = std::filesystem::path(m_settings.dataFolder) / votersName;
+    std::vector<std::string> voters;
     if (std::filesystem::exists(path)) {
         const auto file = opened(m_settings.dataFolder, storage::Descriptor::openFile(path));
-        const auto bytes = opened(m_settings.dataFolder, file.readAll());
         std::string line;
-        for (const auto it : bytes) {
+        for (const auto it : opened(m_settings.dataFolder, file.readAll())) {
             if (static_cast<char>(it) != '\n')
                 line.push_back(static_cast<char>(it));
             else
-                m_voters.push_back(std::exchange(line, {}));
+                voters.push_back(std::exchange(line, {}));
         }
-    } else if (m_settings.bootstrap) {
-        m_voters = m_settings.seeds;
-        std::sort(m_voters.begin(), m_voters.end());
-        storeVoters();
+    } else if (m_settings.bootstrap
+        && std::find(m_settings.seeds.begin(), m_settings.seeds.end(), m_settings.address) != m_settings.seeds.end()) {
+        voters = m_settings.seeds;
+        std::sort(voters.begin(), voters.end());
+        std::string text;
+        for (const auto& it : voters)
+            text += it + '\n';
+        writeDurably(m_settings.dataFolder, votersName, text);
     }
-}
-
-void ControlNode::storeVoters()
-{
-    std::string text;
-    for (const auto& it : m_voters)
-        text += it + '\n';
-    writeDurably(m_settings.dataFolder, votersName, text);
+    return voters;
 }
 
 void ControlNode::startReplica()
 {
-    if (std::find(m_voters.begin(), m_voters.end(), m_settings.address) == m_voters.end())
-        return;
+    const auto voters = foundingVoters();
     m_storage = opened(m_settings.dataFolder,
         storage::Storage<storage::FleetLog>::open(
             m_base, m_settings.dataFolder, [this](Replica::Event&& event) { post(std::move(event)); }));
     agreement::Settings settings;
     settings.self = VmId { m_settings.address };
-    for (const auto& it : m_voters)
+    for (const auto& it : voters)
         settings.voters.emplace_back(it);
     settings.seed = m_settings.seed;
     settings.bootNonce = m_settings.seed;
     settings.heartbeat = logHeartbeat;
-    if (m_settings.bootstrap && m_voters.front() == m_settings.address)
+    if (m_settings.bootstrap && !voters.empty() && voters.front() == m_settings.address)
         settings.foundingDelay = foundingDelay;
     m_replica = std::make_unique<Replica>(settings, m_storage->takeImage());
     if (m_replica->damaged())
@@ -190,6 +184,13 @@
                            { { "role", std::to_string(static_cast<int>(it.role)) }, { "term", std::to_string(it.term) },
                                { "leader", it.leader.text() } });
                    },
+                   [&](agreement::VotersChanged& it) {
+                       std::string voters;
+                       for (const auto& voter : it.voters)
+                           voters += voter.text() + ' ';
+                       writeDecision("fleet", "voters changed", { { "voters", voters } });
+                       m_subscribers.broadcast(members());
+                   },
                    [&](agreement::Refused<core::Command>& it) { finishProposal(submissionOf(it.command), false); },
                    [&](agreement::FolderOutdated&) {
                        writeLog(node::LogLevel::Warning, "fleet", "The data folder is an old copy.");
@@ -201,13 +202,18 @@
         effect);
 }
 
-std::string ControlNode::leader() const { return m_replica ? m_replica->leader().text() : m_link.members().leader; }
+std::string ControlNode::leader() const
+{
+    const auto& known = m_replica->leader().text();
+    return known.empty() && m_link.connected() ? m_link.members().leader : known;
+}
 
 void ControlNode::reviewLeadership()
 {
     const bool leads = m_replica->role() == agreement::Role::Leader && m_replica->caughtUp();
     if (leads != m_leads) {
         m_leads = leads;
+        m_learners.clear();
         decide(core::event::LeadershipChanged { readClock(), leads, m_replica->term() });
         if (leads) {
             decide(core::event::DocumentChanged { readClock(), m_table });
@@ -296,8 +302,6 @@
 
 void ControlNode::propose(core::Command command, Committed done)
 {
-    if (!m_replica)
-        return done(false);
     auto submission
         = m_settings.address + '/' + std::to_string(m_settings.seed) + '/' + std::to_string(++m_submissions);
     std::visit([&](auto& it) { it.submission = submission; }, command);
@@ -346,9 +350,12 @@
 {
     core::Members members;
     members.leader = leader();
-    members.term = m_replica ? m_replica->term() : 0;
-    members.voters = m_voters;
-    members.controls = m_voters;
+    members.term = m_replica->term();
+    for (const auto& it : m_replica->voters())
+        members.voters.push_back(it.text());
+    members.controls = members.voters;
+    for (const auto& it : m_learners)
+        members.controls.push_back(it.text());
     members.entryVms = m_entryCount;
     return members;
 }
@@ -378,8 +385,7 @@
     const auto message = wire::agreement::fromRaw<wire::fleet::Codec>(decoded.value().message);
     if (!message)
         return false;
-    if (m_replica)
-        post(agreement::Received<core::Command, core::Snapshot> { readClock(), from, message.value() });
+    post(agreement::Received<core::Command, core::Snapshot> { readClock(), from, message.value() });
     return true;
 }
 
@@ -396,6 +402,49 @@
         decide(core::event::StallReported { readClock(), it });
 }
 
+std::vector<core::VoterCandidate> ControlNode::voterCandidates() const
+{
+    std::map<VmId, DataCentreId> dataCentres { { m_self.vm, m_self.dataCentre } };
+    for (const auto& it : m_subscribers.subscribers()) {
+        if (const auto& remote = it.link->remote())
+            dataCentres[remote->vm] = remote->dataCentre;
+    }
+    std::vector<core::VoterCandidate> candidates;
+    const auto now = readClock();
+    const auto add = [&](const VmId& vm, bool votes) {
+        const bool self = vm == m_self.vm;
+        candidates.push_back(
+            { vm, dataCentres[vm], votes, self || m_replica->holdsCommitted(vm), self ? now : m_replica->heardAt(vm) });
+    };
+    for (const auto& it : m_replica->voters())
+        add(it, true);
+    for (const auto& it : m_learners)
+        add(it, false);
+    return candidates;
+}
+
+void ControlNode::reviewVoters(Instant now)
+{
+    if (!m_leads)
+        return;
+    std::vector<VmId> learners;
+    for (const auto& it : m_subscribers.subscribers()) {
+        const VmId vm { it.subscription.address };
+        if (it.subscribed && it.subscription.control && !m_replica->isVoter(vm)
+            && std::find(learners.begin(), learners.end(), vm) == learners.end())
+            learners.push_back(vm);
+    }
+    if (learners != m_learners) {
+        m_learners = std::move(learners);
+        post(agreement::SetLearners { now, m_learners });
+        m_subscribers.broadcast(members());
+    }
+    if (m_replica->changingVoters())
+        return;
+    if (const auto voters = core::nextVoters(m_self.vm, voterCandidates(), m_settings.voters, now))
+        post(agreement::ChangeVoters { now, *voters });
+}
+
 void ControlNode::countEntryVms()
 {
     const auto now = readClock();
@@ -414,24 +463,20 @@
     const auto now = readClock();
     m_voterLinks.tick();
     m_subscribers.tick(now);
-    if (m_replica) {
-        post(agreement::Tick { now });
-        failProposals(now, false);
-    } else {
+    post(agreement::Tick { now });
+    failProposals(now, false);
+    // A VM that does not vote tells the leader of itself; a voter that hears no leader may have been replaced.
+    if (m_replica->leader().empty() || !m_replica->isVoter(m_self.vm))
         m_link.tick(now);
-        const auto& voters = m_link.members().voters;
-        // A voter that lost its disk takes part again; the log does not count on what it forgot.
-        if (std::find(voters.begin(), voters.end(), m_settings.address) != voters.end()) {
-            m_voters = voters;
-            storeVoters();
-            startReplica();
-        }
-    }
+    else
+        m_link.disconnect();
     ++m_ticks;
     if (m_leads && m_ticks % decisionTicks == 0)
         decide(core::event::Tick { now });
-    if (m_ticks % countTicks == 0)
+    if (m_ticks % countTicks == 0) {
         countEntryVms();
+        reviewVoters(now);
+    }
 }
 
 void ControlNode::writeMetrics(std::ostream& out) const
@@ -444,7 +489,8 @@
     for (const auto& [name, group] : m_control.groups())
         open += group.phase == core::GroupPhase::Open ? 1 : 0;
     gauge("leads", m_leads ? 1 : 0);
-    gauge("term", m_replica ? m_replica->term() : 0);
+    gauge("term", m_replica->term());
+    gauge("voters", m_replica->voters().size());
     gauge("document_version", m_documentVersion);
     gauge("servers", m_control.registry().servers().size());
     gauge("groups", m_control.groups().size());
--- a/packages/wire/include/rosemarymill/wire/agreement/codec.hpp
+++ b/packages/wire/include/rosemarymill/wire/agreement/codec.hpp
@@ -53,7 +53,7 @@
 
 template <LogCodec Codec> RawEntry toRaw(const rosemarymill::agreement::Entry<typename Codec::Command>& entry)
 {
-    RawEntry raw { entry.index, entry.term, std::nullopt };
+    RawEntry raw { entry.index, entry.term, std::nullopt, entry.voters };
     if (entry.command)
         Codec::encodeCommand(*entry.command, raw.command.emplace());
     return raw;
@@ -62,7 +62,7 @@
 template <LogCodec Codec>
 RawSnapshot toRaw(const rosemarymill::agreement::SnapshotImage<typename Codec::Snapshot>& snapshot)
 {
-    RawSnapshot raw { snapshot.index, snapshot.term, {} };
+    RawSnapshot raw { snapshot.index, snapshot.term, {}, snapshot.voters };
     Codec::encodeSnapshot(snapshot.state, raw.state);
     return raw;
 }
@@ -102,7 +102,7 @@
 
 template <LogCodec Codec> Result<rosemarymill::agreement::Entry<typename Codec::Command>> fromRaw(const RawEntry& raw)
 {
-    rosemarymill::agreement::Entry<typename Codec::Command> entry { raw.index, raw.term, std::nullopt };
+    rosemarymill::agreement::Entry<typename Codec::Command> entry { raw.index, raw.term, std::nullopt, raw.voters };
     if (raw.command) {
         BOOST_OUTCOME_TRY(command, Codec::decodeCommand(*raw.command));
         entry.command = std::move(command);
@@ -125,7 +125,8 @@
 Result<rosemarymill::agreement::SnapshotImage<typename Codec::Snapshot>> fromRaw(const RawSnapshot& raw)
 {
     BOOST_OUTCOME_TRY(state, Codec::decodeSnapshot(raw.state));
-    return rosemarymill::agreement::SnapshotImage<typename Codec::Snapshot> { raw.index, raw.term, std::move(state) };
+    return rosemarymill::agreement::SnapshotImage<typename Codec::Snapshot> { raw.index, raw.term, std::move(state),
+        raw.voters };
 }
 
 template <LogCodec Codec>
--- a/packages/wire/src/agreement/codec.cpp
+++ b/packages/wire/src/agreement/codec.cpp
@@ -24,6 +24,16 @@
     return { data, data + bytes.size() };
 }
 
+std::vector<std::string> pack(const std::vector<VmId>& voters)
+{
+    std::vector<std::string> packed;
+    for (const auto& it : voters)
+        packed.push_back(it.text());
+    return packed;
+}
+
+std::vector<VmId> unpack(const std::vector<std::string>& packed) { return { packed.begin(), packed.end() }; }
+
 std::vector<std::unique_ptr<fb::EntryT>> pack(const std::vector<RawEntry>& entries)
 {
     std::vector<std::unique_ptr<fb::EntryT>> packed;
@@ -34,6 +44,7 @@
         entry.has_command = it.command.has_value();
         if (it.command)
             entry.command = bytesOf(*it.command);
+        entry.voters = pack(it.voters);
     }
     return packed;
 }
@@ -42,7 +53,7 @@
 {
     std::vector<RawEntry> entries;
     for (const auto& it : packed) {
-        auto& entry = entries.emplace_back(RawEntry { it->index, it->term, std::nullopt });
+        auto& entry = entries.emplace_back(RawEntry { it->index, it->term, std::nullopt, unpack(it->voters) });
         if (it->has_command)
             entry.command = bufferOf(it->command);
     }
@@ -55,10 +66,14 @@
     packed->index = snapshot.index;
     packed->term = snapshot.term;
     packed->state = bytesOf(snapshot.state);
+    packed->voters = pack(snapshot.voters);
     return packed;
 }
 
-RawSnapshot unpack(const fb::SnapshotT& packed) { return { packed.index, packed.term, bufferOf(packed.state) }; }
+RawSnapshot unpack(const fb::SnapshotT& packed)
+{
+    return { packed.index, packed.term, bufferOf(packed.state), unpack(packed.voters) };
+}
 
 void packBody(const core::VoteRequest& it, fb::BodyUnion& body)
 {
--- a/tests/core/agreement/cluster.hpp
+++ b/tests/core/agreement/cluster.hpp
@@ -48,13 +48,15 @@
         agreement::Index shown { 0 };
     };
 
-    Cluster(std::size_t size, std::uint64_t seed)
+    /// The first `founding` processes found the log; by default all do.
+    Cluster(std::size_t size, std::uint64_t seed, std::size_t founding = ~std::size_t { 0 })
         : m_random(seed)
         , m_seed(seed)
     {
         for (std::size_t i = 0; i < size; ++i) {
-            m_voters.push_back(VmId { "voter-" + std::to_string(i) });
-            nodes.emplace_back().vm = m_voters.back();
+            nodes.emplace_back().vm = VmId { "voter-" + std::to_string(i) };
+            if (i < founding)
+                m_voters.push_back(nodes.back().vm);
         }
         for (auto& node : nodes)
             start(node);
@@ -64,7 +66,8 @@
     {
         agreement::Settings settings;
         settings.self = node.vm;
-        settings.voters = m_voters;
+        if (std::find(m_voters.begin(), m_voters.end(), node.vm) != m_voters.end())
+            settings.voters = m_voters;
         settings.seed = m_seed;
         settings.bootNonce = ++m_starts;
         settings.snapshotInterval = 20;
@@ -141,6 +144,15 @@
         return taken;
     }
 
+    /// Hands an event to every process that takes itself for the leader.
+    template <typename Make> void tellLeaders(Make&& make)
+    {
+        for (auto& node : nodes) {
+            if (node.replica && !node.paused && node.replica->role() == agreement::Role::Leader)
+                deliver(node, make(node));
+        }
+    }
+
     [[nodiscard]] Node* leader()
     {
         for (auto& node : nodes) {
