--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -184,9 +184,10 @@
 
 void Balancer::fleetLoads(std::span<const fleet::ServerLoad> loads, Instant now)
 {
-    for (auto& [id, entry] : m_entries) {
-        const auto it = std::find_if(loads.begin(), loads.end(), [&](const auto& load) { return load.server == id; });
-        loadReported(id, it == loads.end() ? 0 : it->requests, now);
+    for (const auto& known : m_entries) {
+        const auto& server = known.first;
+        const auto it = std::find_if(loads.begin(), loads.end(), [&](const auto& load) { return load.server == server; });
+        loadReported(server, it == loads.end() ? 0 : it->requests, now);
     }
 }
 
