--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -186,7 +186,8 @@
 {
     for (const auto& known : m_entries) {
         const auto& server = known.first;
-        const auto it = std::find_if(loads.begin(), loads.end(), [&](const auto& load) { return load.server == server; });
+        const auto it
+            = std::find_if(loads.begin(), loads.end(), [&](const auto& load) { return load.server == server; });
         loadReported(server, it == loads.end() ? 0 : it->requests, now);
     }
 }
