--- a/packages/wire/src/agreement/codec.cpp
+++ b/packages/wire/src/agreement/codec.cpp
@@ -27,6 +27,7 @@
 std::vector<std::string> pack(const std::vector<VmId>& voters)
 {
     std::vector<std::string> packed;
+    packed.reserve(voters.size());
     for (const auto& it : voters)
         packed.push_back(it.text());
     return packed;
--- a/packages/wire/src/fleet/codec.cpp
+++ b/packages/wire/src/fleet/codec.cpp
@@ -209,9 +209,12 @@
 void Codec::encodeSnapshot(const Snapshot& snapshot, Buffer& buf)
 {
     fb::SnapshotT packed;
-    packed.version = snapshot.version;
-    packed.bytes = bytesOf(snapshot.bytes);
-    packed.out_of_service = textsOf(snapshot.outOfService);
+    packed.document = std::make_unique<fb::DocumentT>();
+    packed.document->version = snapshot.version;
+    packed.document->bytes = bytesOf(snapshot.bytes);
+    packed.out_of_service.reserve(snapshot.outOfService.size());
+    for (const auto& it : snapshot.outOfService)
+        packed.out_of_service.emplace_back(std::make_unique<fb::OutOfServiceT>())->data_centre = it.text();
     packTable(packed, buf);
 }
 
@@ -231,9 +234,9 @@
 Result<Codec::Snapshot> Codec::decodeSnapshot(std::span<const std::byte> payload)
 {
     BOOST_OUTCOME_TRY(packed, unpackTable<fb::SnapshotT>(payload));
-    core::Snapshot snapshot { packed.version, textOf(packed.bytes), {} };
+    core::Snapshot snapshot { packed.document->version, textOf(packed.document->bytes), {} };
     for (const auto& it : packed.out_of_service)
-        snapshot.outOfService.insert(DataCentreId { it });
+        snapshot.outOfService.insert(DataCentreId { it->data_centre });
     return snapshot;
 }
 
--- /dev/null
+++ b/tests/wire/fleet/codec.cpp
@@ -0,0 +1,88 @@
+#include <rosemarymill/wire/fleet/codec.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace rosemarymill;
+using wire::fleet::Codec;
+
+namespace {
+
+template <typename Message> Message roundTrip(const Message& message)
+{
+    wire::Buffer buf;
+    wire::fleet::encode(message, buf);
+    const auto decoded = wire::fleet::decode(buf);
+    REQUIRE(decoded);
+    return std::get<Message>(decoded.value());
+}
+
+template <typename Command> Command roundTripCommand(const Command& command)
+{
+    wire::Buffer buf;
+    Codec::encodeCommand(command, buf);
+    const auto decoded = Codec::decodeCommand(buf);
+    REQUIRE(decoded);
+    return std::get<Command>(decoded.value());
+}
+
+} // namespace
+
+TEST_CASE("messages between entry and control VMs survive the wire", "[fleet]")
+{
+    const auto members = roundTrip(fleet::Members { "10.0.0.1:1", 3, { "a", "b" }, { "a" }, 7 });
+    CHECK(members.leader == "10.0.0.1:1");
+    CHECK(members.term == 3);
+    CHECK(members.controls.size() == 2);
+    CHECK(members.voters.size() == 1);
+    CHECK(members.entryVms == 7);
+
+    fleet::TargetsPush push;
+    push.delta.full = true;
+    push.delta.upserts = { { ServerId { "s" }, "10.0.0.2:1", ServiceName { "llm" }, DataCentreId { "z" },
+        ModelName { "m" }, 26, 1500ms } };
+    push.delta.withdrawn = { ServerId { "w" } };
+    push.delta.lost = { ServerId { "l" } };
+    const auto targets = roundTrip(push).delta;
+    CHECK(targets.full);
+    CHECK(targets.upserts == push.delta.upserts);
+    CHECK(targets.withdrawn == push.delta.withdrawn);
+    CHECK(targets.lost == push.delta.lost);
+
+    const auto report
+        = roundTrip(fleet::Report { { { ServerId { "s" }, 4 } }, { ServerId { "p" } }, { ServerId { "q" } }, true, 9 });
+    CHECK(report.loads.front().requests == 4);
+    CHECK(report.progressed.front() == ServerId { "p" });
+    CHECK(report.stalled.front() == ServerId { "q" });
+    CHECK(report.traffic);
+    CHECK(report.documentVersion == 9);
+
+    const std::string bytes { "\0\xff{}", 4 };
+    CHECK(roundTrip(fleet::DocumentPush { 5, bytes }).bytes == bytes);
+    CHECK(roundTrip(fleet::LoadsPush { { { ServerId { "s" }, 2 } } }).loads.size() == 1);
+    CHECK(roundTrip(fleet::Subscribe { "a", true, 4 }).control);
+    roundTrip(fleet::Alive {});
+}
+
+TEST_CASE("commands and snapshots of the control log survive the disk", "[fleet]")
+{
+    const fleet::StoreDocument store { "s1", 7, "{}" };
+    CHECK(roundTripCommand(store) == store);
+    const fleet::SetOutOfService leave { "s2", DataCentreId { "z" }, true };
+    CHECK(roundTripCommand(leave) == leave);
+    CHECK(roundTripCommand(fleet::Barrier { "s3" }) == fleet::Barrier { "s3" });
+
+    const fleet::Snapshot snapshot { 7, "{}", { DataCentreId { "y" }, DataCentreId { "z" } } };
+    wire::Buffer buf;
+    Codec::encodeSnapshot(snapshot, buf);
+    CHECK(Codec::decodeSnapshot(buf).value() == snapshot);
+    CHECK(Codec::decodeSnapshot({}).error() == wire::DecodeError::Malformed);
+}
+
+TEST_CASE("bytes that are no message are refused", "[fleet]")
+{
+    wire::Buffer buf;
+    wire::fleet::encode(fleet::Members { "leader", 1, {}, {}, 2 }, buf);
+    buf.resize(buf.size() / 2);
+    CHECK_FALSE(wire::fleet::decode(buf));
+    CHECK_FALSE(wire::fleet::decode({}));
+}
