Send prompts to the group that is expected to answer first

Cause: groups were chosen by their number of running requests with noise of two requests. A running request costs the others 0.6 ms an event; an unread prompt costs 26 ms and more. Entry VMs with equal views sent their prompts to the same group, and the large model's first events took 250 ms in the median and 450 ms at the 90th percentile with 8 of 26 slots in use, whatever the load.

Change: each entry VM keeps the unread prompt tokens of its own requests and, by the fleet's reports, of others, and chooses the lowest expected delay. Entry VMs at different places prefer different groups; control VMs announce the entry VMs by name.

--- a/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
@@ -3,6 +3,7 @@
 #include <rosemarymill/core/dispatch/call.hpp>
 #include <rosemarymill/core/fleet/message.hpp>
 #include <rosemarymill/core/fleet/server.hpp>
+#include <rosemarymill/core/routes/document.hpp>
 
 #include <cstdint>
 #include <map>
@@ -33,6 +34,20 @@
     std::uint64_t vmHash { 0 };
 };
 
+/// Work that a request brings to a group, and how fast the group does it.
+struct Work {
+    unsigned promptTokens { 0 };
+    /// Prompt tokens that the group reads in a second; 0 for plain services.
+    double promptRate { 0 };
+    /// Time that each request of a batch adds to the next event of the others.
+    Duration eventCost {};
+    /// Time until a full group has room for one more request.
+    Duration slotWait {};
+};
+
+/// Work of a request with a prompt of `promptTokens` at a group of the model.
+[[nodiscard]] Work workOf(const routes::Engine& engine, const ModelName& model, unsigned promptTokens);
+
 /// What is asked of the choice.
 struct Query {
     ServiceName service;
@@ -42,6 +57,7 @@
     /// Requests per second that a cold server of the service bears; 0 means no limit.
     double coldRate { 0 };
     Instant now;
+    Work work {};
 };
 
 /// Why no server was chosen.
@@ -70,7 +86,8 @@
     unsigned candidates { 0 };
 };
 
-/// Servers known to an entry VM with the load it sees. Chooses the least loaded one.
+/// Servers known to an entry VM with the load it sees. Chooses the least loaded server of a plain service, and the
+/// group of a model that is expected to send the first event soonest.
 class Balancer {
 public:
     Balancer(BalancerSettings settings, std::uint64_t seed)
@@ -85,11 +102,11 @@
     [[nodiscard]] std::variant<Choice, Refusal> choose(const Query& query);
 
     /// A request was sent to the server; ended() follows.
-    void sent(const ServerId& server, Instant now);
+    void sent(const ServerId& server, Instant now, const Work& work = {});
     void ended(const ServerId& server);
 
     /// Requests of this VM at servers that have any.
-    [[nodiscard]] std::vector<fleet::ServerLoad> ownLoads() const;
+    [[nodiscard]] std::vector<fleet::ServerLoad> ownLoads(Instant now);
 
     /// Requests of all entry VMs at the servers, as summed by the control VM a moment ago. Servers that are not named
     /// have none.
@@ -110,7 +127,13 @@
     /// The server's process is known to be gone; it gets no requests until it is announced again.
     void gone(const ServerId& server);
 
-    void setEntryVms(unsigned n) noexcept { m_entryVms = n; }
+    /// Number of entry VMs, and the place of this one among them. VMs at different places prefer different groups among
+    /// those that are equally soon.
+    void setEntryVms(unsigned n, unsigned position = 0) noexcept
+    {
+        m_entryVms = n;
+        m_position = position;
+    }
     [[nodiscard]] unsigned entryVms() const noexcept { return m_entryVms; }
     [[nodiscard]] const fleet::Target* find(const ServerId& server) const;
     [[nodiscard]] Instant lastProgress(const ServerId& server) const;
@@ -132,8 +155,19 @@
         /// Requests that this VM may send to the server while it is cold.
         double coldTokens { 0 };
         Instant coldTokensAt;
+        /// Prompt tokens that the group has yet to read: of this VM's requests, as last reported, and of other VMs.
+        double ownPrompts { 0 };
+        double reportedPrompts { 0 };
+        double otherPrompts { 0 };
+        Instant promptsAt;
+        double promptRate { 0 };
     };
 
+    /// Accounts for the prompts that the group has read since the last call.
+    static void readPrompts(Entry& entry, Instant now);
+    /// Time until the group is expected to send the first event of a request.
+    [[nodiscard]] double expectedDelay(Entry& entry, const Query& query) const;
+
     [[nodiscard]] double loadOf(const Entry& entry, Instant now) const;
     [[nodiscard]] static bool isCold(const Entry& entry, const Query& query);
     [[nodiscard]] bool coldTokenReady(Entry& entry, double rate, Instant now) const;
@@ -146,6 +180,7 @@
     std::map<ServerId, Entry> m_entries;
     /// Assumed before a control VM tells the number, so that shares of limits start small.
     unsigned m_entryVms { 16 };
+    unsigned m_position { 0 };
 };
 
 } // namespace rosemarymill::dispatch
--- a/packages/core/include/rosemarymill/core/fleet/message.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/message.hpp
@@ -19,14 +19,14 @@
     std::uint64_t documentVersion { 0 };
 };
 
-/// Who leads, which control VMs are known, and how many entry VMs share limits.
+/// Who leads, which control VMs are known, and which entry VMs share limits.
 struct Members {
     /// Address of the leader; empty when none is known.
     std::string leader;
     std::uint64_t term { 0 };
     std::vector<std::string> controls;
     std::vector<std::string> voters;
-    unsigned entryVms { 0 };
+    std::vector<std::string> entryVms;
 };
 
 /// The document as it was submitted.
@@ -44,6 +44,8 @@
 struct ServerLoad {
     ServerId server;
     unsigned requests { 0 };
+    /// Tokens of prompts that the server has yet to read.
+    unsigned promptTokens { 0 };
 };
 
 /// Requests of all entry VMs at the servers that have any.
--- a/packages/core/include/rosemarymill/core/routes/document.hpp
+++ b/packages/core/include/rosemarymill/core/routes/document.hpp
@@ -86,6 +86,10 @@
     /// Token step of a batch, without and for each request that writes.
     Duration step {};
     Duration stepPerRequest {};
+    /// Token steps between two events of a stream.
+    unsigned stepsPerPass { 1 };
+    /// Mean number of tokens of an answer.
+    double usualAnswer { 0 };
     double promptTokensPerSecond { 0 };
 };
 
--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -11,6 +11,12 @@
 /// Random part of a server's load, so that entry VMs with equal views do not choose the same server.
 constexpr double loadNoise = 0.08;
 
+/// Delay by which an entry VM prefers its own groups to the next ones: more than the delay that a few requests of the
+/// batch make, less than that of a prompt.
+constexpr double preferenceStep = 0.002;
+
+double seconds(Duration it) { return std::chrono::duration<double>(it).count(); }
+
 /// Time after which a refused request is expected to be served, by the reason of the refusal.
 constexpr Duration retryAfterUnknown = 1s;
 constexpr Duration retryAfterFull = 500ms;
@@ -28,6 +34,19 @@
 
 } // namespace
 
+Work workOf(const routes::Engine& engine, const ModelName& model, unsigned promptTokens)
+{
+    const auto it
+        = std::find_if(engine.models.begin(), engine.models.end(), [&](const auto& m) { return m.name == model; });
+    const double pace = it == engine.models.end() || it->pace <= 0 ? 1 : it->pace;
+    const auto scaled
+        = [&](Duration time, double factor) { return std::chrono::duration_cast<Duration>(time * (pace * factor)); };
+    const auto slots = std::max(engine.slots, 1U);
+    const auto fullStep = engine.step + engine.stepPerRequest * slots;
+    return { promptTokens, engine.promptTokensPerSecond / pace, scaled(engine.stepPerRequest, engine.stepsPerPass),
+        scaled(fullStep, engine.usualAnswer / slots) };
+}
+
 void Balancer::apply(const fleet::TargetDelta& delta, Instant now)
 {
     if (delta.full) {
@@ -102,9 +121,33 @@
     return query.coldRate > 0 && query.now < entry.coldUntil;
 }
 
+void Balancer::readPrompts(Entry& entry, Instant now)
+{
+    const auto read = seconds(now - entry.promptsAt) * entry.promptRate;
+    entry.promptsAt = now;
+    entry.ownPrompts = std::max(entry.ownPrompts - read, 0.0);
+    entry.otherPrompts = std::max(entry.otherPrompts - read, 0.0);
+}
+
+double Balancer::expectedDelay(Entry& entry, const Query& query) const
+{
+    entry.promptRate = query.work.promptRate;
+    readPrompts(entry, query.now);
+    const auto requests = loadOf(entry, query.now) * entry.target.slots;
+    const auto waiting = std::max(requests + 1 - entry.target.slots, 0.0);
+    return (entry.ownPrompts + entry.otherPrompts) / query.work.promptRate + requests * seconds(query.work.eventCost)
+        + waiting * seconds(query.work.slotWait);
+}
+
 std::variant<Choice, Refusal> Balancer::choose(const Query& query)
 {
     std::uniform_real_distribution<double> noise(0, loadNoise);
+    const auto serves = [&](const Entry& it) {
+        return !it.withdrawn && !it.gone && it.target.service == query.service && it.target.model == query.model;
+    };
+    const auto groups = static_cast<std::size_t>(
+        std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& it) { return serves(it.second); }));
+    const auto preferred = groups * m_position / std::max(m_entryVms, 1U);
     Entry* best = nullptr;
     double bestScore = 0;
     Choice choice;
@@ -116,9 +159,9 @@
     };
     for (auto& [id, entry] : m_entries) {
         const auto& target = entry.target;
-        if (entry.withdrawn || entry.gone || target.service != query.service || target.model != query.model)
+        if (!serves(entry))
             continue;
-        ++choice.candidates;
+        const auto rank = (choice.candidates++ + groups - preferred % groups) % groups;
         if (query.now < entry.suspendedUntil
             || std::find(query.tried.begin(), query.tried.end(), id) != query.tried.end()) {
             setReason(NoServer::Failing, retryAfterFull);
@@ -135,8 +178,9 @@
                 continue;
             }
         }
-        const auto score
-            = load + noise(m_random) + (target.dataCentre == m_settings.dataCentre ? 0 : m_settings.remotePenalty);
+        const auto score = query.work.promptRate > 0
+            ? expectedDelay(entry, query) + preferenceStep * static_cast<double>(rank)
+            : load + noise(m_random) + (target.dataCentre == m_settings.dataCentre ? 0 : m_settings.remotePenalty);
         if (best && score >= bestScore)
             continue;
         best = &entry;
@@ -151,13 +195,16 @@
     return choice;
 }
 
-void Balancer::sent(const ServerId& server, Instant now)
+void Balancer::sent(const ServerId& server, Instant now, const Work& work)
 {
     const auto it = m_entries.find(server);
     if (it == m_entries.end())
         return;
-    if (it->second.outstanding++ == 0)
-        it->second.progressAt = now;
+    auto& entry = it->second;
+    if (entry.outstanding++ == 0)
+        entry.progressAt = now;
+    readPrompts(entry, now);
+    entry.ownPrompts += work.promptTokens;
 }
 
 void Balancer::ended(const ServerId& server)
@@ -172,23 +219,28 @@
         m_entries.erase(it);
 }
 
-std::vector<fleet::ServerLoad> Balancer::ownLoads() const
+std::vector<fleet::ServerLoad> Balancer::ownLoads(Instant now)
 {
     std::vector<fleet::ServerLoad> loads;
-    for (const auto& [id, entry] : m_entries) {
+    for (auto& [id, entry] : m_entries) {
+        readPrompts(entry, now);
+        entry.reportedPrompts = entry.ownPrompts;
         if (entry.outstanding > 0)
-            loads.push_back({ id, entry.outstanding });
+            loads.push_back({ id, entry.outstanding, static_cast<unsigned>(entry.ownPrompts) });
     }
     return loads;
 }
 
 void Balancer::fleetLoads(std::span<const fleet::ServerLoad> loads, Instant now)
 {
-    for (const auto& known : m_entries) {
+    for (auto& known : m_entries) {
         const auto& server = known.first;
+        auto& entry = known.second;
         const auto it
             = std::find_if(loads.begin(), loads.end(), [&](const auto& load) { return load.server == server; });
         loadReported(server, it == loads.end() ? 0 : it->requests, now);
+        readPrompts(entry, now);
+        entry.otherPrompts = it == loads.end() ? 0 : std::max(it->promptTokens - entry.reportedPrompts, 0.0);
     }
 }
 
--- a/packages/core/src/fleet/load_table.cpp
+++ b/packages/core/src/fleet/load_table.cpp
@@ -12,15 +12,20 @@
 std::vector<ServerLoad> LoadTable::totals(Instant now)
 {
     std::erase_if(m_entries, [&](const auto& it) { return now >= it.second.at + reportLife; });
-    std::map<ServerId, unsigned> sums;
+    std::map<ServerId, ServerLoad> sums;
     for (const auto& [vm, entry] : m_entries) {
-        for (const auto& it : entry.loads)
-            sums[it.server] += it.requests;
+        for (const auto& it : entry.loads) {
+            auto& sum = sums[it.server];
+            sum.requests += it.requests;
+            sum.promptTokens += it.promptTokens;
+        }
     }
     std::vector<ServerLoad> totals;
     totals.reserve(sums.size());
-    for (const auto& [server, requests] : sums)
-        totals.push_back({ server, requests });
+    for (auto& [server, sum] : sums) {
+        sum.server = server;
+        totals.push_back(sum);
+    }
     return totals;
 }
 
--- a/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
@@ -55,6 +55,7 @@
 private:
     void receive(const fleet::Message& message);
     void receive(const fleet::DocumentPush& push);
+    void receive(const fleet::Members& members);
     void reportStall(const ServerId& server);
     void report(Instant now);
     void tick();
--- a/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
@@ -79,6 +79,7 @@
     const routes::Account* m_account { nullptr };
     const routes::Service* m_service { nullptr };
     ModelName m_model;
+    dispatch::Work m_work;
     std::string m_attemptId;
 
     dispatch::CallState m_state;
--- a/packages/runtime/include/rosemarymill/runtime/proxy/names.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/names.hpp
@@ -13,6 +13,8 @@
     /// Id of the last event that the client holds.
     std::string lastEventId;
     std::string model;
+    /// Tokens of the prompt and most tokens of the answer.
+    std::string tokenUsage;
     /// Proof that an answer comes from a server.
     std::string seal;
     /// Says that the server did not and will not run the request.
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -55,13 +55,21 @@
                 { "lost", std::to_string(targets->delta.lost.size()) },
                 { "known", std::to_string(m_proxy.balancer().size()) } });
     } else if (const auto* members = std::get_if<core::Members>(&message)) {
-        if (members->entryVms > 0)
-            m_proxy.balancer().setEntryVms(members->entryVms);
+        receive(*members);
     } else if (const auto* loads = std::get_if<core::LoadsPush>(&message)) {
         m_proxy.balancer().fleetLoads(loads->loads, readClock());
     }
 }
 
+void EntryNode::receive(const core::Members& members)
+{
+    // Only the leader knows them.
+    const auto& all = members.entryVms;
+    const auto self = std::find(all.begin(), all.end(), m_settings.vm.text());
+    if (!all.empty())
+        m_proxy.balancer().setEntryVms(static_cast<unsigned>(all.size()), static_cast<unsigned>(self - all.begin()));
+}
+
 void EntryNode::receive(const core::DocumentPush& push)
 {
     const auto held = m_proxy.table() ? m_proxy.table()->document().version : 0;
@@ -96,7 +104,7 @@
     const auto progress = m_proxy.takeProgress();
     const bool traffic = m_proxy.counters().requests > 0 && !m_trafficReported;
     core::Report report;
-    report.loads = m_proxy.balancer().ownLoads();
+    report.loads = m_proxy.balancer().ownLoads(now);
     const bool hadLoads = std::exchange(m_loadsReported, !report.loads.empty());
     if (!m_link.connected() || (progress.empty() && !traffic && report.loads.empty() && !hadLoads))
         return;
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -143,8 +143,12 @@
     if (!admit())
         return;
     m_service = m_table->service(routes::Table::choose(*m_route, hash64(m_attemptId)));
-    if (m_service->engine)
+    if (m_service->engine) {
         m_model = ModelName { m_head.find(names.model) };
+        const auto usage = m_head.find(names.tokenUsage);
+        const auto promptTokens = parseNumber(usage.substr(0, usage.find(',')));
+        m_work = dispatch::workOf(*m_service->engine, m_model, static_cast<unsigned>(promptTokens.value_or(0)));
+    }
     const auto wait = parseNumber(m_head.find(names.deadline));
     m_clientDeadline = m_startedAt + (wait ? Duration { std::chrono::milliseconds { *wait } } : m_route->timeout);
     m_state.deadline = std::min(m_clientDeadline, m_startedAt + m_route->timeout);
@@ -159,7 +163,7 @@
 void Call::attempt()
 {
     const auto now = readClock();
-    const dispatch::Query query { m_service->name, m_model, m_tried, m_service->coldRate, now };
+    const dispatch::Query query { m_service->name, m_model, m_tried, m_service->coldRate, now, m_work };
     const auto result = m_proxy.m_balancer.choose(query);
     if (const auto* refusal = std::get_if<dispatch::Refusal>(&result))
         return refuseWithoutServer(*refusal);
@@ -177,7 +181,7 @@
     m_tried.push_back(m_server);
     const auto target = *choice.target;
     m_upstream = &m_proxy.m_pool.acquire(target, m_state.repeatable, now);
-    m_proxy.m_balancer.sent(m_server, now);
+    m_proxy.m_balancer.sent(m_server, now, m_work);
     m_upstream->send(*this, requestFor(target, now), m_head.method == "HEAD");
 }
 
--- a/packages/wire/src/fleet/codec.cpp
+++ b/packages/wire/src/fleet/codec.cpp
@@ -118,6 +118,7 @@
         auto& load = *packed.emplace_back(std::make_unique<fb::LoadT>());
         load.server = it.server.text();
         load.requests = it.requests;
+        load.prompt_tokens = it.promptTokens;
     }
     return packed;
 }
@@ -127,7 +128,7 @@
     std::vector<core::ServerLoad> loads;
     loads.reserve(packed.size());
     for (const auto& it : packed)
-        loads.push_back({ ServerId { it->server }, it->requests });
+        loads.push_back({ ServerId { it->server }, it->requests, it->prompt_tokens });
     return loads;
 }
 
--- a/tests/core/dispatch/balancer.cpp
+++ b/tests/core/dispatch/balancer.cpp
@@ -103,7 +103,7 @@
     CHECK(chosen(balancer, query(start)) == "b");
     for (int i = 0; i < 20; ++i)
         balancer.sent(ServerId { "b" }, start);
-    CHECK(balancer.ownLoads().size() == 1);
+    CHECK(balancer.ownLoads(start).size() == 1);
     CHECK(chosen(balancer, query(start)) == "a");
 }
 
@@ -174,3 +174,105 @@
 {
     CHECK(busiestColdSecond(7, 1) > 59);
 }
+
+namespace {
+
+dispatch::Query promptQuery(Instant now, unsigned tokens)
+{
+    auto it = query(now);
+    it.work = { tokens, 50'000, 600us, 60ms };
+    return it;
+}
+
+void send(Balancer& balancer, const std::string& server, const dispatch::Query& query)
+{
+    balancer.sent(ServerId { server }, query.now, query.work);
+}
+
+Balancer threeGroups(unsigned vms, unsigned position)
+{
+    Balancer balancer(settings(), 1);
+    balancer.setEntryVms(vms, position);
+    fleet::TargetDelta delta;
+    delta.upserts = { target("a"), target("b"), target("c") };
+    balancer.apply(delta, start);
+    return balancer;
+}
+
+} // namespace
+
+TEST_CASE("a group that has prompts to read is avoided until it has read them", "[dispatch]")
+{
+    auto balancer = threeGroups(3, 0);
+    CHECK(chosen(balancer, promptQuery(start, 1000)) == "a");
+    send(balancer, "a", promptQuery(start, 5000));
+    CHECK(chosen(balancer, promptQuery(start + 1ms, 1000)) == "b");
+    send(balancer, "b", promptQuery(start + 1ms, 5000));
+    CHECK(chosen(balancer, promptQuery(start + 2ms, 1000)) == "c");
+    send(balancer, "c", promptQuery(start + 2ms, 500));
+    // 5,000 tokens take 100 ms.
+    CHECK(chosen(balancer, promptQuery(start + 15ms, 1000)) == "c");
+    CHECK(chosen(balancer, promptQuery(start + 110ms, 1000)) == "a");
+}
+
+TEST_CASE("prompts that other entry VMs sent count, and the own ones only once", "[dispatch]")
+{
+    auto balancer = threeGroups(3, 0);
+    send(balancer, "b", promptQuery(start, 2000));
+    const auto own = balancer.ownLoads(start);
+    REQUIRE(own.size() == 1);
+    CHECK(own.front().promptTokens == 2000);
+    const std::vector<fleet::ServerLoad> fleet { { ServerId { "a" }, 1, 4000 }, { ServerId { "b" }, 1, 2000 },
+        { ServerId { "c" }, 1, 6000 } };
+    balancer.fleetLoads(fleet, start + 1ms);
+    CHECK(chosen(balancer, promptQuery(start + 1ms, 1000)) == "b");
+    send(balancer, "b", promptQuery(start + 1ms, 4000));
+    CHECK(chosen(balancer, promptQuery(start + 2ms, 1000)) == "a");
+}
+
+TEST_CASE("entry VMs prefer different idle groups", "[dispatch]")
+{
+    std::map<std::string, int> uses;
+    for (unsigned position = 0; position < 6; ++position) {
+        auto balancer = threeGroups(6, position);
+        ++uses[chosen(balancer, promptQuery(start, 1000))];
+    }
+    CHECK(uses == std::map<std::string, int> { { "a", 2 }, { "b", 2 }, { "c", 2 } });
+    // More groups than entry VMs: the preferred ones lie apart.
+    auto second = threeGroups(2, 1);
+    CHECK(chosen(second, promptQuery(start, 1000)) == "b");
+}
+
+TEST_CASE("a request goes to a group with a free slot, though it has more to read", "[dispatch]")
+{
+    auto balancer = threeGroups(3, 0);
+    for (int i = 0; i < 28; ++i) {
+        balancer.sent(ServerId { "a" }, start);
+        balancer.sent(ServerId { "b" }, start);
+    }
+    for (int i = 0; i < 20; ++i)
+        balancer.sent(ServerId { "c" }, start);
+    send(balancer, "c", promptQuery(start, 3000));
+    CHECK(chosen(balancer, promptQuery(start, 1000)) == "c");
+}
+
+TEST_CASE("the work of a request follows from the engine's figures and the model's pace", "[dispatch]")
+{
+    routes::Engine engine;
+    engine.slots = 20;
+    engine.step = 8ms;
+    engine.stepPerRequest = 100us;
+    engine.stepsPerPass = 6;
+    engine.usualAnswer = 100;
+    engine.promptTokensPerSecond = 50'000;
+    engine.models = { { ModelName { "large" }, 6, 0.67, 1.0, 16s, 1600ms },
+        { ModelName { "small" }, 3, 0.33, 0.5, 12s, 1100ms } };
+    const auto large = dispatch::workOf(engine, ModelName { "large" }, 1460);
+    CHECK(large.promptTokens == 1460);
+    CHECK(large.promptRate == Approx(50'000));
+    CHECK(large.eventCost == 600us);
+    CHECK(large.slotWait == 50ms);
+    const auto small = dispatch::workOf(engine, ModelName { "small" }, 674);
+    CHECK(small.promptRate == Approx(100'000));
+    CHECK(small.slotWait == 25ms);
+}
--- a/tests/core/fleet/load_table.cpp
+++ b/tests/core/fleet/load_table.cpp
@@ -23,12 +23,13 @@
 {
     LoadTable table;
     const Instant now { 10s };
-    const std::vector<ServerLoad> first { { ServerId { "a" }, 3 }, { ServerId { "b" }, 1 } };
-    const std::vector<ServerLoad> second { { ServerId { "a" }, 2 } };
+    const std::vector<ServerLoad> first { { ServerId { "a" }, 3, 1000 }, { ServerId { "b" }, 1 } };
+    const std::vector<ServerLoad> second { { ServerId { "a" }, 2, 460 } };
     table.report(VmId { "one" }, first, now);
     table.report(VmId { "two" }, second, now + 1s);
     CHECK(loadOf(table, "a", now + 1s) == 5);
     CHECK(loadOf(table, "b", now + 1s) == 1);
+    CHECK(table.totals(now + 1s).front().promptTokens == 1460);
     CHECK(loadOf(table, "a", now + 1600ms) == 2);
     table.report(VmId { "two" }, {}, now + 2s);
     CHECK(table.totals(now + 2s).empty());
--- a/tests/wire/fleet/codec.cpp
+++ b/tests/wire/fleet/codec.cpp
@@ -29,12 +29,12 @@
 
 TEST_CASE("messages between entry and control VMs survive the wire", "[fleet]")
 {
-    const auto members = roundTrip(fleet::Members { "10.0.0.1:1", 3, { "a", "b" }, { "a" }, 7 });
+    const auto members = roundTrip(fleet::Members { "10.0.0.1:1", 3, { "a", "b" }, { "a" }, { "one", "two" } });
     CHECK(members.leader == "10.0.0.1:1");
     CHECK(members.term == 3);
     CHECK(members.controls.size() == 2);
     CHECK(members.voters.size() == 1);
-    CHECK(members.entryVms == 7);
+    CHECK(members.entryVms == std::vector<std::string> { "one", "two" });
 
     fleet::TargetsPush push;
     push.delta.full = true;
@@ -58,7 +58,9 @@
 
     const std::string bytes { "\0\xff{}", 4 };
     CHECK(roundTrip(fleet::DocumentPush { 5, bytes }).bytes == bytes);
-    CHECK(roundTrip(fleet::LoadsPush { { { ServerId { "s" }, 2 } } }).loads.size() == 1);
+    const auto loads = roundTrip(fleet::LoadsPush { { { ServerId { "s" }, 2, 1460 } } }).loads;
+    REQUIRE(loads.size() == 1);
+    CHECK(loads.front().promptTokens == 1460);
     CHECK(roundTrip(fleet::Subscribe { "a", true, 4 }).control);
     roundTrip(fleet::Alive {});
 }
@@ -81,7 +83,7 @@
 TEST_CASE("bytes that are no message are refused", "[fleet]")
 {
     wire::Buffer buf;
-    wire::fleet::encode(fleet::Members { "leader", 1, {}, {}, 2 }, buf);
+    wire::fleet::encode(fleet::Members { "leader", 1, {}, {}, { "one", "two" } }, buf);
     buf.resize(buf.size() / 2);
     CHECK_FALSE(wire::fleet::decode(buf));
     CHECK_FALSE(wire::fleet::decode({}));
