Keep spares started, form large groups first and hold on to groups of a cut domain

Change: spares start one model by joining a group of their own that is never opened, and hold the weights of another; a domain gets its largest missing group first; stuck members are probed at once and with 200 ms; a closed head leaves at once; abandoned groups stay until members left or are forgotten.

Ruled out: using members of an unreachable head sooner; servers may be cut from all machines and still serve.

The test of the cut domain fails with the old release rule.

--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -23,21 +23,30 @@
     Duration heartbeat { 1200ms };
     /// Time after which a head that lost a member stops serving by itself, from the platform's bounds.
     Duration stallTime { 5s };
-    /// Margin on the stall time for clocks and messages.
-    Duration stallMargin { 1s };
+    /// Margin on the stall time for clocks and for the head's timer.
+    Duration stallMargin { 300ms };
     /// Servers that are silent for this long are probed: half a heartbeat interval over the next one due.
     Duration probeAfter { 1800ms };
     /// Time between probes of one server, and of members of a group whose requests are stuck.
     Duration probeInterval { 400ms };
-    Duration suspectProbeInterval { 150ms };
-    /// Time for which the members of a group are probed after a report of stuck requests.
+    Duration suspectProbeInterval { 100ms };
+    /// Time for an answer to a probe. Members other than the head do no work of their own and answer at once, even when
+    /// a lost packet is sent again.
+    Duration probeTimeout { 350ms };
+    Duration memberProbeTimeout { 200ms };
+    /// Time for which the members of a group are probed after a report of stuck requests. Those that answer are probed
+    /// again after the interval at which an entry VM repeats its report.
     Duration suspicion { 1s };
+    Duration suspicionRepeat { 300ms };
     /// Unanswered probes after which a server counts as dead.
     unsigned deadProbes { 2 };
     /// Servers that are silent for this long are forgotten.
     Duration forgetAfter { 30s };
     /// A new leader waits this long for the servers' memberships before it judges groups: two heartbeat intervals.
     Duration settle { 2600ms };
+    /// The same before it forms groups of the servers that it has heard of, or judges groups whose requests are stuck:
+    /// one heartbeat interval and the way of a call that is passed on.
+    Duration firstHearing { 1500ms };
     /// Orders without an answer are repeated after this time.
     Duration orderRetry { 700ms };
     /// Time beyond the expected one after which a join that is not ready is given up.
@@ -159,6 +168,8 @@
 struct ProbeServer {
     ServerId server;
     std::string address;
+    /// Time for an answer.
+    Duration timeout {};
 };
 
 struct PublishTargets {
@@ -213,7 +224,7 @@
     // Liveness
     [[nodiscard]] bool isAlive(const KnownServer& server) const;
     [[nodiscard]] bool isDead(const KnownServer& server) const;
-    void probe(KnownServer& server, Effects& effects);
+    void probe(KnownServer& server, Duration timeout, Effects& effects);
     void probeSilentServers(Effects& effects);
     void probeSuspectGroups(Effects& effects);
 
@@ -233,6 +244,8 @@
     /// Returns whether the group is finished and its members are free.
     bool reviewClosing(Group& group, Effects& effects);
     bool reviewAbandoned(Group& group, Effects& effects);
+    /// Whether all members are gone, left, or silent for long.
+    [[nodiscard]] bool isForgotten(const Group& group) const;
     void startClosing(Group& group, bool shed, const std::string& reason, Effects& effects);
     [[nodiscard]] std::string damageOf(const Group& group) const;
     [[nodiscard]] Group* groupOf(const ServerId& server);
@@ -243,16 +256,25 @@
 
     // Placement
     void formGroups(Effects& effects);
+    /// Models by the order in which a domain should get groups of them.
+    [[nodiscard]] std::vector<routes::EngineModel> modelsByNeed(
+        const FabricDomainId& domain, const routes::Service& service) const;
+    [[nodiscard]] bool servesIn(const FabricDomainId& domain, const ModelName& model) const;
     bool formGroup(const FabricDomainId& domain, std::vector<KnownServer*>& free, const routes::Service& service,
         Effects& effects);
     void startGroup(
         Group group, std::span<KnownServer* const> members, const routes::EngineModel& model, Effects& effects);
     [[nodiscard]] Duration joinTime(const KnownServer& server, const routes::EngineModel& model) const;
     [[nodiscard]] bool needsLoad(const KnownServer& server, const ModelName& model) const;
-    void stageSpares(const FabricDomainId& domain, std::vector<KnownServer*>& free, const routes::Service& service,
-        Effects& effects);
+    void stageSpares(const FabricDomainId& domain, const std::vector<KnownServer*>& free,
+        const routes::Service& service, Effects& effects);
+    bool stage(KnownServer& server, const ModelName& model, const routes::Engine& engine, Effects& effects);
+    /// Starts the staged model on spare servers, so that they join a group of it as fast as its former members.
+    void startSpares(const std::vector<KnownServer*>& free, const routes::Service& service, Effects& effects);
     [[nodiscard]] bool isFree(const KnownServer& server) const;
     [[nodiscard]] double need(const routes::Service& service, const routes::EngineModel& model) const;
+    /// Above all epochs that this leader or an earlier one has used.
+    [[nodiscard]] std::uint64_t nextEpoch() const;
     [[nodiscard]] bool takeLoads(const routes::Engine& engine, unsigned count);
     [[nodiscard]] unsigned runningLoads() const;
 
--- a/packages/core/include/rosemarymill/core/fleet/group.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/group.hpp
@@ -46,6 +46,8 @@
     bool sawOpen { false };
     /// An entry VM reported stuck requests; members are probed until this time.
     Instant suspectUntil;
+    /// Members that answered a probe since this time are not probed again.
+    Instant suspectSince;
     /// Whether work that waits at the head may be dropped on closing.
     bool shed { true };
     /// Last time that an entry VM received bytes from the head.
--- a/packages/core/include/rosemarymill/core/fleet/server.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/server.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Backend servers as control VMs know them.
@@ -35,6 +36,11 @@
     MemberState state { MemberState::Joining };
 
     friend bool operator==(const Membership&, const Membership&) = default;
+
+    /// Whether the group only keeps a spare ready to join others; its head is never opened.
+    [[nodiscard]] bool isStandby() const noexcept { return group.starts_with(standbyPrefix); }
+
+    static constexpr std::string_view standbyPrefix = "standby-";
 };
 
 /// What a server said of itself in its latest heartbeat.
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -9,6 +9,9 @@
 
 std::string milliseconds(Duration it) { return std::to_string(it / 1ms) + " ms"; }
 
+/// Heartbeats within which a server cannot have been a member: it reports that it joins, is ready, and leaves.
+constexpr std::uint64_t newbornSequence = 2;
+
 /// Whether entry VMs have to hear of the difference. The rest of a cold start only shrinks on its own.
 bool differs(const Target& a, const Target& b)
 {
@@ -48,6 +51,9 @@
     if (event.record.draining && !wasDraining)
         log("drain server", name, "announced by the server", effects);
     auto& server = *m_registry.find(event.record.id);
+    // An earlier leader may have told it to leave a group whose head could not be reached and may not be broken yet.
+    if (!known && !server.record.group && m_term > 1 && server.record.sequence > newbornSequence)
+        server.reusableAt = m_leadsSince + m_settings.stallTime + m_settings.stallMargin;
     if (server.record.group && server.record.group->state != MemberState::Joining && !server.record.loaded.empty())
         server.lastModel = server.record.loaded.front();
     if (server.record.group)
@@ -131,11 +137,13 @@
 void Control::handle(const event::StallReported& event, Effects& effects)
 {
     auto* group = m_leads ? groupOf(event.server) : nullptr;
-    if (!group || group->phase != GroupPhase::Open || m_now < group->progressAt + m_settings.progressWindow)
+    if (!group || group->phase != GroupPhase::Open)
         return;
     if (m_now >= group->suspectUntil)
         log("suspect group", group->name, "requests are stuck at " + event.server.text(), effects);
     group->suspectUntil = m_now + m_settings.suspicion;
+    if (m_now >= group->suspectSince + m_settings.suspicionRepeat)
+        group->suspectSince = m_now;
     probeSuspectGroups(effects);
 }
 
@@ -146,8 +154,10 @@
             continue;
         for (const auto& member : group.members) {
             auto* server = m_registry.find(member);
-            if (server && !isDead(*server) && m_now >= server->probeSentAt + m_settings.suspectProbeInterval)
-                probe(*server, effects);
+            if (server && !isDead(*server) && server->probedAliveAt < group.suspectSince
+                && m_now >= server->probeSentAt + m_settings.suspectProbeInterval)
+                probe(
+                    *server, member == group.head() ? m_settings.probeTimeout : m_settings.memberProbeTimeout, effects);
         }
     }
 }
@@ -183,10 +193,10 @@
     return server.gone || server.failedProbes >= m_settings.deadProbes;
 }
 
-void Control::probe(KnownServer& server, Effects& effects)
+void Control::probe(KnownServer& server, Duration timeout, Effects& effects)
 {
     server.probeSentAt = m_now;
-    effects(effect::ProbeServer { server.record.id, server.record.address });
+    effects(effect::ProbeServer { server.record.id, server.record.address, timeout });
 }
 
 void Control::probeSilentServers(Effects& effects)
@@ -198,7 +208,7 @@
             forgotten.push_back(id);
         else if (silent >= m_settings.probeAfter && !isDead(server)
             && m_now >= server.probeSentAt + m_settings.probeInterval)
-            probe(server, effects);
+            probe(server, m_settings.probeTimeout, effects);
     }
     for (const auto& id : forgotten) {
         log("forget server", id.text(), "silent for " + milliseconds(m_settings.forgetAfter), effects);
--- a/packages/core/src/fleet/groups.cpp
+++ b/packages/core/src/fleet/groups.cpp
@@ -31,7 +31,8 @@
             members[membership.rank] = record.id;
         return;
     }
-    if (it != m_groups.end() || record.loaded.empty() || !m_table || isReleased(membership))
+    m_lastEpoch = std::max(m_lastEpoch, membership.epoch);
+    if (it != m_groups.end() || record.loaded.empty() || !m_table || membership.isStandby() || isReleased(membership))
         return;
     const auto* service = m_table->service(record.service);
     if (!service || !service->engine)
@@ -53,7 +54,6 @@
     group.since = m_now;
     group.adopted = true;
     group.openUncertain = true;
-    m_lastEpoch = std::max(m_lastEpoch, membership.epoch);
     log("adopt group", group.name, "reported by " + record.id.text(), effects);
     m_groups.emplace(group.name, std::move(group));
 }
@@ -64,7 +64,8 @@
     for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
         const auto& id = group.members[rank];
         if (id.empty()) {
-            if (m_settled && m_now >= group.since + m_settings.settle)
+            const bool stuck = m_now < group.suspectUntil && m_now >= m_leadsSince + m_settings.firstHearing;
+            if (stuck || (m_settled && m_now >= group.since + m_settings.settle))
                 return "member " + std::to_string(rank) + " is unknown";
             continue;
         }
@@ -232,9 +233,14 @@
     if (head && (head->gone || !head->record.isMemberOf(group.name, group.epoch)))
         return true;
     const auto state = head ? head->record.group->state : MemberState::Joining;
-    if (head && (state == MemberState::Broken || (group.sawOpen && state == MemberState::Ready))
-        && !group.openUncertain)
+    const bool closed = head && (state == MemberState::Broken || (group.sawOpen && state == MemberState::Ready));
+    if (closed && !group.openUncertain)
         return true;
+    if (closed && !group.headLeaving && !isDead(*head)) {
+        group.headLeaving = true;
+        orderMember(group, 0, OrderKind::Leave, effects);
+        return false;
+    }
     if (!head || isDead(*head)) {
         log("abandon group", group.name, "the head cannot be reached", effects);
         group.phase = GroupPhase::Abandoned;
@@ -256,6 +262,14 @@
     }
 }
 
+bool Control::isForgotten(const Group& group) const
+{
+    return std::none_of(group.members.begin(), group.members.end(), [&](const auto& it) {
+        const auto* server = m_registry.find(it);
+        return server && !server->gone && server->record.isMemberOf(group.name, group.epoch);
+    });
+}
+
 bool Control::reviewAbandoned(Group& group, Effects& effects)
 {
     const auto* head = group.head().empty() ? nullptr : m_registry.find(group.head());
@@ -269,12 +283,7 @@
     if (group.leftAt != Instant {})
         return m_now >= group.leftAt + broken;
     leaveMembers(group, effects);
-    // Without a living member there is nobody to reuse.
-    const bool anyAlive = std::any_of(group.members.begin() + 1, group.members.end(), [&](const auto& it) {
-        const auto* server = m_registry.find(it);
-        return server && !isDead(*server) && server->record.isMemberOf(group.name, group.epoch);
-    });
-    return !anyAlive && m_now >= group.since + broken;
+    return false;
 }
 
 void Control::reviewGroups(Effects& effects)
@@ -300,6 +309,12 @@
             finished = reviewAbandoned(group, effects);
             break;
         }
+        if (group.phase == GroupPhase::Abandoned && !finished && isForgotten(group)) {
+            // Not released: members that return after a long cut are adopted, since their head may still serve.
+            log("forget group", group.name, "no member is known any more", effects);
+            it = m_groups.erase(it);
+            continue;
+        }
         if (finished && group.phase != GroupPhase::Joining)
             released(group, "its members may join other groups", effects);
         it = finished ? m_groups.erase(it) : std::next(it);
--- a/packages/core/src/fleet/placement.cpp
+++ b/packages/core/src/fleet/placement.cpp
@@ -16,6 +16,10 @@
 /// Join of a server whose last group had the same model.
 constexpr Duration rejoinTime = 200ms;
 
+/// Time after which a spare that does not report a model is told again to load or start it: about twice the start of a
+/// model whose weights its host holds.
+constexpr Duration spareRetry = 4s;
+
 /// Window of the limit on loads from the weight store.
 constexpr Duration loadWindow = 5s;
 
@@ -26,6 +30,10 @@
 /// A second group of the less needed model in a domain is formed only above this part of the highest need.
 constexpr double needTolerance = 0.8;
 
+/// Above this part of the highest need, a model that a domain does not serve yet comes before those with smaller
+/// groups, which fit into what it leaves.
+constexpr double firstNeedTolerance = 0.5;
+
 const routes::EngineModel* find(const routes::Engine& engine, const ModelName& name)
 {
     const auto it
@@ -60,7 +68,8 @@
     const auto& record = server.record;
     if (!isAlive(server) || isDead(server) || record.draining || m_now < server.reusableAt)
         return false;
-    if (record.group && !m_groups.contains(record.group->group) && !isReleased(*record.group))
+    if (record.group && !record.group->isStandby() && !m_groups.contains(record.group->group)
+        && !isReleased(*record.group))
         return false;
     for (const auto& [name, group] : m_groups) {
         if (std::find(group.members.begin(), group.members.end(), record.id) != group.members.end())
@@ -87,6 +96,8 @@
     return static_cast<unsigned>(loads);
 }
 
+std::uint64_t Control::nextEpoch() const { return std::max(m_lastEpoch + 1, m_term << 20U); }
+
 bool Control::takeLoads(const routes::Engine& engine, unsigned count)
 {
     if (count == 0)
@@ -110,7 +121,7 @@
 void Control::formGroups(Effects& effects)
 {
     // A later leader first hears which servers are in groups.
-    if (!m_table || (!m_settled && m_term > 1))
+    if (!m_table || (m_term > 1 && m_now < m_leadsSince + m_settings.firstHearing))
         return;
     for (auto it = m_staging.begin(); it != m_staging.end();) {
         const auto* server = m_registry.find(it->first);
@@ -132,30 +143,50 @@
     // Spares are loaded once all groups that can be formed have their loads.
     for (auto& [key, free] : domains) {
         const auto* service = m_table->service(key.first);
-        if (service && service->engine)
-            stageSpares(key.second, free, *service, effects);
+        if (!service || !service->engine)
+            continue;
+        stageSpares(key.second, free, *service, effects);
+        startSpares(free, *service, effects);
     }
 }
 
-bool Control::formGroup(
-    const FabricDomainId& domain, std::vector<KnownServer*>& free, const routes::Service& service, Effects& effects)
+bool Control::servesIn(const FabricDomainId& domain, const ModelName& model) const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(), [&](const auto& it) {
+        const auto* head = m_registry.find(it.second.head());
+        return it.second.phase != GroupPhase::Abandoned && it.second.model == model && head
+            && head->record.domain == domain;
+    });
+}
+
+std::vector<routes::EngineModel> Control::modelsByNeed(
+    const FabricDomainId& domain, const routes::Service& service) const
 {
     auto models = service.engine->models;
     std::stable_sort(models.begin(), models.end(),
         [&](const auto& a, const auto& b) { return need(service, a) > need(service, b); });
-    const auto inDomain = [&](const ModelName& model) {
-        return std::any_of(m_groups.begin(), m_groups.end(), [&](const auto& it) {
-            const auto* head = m_registry.find(it.second.head());
-            return it.second.model == model && head && head->record.domain == domain;
-        });
-    };
-    const auto topNeed = models.empty() ? 0 : need(service, models.front());
+    if (models.empty())
+        return models;
+    const auto least = firstNeedTolerance * need(service, models.front());
+    const auto missing = std::stable_partition(models.begin(), models.end(),
+        [&](const auto& it) { return !servesIn(domain, it.name) && need(service, it) >= least; });
+    std::stable_sort(models.begin(), missing, [](const auto& a, const auto& b) { return a.groupSize > b.groupSize; });
+    return models;
+}
+
+bool Control::formGroup(
+    const FabricDomainId& domain, std::vector<KnownServer*>& free, const routes::Service& service, Effects& effects)
+{
+    const auto models = modelsByNeed(domain, service);
+    double topNeed = 0;
+    for (const auto& it : models)
+        topNeed = std::max(topNeed, need(service, it));
     for (std::size_t i = 0; i < models.size(); ++i) {
         const auto& model = models[i];
         const std::size_t size = model.groupSize;
-        if (free.size() < size || (i > 0 && m_now < m_leadsSince + gathering && !inDomain(models.front().name)))
+        if (free.size() < size || (i > 0 && m_now < m_leadsSince + gathering && !servesIn(domain, models.front().name)))
             continue;
-        if (inDomain(model.name)
+        if (servesIn(domain, model.name)
             && (free.size() < size + spareServers || need(service, model) < needTolerance * topNeed))
             continue;
         std::stable_sort(free.begin(), free.end(),
@@ -166,7 +197,7 @@
         if (!takeLoads(*service.engine, static_cast<unsigned>(loads)))
             continue;
         Group group;
-        m_lastEpoch = std::max(m_lastEpoch + 1, m_term << 20U);
+        m_lastEpoch = nextEpoch();
         group.epoch = m_lastEpoch;
         group.name = "g" + std::to_string(group.epoch);
         group.service = service.name;
@@ -201,42 +232,95 @@
         orderMember(formed, rank, OrderKind::Join, effects);
 }
 
-void Control::stageSpares(
-    const FabricDomainId& domain, std::vector<KnownServer*>& free, const routes::Service& service, Effects& effects)
+bool Control::stage(KnownServer& server, const ModelName& model, const routes::Engine& engine, Effects& effects)
+{
+    if (!takeLoads(engine, 1))
+        return false;
+    server.stageOrderedAt = m_now;
+    m_staging.emplace(server.record.id, std::make_pair(model, m_now));
+    log("stage model", server.record.id.text(), "spare for model " + model.text(), effects);
+    Order it;
+    it.kind = OrderKind::Stage;
+    it.model = model;
+    order(server.record.id, std::move(it), effects);
+    return true;
+}
+
+void Control::stageSpares(const FabricDomainId& domain, const std::vector<KnownServer*>& free,
+    const routes::Service& service, Effects& effects)
 {
     const auto& engine = *service.engine;
-    // Members in the domain for each spare that could replace one of them.
-    std::map<ModelName, std::pair<double, double>> coverage;
-    for (const auto& model : engine.models)
-        coverage[model.name] = { 0, 1 };
+    struct Coverage {
+        double members { 0 };
+        /// Spares that join as fast as a former member does, or will.
+        double spares { 0 };
+    };
+    std::map<ModelName, Coverage> coverage;
     for (const auto& [name, group] : m_groups) {
         const auto* head = m_registry.find(group.head());
-        if (head && head->record.domain == domain && coverage.contains(group.model))
-            coverage[group.model].first += static_cast<double>(group.members.size());
+        if (head && head->record.domain == domain && find(engine, group.model))
+            coverage[group.model].members += static_cast<double>(group.members.size());
     }
+    if (coverage.empty())
+        return;
+    const auto startsWith = [&](const KnownServer& server) {
+        const auto staging = m_staging.find(server.record.id);
+        if (!server.lastModel.empty())
+            return server.lastModel;
+        if (!server.record.staged.empty())
+            return server.record.staged.back();
+        return staging == m_staging.end() ? ModelName {} : staging->second.first;
+    };
     for (const auto* server : free) {
-        const auto staging = m_staging.find(server->record.id);
-        for (auto& [model, counts] : coverage)
-            counts.second
-                += server->record.holds(model) || (staging != m_staging.end() && staging->second.first == model) ? 1
-                                                                                                                 : 0;
+        if (const auto it = coverage.find(startsWith(*server)); it != coverage.end())
+            ++it->second.spares;
     }
-    for (const auto* server : free) {
-        if (!server->record.staged.empty() || m_staging.contains(server->record.id))
+    const auto least = [](const auto& a, const auto& b) {
+        const auto left = a.second.members / (a.second.spares + 1);
+        const auto right = b.second.members / (b.second.spares + 1);
+        return left != right ? left < right : a.second.spares > b.second.spares;
+    };
+    for (auto* server : free) {
+        // A host that loads a model for an earlier leader refuses to load another one.
+        if (m_staging.contains(server->record.id) || m_now < server->stageOrderedAt + spareRetry)
             continue;
-        const auto best = std::max_element(coverage.begin(), coverage.end(), [](const auto& a, const auto& b) {
-            return a.second.first / a.second.second < b.second.first / b.second.second;
-        });
-        if (best == coverage.end() || best->second.first == 0 || !find(engine, best->first))
+        if (startsWith(*server).empty()) {
+            const auto it = std::max_element(coverage.begin(), coverage.end(), least);
+            if (!stage(*server, it->first, engine, effects))
+                return;
+            ++it->second.spares;
+            continue;
+        }
+        // A spare that has one model started holds the weights of another, the one with most members.
+        if (server->lastModel.empty())
             continue;
-        if (!takeLoads(engine, 1))
+        const auto other = std::max_element(coverage.begin(), coverage.end(), [&](const auto& a, const auto& b) {
+            const auto membersOf
+                = [&](const auto& it) { return it.first == server->lastModel ? -1 : it.second.members; };
+            return membersOf(a) < membersOf(b);
+        });
+        if (other->first != server->lastModel && !server->record.holds(other->first)
+            && !stage(*server, other->first, engine, effects))
             return;
-        best->second.second += 1;
-        m_staging.emplace(server->record.id, std::make_pair(best->first, m_now));
-        log("stage model", server->record.id.text(), "spare for model " + best->first.text(), effects);
+    }
+}
+
+void Control::startSpares(const std::vector<KnownServer*>& free, const routes::Service& service, Effects& effects)
+{
+    for (auto* server : free) {
+        const auto& staged = server->record.staged;
+        if (staged.empty() || !server->lastModel.empty() || !find(*service.engine, staged.back())
+            || m_now < server->startOrderedAt + spareRetry)
+            continue;
+        server->startOrderedAt = m_now;
+        m_lastEpoch = nextEpoch();
         Order it;
-        it.kind = OrderKind::Stage;
-        it.model = best->first;
+        it.kind = OrderKind::Join;
+        it.epoch = m_lastEpoch;
+        it.group = std::string(Membership::standbyPrefix) + std::to_string(it.epoch);
+        it.model = staged.back();
+        it.members = { server->record.id };
+        log("start spare", server->record.id.text(), "it holds model " + it.model.text(), effects);
         order(server->record.id, std::move(it), effects);
     }
 }
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -26,9 +26,8 @@
 /// An entry VM that was connected this recently still counts for the shares of limits.
 constexpr Duration entryMemory = 30s;
 
-/// Time for a server to answer an order or a probe.
+/// Time for a server to answer an order.
 constexpr Duration orderTimeout = 600ms;
-constexpr Duration probeTimeout = 350ms;
 
 /// Heartbeat of the log's leader. Two heartbeats may be lost before a follower's shortest election timeout.
 constexpr Duration logHeartbeat = 200ms;
@@ -294,7 +293,7 @@
 
 void ControlNode::probe(const core::effect::ProbeServer& effect)
 {
-    m_servers.send(effect.address, m_environment.encodeProbe(effect.server), probeTimeout,
+    m_servers.send(effect.address, m_environment.encodeProbe(effect.server), effect.timeout,
         [this, server = effect.server](const ServerAnswer& answer) {
             const auto result
                 = answer.refused ? core::event::ProbeResult::Gone : m_environment.judgeProbe(answer.status);
@@ -365,7 +364,8 @@
     members.controls = members.voters;
     for (const auto& it : m_learners)
         members.controls.push_back(it.text());
-    members.entryVms = m_entryCount;
+    for (const auto& [vm, heardAt] : m_entryVms)
+        members.entryVms.push_back(vm.text());
     return members;
 }
 
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -160,6 +160,134 @@
     CHECK(fleet.violations.empty());
 }
 
+TEST_CASE("spares have one model started and hold the weights of another", "[fleet]")
+{
+    FakeFleet fleet({});
+    fleet.lead(1);
+    fleet.run(90s);
+    std::map<std::string, std::multiset<std::string>> started;
+    for (const auto& [id, server] : fleet.servers) {
+        if (!server.record.group || !server.record.group->isStandby())
+            continue;
+        started[server.record.domain.text()].insert(server.lastModel.text());
+        CHECK(server.record.staged.front() != server.lastModel);
+    }
+    const std::multiset<std::string> both { "large", "small" };
+    CHECK(started == std::map<std::string, std::multiset<std::string>> { { "domain-0", both }, { "domain-1", both } });
+    CHECK(fleet.control.targets().size() == 4);
+    CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("a group that lost a member serves again within a second and a half of the first stuck request", "[fleet]")
+{
+    FakeFleet fleet({});
+    fleet.lead(1);
+    fleet.run(90s);
+    for (const auto& head : fleet.openHeads()) {
+        const auto model = fleet.servers.at(head).model.text();
+        const auto before = fleet.openGroups(model);
+        fleet.kill(fleet.servers.at(head).members.back());
+        fleet.run(300ms);
+        // The last bytes of the group were reported a moment ago.
+        fleet.decide(rosemarymill::fleet::event::ProgressReported { fleet.now, head });
+        fleet.decide(rosemarymill::fleet::event::StallReported { fleet.now, head });
+        fleet.run(1500ms);
+        CHECK(fleet.openGroups(model) == before);
+    }
+    CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("a domain whose servers are heard of one by one gets its large group", "[fleet]")
+{
+    FakeFleet fleet({ .domains = 0 });
+    for (int i = 0; i < 11; ++i)
+        fleet.addServer("domain-0");
+    fleet.lead(1);
+    fleet.run(15s);
+    // The model with the large groups is served now, so the small one is needed more.
+    for (int i = 0; i < 3; ++i)
+        fleet.addServer("domain-1");
+    fleet.run(1500ms);
+    fleet.stepDown();
+    fleet.lead(2);
+    for (int i = 0; i < 8; ++i) {
+        fleet.run(100ms);
+        fleet.addServer("domain-1");
+    }
+    fleet.run(45s);
+    CHECK(fleet.openGroups("large") == 2);
+    CHECK(fleet.openGroups("small") == 2);
+}
+
+TEST_CASE("a new leader does not use servers that may just have left an unreachable group", "[fleet]")
+{
+    FakeFleet fleet({ .domains = 1 });
+    fleet.lead(1);
+    fleet.run(90s);
+    const auto head = anyOpenHead(fleet);
+    auto members = fleet.servers.at(head).members;
+    fleet.servers.at(head).cut = true;
+    fleet.kill(members.back());
+    fleet.run(300ms);
+    fleet.decide(rosemarymill::fleet::event::StallReported { fleet.now, head });
+    // Until the members have left, but the head still stands and waits for them.
+    for (int i = 0; i < 60 && fleet.servers.at(members[1]).record.group; ++i)
+        fleet.run(50ms);
+    REQUIRE_FALSE(fleet.servers.at(members[1]).record.group);
+    fleet.stepDown();
+    fleet.run(500ms);
+    fleet.lead(2);
+    for (int i = 0; i < 40; ++i)
+        fleet.addServer("domain-0");
+    fleet.run(20s);
+    CHECK(fleet.violations.empty());
+}
+
+TEST_CASE("groups of a domain that was cut off are closed before their members are used", "[fleet]")
+{
+    // The second cut outlasts the time after which silent servers are forgotten.
+    for (const auto cut : { Duration { 8s }, Duration { 40s } }) {
+        FakeFleet fleet({ .domains = 1 });
+        fleet.lead(1);
+        fleet.run(90s);
+        const auto heads = fleet.openHeads();
+        for (auto& [id, server] : fleet.servers)
+            server.cut = true;
+        for (int i = 0; i < 8; ++i) {
+            for (const auto& head : heads)
+                fleet.decide(rosemarymill::fleet::event::StallReported { fleet.now, head });
+            fleet.run(300ms);
+        }
+        fleet.run(cut);
+        for (auto& [id, server] : fleet.servers)
+            server.cut = false;
+        fleet.run(15s);
+        CHECK(fleet.violations.empty());
+        CHECK(fleet.openHeads().size() == heads.size());
+    }
+}
+
+TEST_CASE("a new leader judges a stuck group with an unknown member once all servers had time to call", "[fleet]")
+{
+    FakeFleet fleet({});
+    fleet.lead(1);
+    fleet.run(90s);
+    const auto head = anyOpenHead(fleet);
+    const auto model = fleet.servers.at(head).model.text();
+    const auto before = fleet.openGroups(model);
+    fleet.stepDown();
+    fleet.kill(fleet.servers.at(head).members.back());
+    fleet.run(1s);
+    fleet.lead(2);
+    for (int i = 0; i < 10; ++i) {
+        fleet.decide(rosemarymill::fleet::event::StallReported { fleet.now, head });
+        fleet.run(200ms);
+    }
+    fleet.run(800ms);
+    CHECK(fleet.openGroups(model) == before);
+    CHECK(fleet.violations.empty());
+}
+
 TEST_CASE("loads stay within the weight store's limit once there is traffic", "[fleet]")
 {
     FakeFleet fleet({ .domains = 6 });
--- a/tests/core/fleet/fake_fleet.hpp
+++ b/tests/core/fleet/fake_fleet.hpp
@@ -135,7 +135,7 @@
             if (auto* order = std::get_if<fleet::effect::SendOrder>(&effect))
                 carry(order->server, order->order);
             else if (auto* probe = std::get_if<fleet::effect::ProbeServer>(&effect))
-                answerProbe(probe->server);
+                answerProbe(probe->server, probe->timeout);
             else if (auto* targets = std::get_if<fleet::effect::PublishTargets>(&effect))
                 published.push_back(targets->delta);
         }
@@ -232,11 +232,11 @@
             });
     }
 
-    void answerProbe(const ServerId& id)
+    void answerProbe(const ServerId& id, Duration timeout)
     {
         const auto& server = servers.at(id);
         const bool answers = server.alive && !server.cut;
-        later(answers ? trip : 350ms, [this, id, answers] {
+        later(answers ? trip : timeout, [this, id, answers] {
             decide(fleet::event::ProbeAnswered {
                 now, id, answers ? fleet::event::ProbeResult::Alive : fleet::event::ProbeResult::Silent });
         });
@@ -320,7 +320,8 @@
             + (server.lastModel == order.model ? Duration { 200ms }
                     : staged                   ? Duration { 1500ms }
                                                : Duration { 12s });
-        server.record.staged = { order.model };
+        if (!staged && server.lastModel != order.model)
+            server.record.staged = { order.model };
         server.record.loaded = { order.model };
         server.model = order.model;
         server.members = order.members;
