Count runs of lost groups, and judge and reuse no server too early

Attempts on heads that were withdrawn did not count as runs; the head lives on when another member of its group is lost. - A new leader closed whole groups 1.5 s after its election, because a member's heartbeat still waited at the frozen leader.

Change: an attempt counts when the head sent anything since; the wait for an abandoned head begins when a member is known to have left, and ends for the group only when its members are gone; hosts without weights were never members; spares load again as soon as the first model is held. Refused requests come back one after the other. VoterSet moves out of Replica.

--- a/packages/core/include/rosemarymill/core/agreement/replica.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/replica.hpp
@@ -4,6 +4,7 @@
 #include <rosemarymill/core/agreement/log.hpp>
 #include <rosemarymill/core/agreement/progress.hpp>
 #include <rosemarymill/core/agreement/rules.hpp>
+#include <rosemarymill/core/agreement/voter_set.hpp>
 #include <rosemarymill/core/base/hash.hpp>
 
 #include <algorithm>
@@ -36,6 +37,7 @@
     Replica(Settings settings, const Image& image, M machine = M {})
         : m_settings(std::move(settings))
         , m_hard(image.hard)
+        , m_voters(m_settings.voters)
         , m_damaged(image.damaged)
         , m_log(image)
         , m_machine(std::move(machine))
@@ -43,7 +45,7 @@
               hash64(m_settings.self.text(), m_settings.seed + image.hard.incarnation)))
     {
         m_durable = m_log.lastIndex();
-        useVoters(m_log.lastIndex());
+        useVoters();
         if (!m_damaged)
             applyTo(m_hard.commit, nullptr);
     }
@@ -54,7 +56,7 @@
         if (m_damaged)
             return refuseWhenDamaged(event, effects);
         const auto before = view();
-        const auto votersBefore = m_voters;
+        const auto votersBefore = voters();
         std::visit(
             [&](const auto& it) {
                 m_now = it.now;
@@ -64,8 +66,8 @@
         if (m_damaged)
             effects(Diverged { m_hard.commit });
         flush(effects);
-        if (m_voters != votersBefore)
-            effects(VotersChanged { m_voters });
+        if (voters() != votersBefore)
+            effects(VotersChanged { voters() });
         if (const auto after = view(); after != before)
             effects(RoleChanged { m_role, m_hard.term, m_leader });
     }
@@ -75,11 +77,8 @@
     [[nodiscard]] const VmId& leader() const noexcept { return m_leader; }
     [[nodiscard]] Term term() const noexcept { return m_hard.term; }
     /// Voters by the latest entry of the log, committed or not.
-    [[nodiscard]] const std::vector<VmId>& voters() const noexcept { return m_voters; }
-    [[nodiscard]] bool isVoter(const VmId& vm) const
-    {
-        return std::find(m_voters.begin(), m_voters.end(), vm) != m_voters.end();
-    }
+    [[nodiscard]] const std::vector<VmId>& voters() const noexcept { return m_voters.members(); }
+    [[nodiscard]] bool isVoter(const VmId& vm) const { return m_voters.contains(vm); }
 
     /// Leader: when a voter or learner last answered, and whether it holds all that is committed.
     [[nodiscard]] Instant heardAt(const VmId& vm) const
@@ -93,7 +92,7 @@
         return it != m_peers.end() && it->second.match >= m_hard.commit;
     }
     /// Leader: whether a change of the voters is not committed yet.
-    [[nodiscard]] bool changingVoters() const noexcept { return m_votersIndex > m_hard.commit; }
+    [[nodiscard]] bool changingVoters() const noexcept { return m_voters.index() > m_hard.commit; }
     [[nodiscard]] Index commit() const noexcept { return m_hard.commit; }
     [[nodiscard]] Index applied() const noexcept { return m_applied; }
     [[nodiscard]] const Log<Command, Snapshot>& log() const noexcept { return m_log; }
@@ -188,21 +187,15 @@
 
     void handle(const ChangeVoters& event, Effects&)
     {
-        const auto differences = std::count_if(event.voters.begin(), event.voters.end(), [&](const auto& it) {
-            return !isVoter(it);
-        }) + std::count_if(m_voters.begin(), m_voters.end(), [&](const auto& it) {
-            return std::find(event.voters.begin(), event.voters.end(), it) == event.voters.end();
-        });
-        const bool keepsSelf
-            = std::find(event.voters.begin(), event.voters.end(), m_settings.self) != event.voters.end();
+        const bool keepsSelf = VoterSet::contains(event.voters, m_settings.self);
         if (m_role != Role::Leader || !m_writable || !m_caughtUp || !keepsSelf)
             return;
-        if (Rules::changesOneVoterAtOnce && (changingVoters() || differences != 1))
+        if (Rules::changesOneVoterAtOnce && (changingVoters() || m_voters.differences(event.voters) != 1))
             return;
         Entry<Command> entry { m_log.lastIndex() + 1, m_hard.term, std::nullopt, event.voters };
         m_record.entries.push_back(entry);
         m_log.append(std::move(entry));
-        useVoters(m_log.lastIndex());
+        useVoters();
         broadcast();
     }
 
@@ -246,7 +239,7 @@
         m_grants.clear();
         m_grants[m_settings.self] = m_hard.joined;
         const auto term = preliminary ? m_hard.term + 1 : m_hard.term;
-        for (const auto& voter : m_voters) {
+        for (const auto& voter : voters()) {
             if (voter != m_settings.self)
                 send(voter, VoteRequest { term, m_log.lastIndex(), m_log.lastTerm(), preliminary }, !preliminary);
         }
@@ -257,7 +250,7 @@
     {
         const auto trusted = std::count_if(
             m_grants.begin(), m_grants.end(), [](const auto& it) { return it.second || !Rules::distrustsLostDisks; });
-        if (static_cast<std::size_t>(trusted) < majority() && m_grants.size() < m_voters.size())
+        if (static_cast<std::size_t>(trusted) < m_voters.majority() && m_grants.size() < voters().size())
             return;
         m_electing = false;
         if (m_preliminary)
@@ -277,7 +270,7 @@
             peer.match = 0;
         }
         m_learners.clear();
-        for (const auto& voter : m_voters)
+        for (const auto& voter : voters())
             m_peers.try_emplace(voter, Peer { m_log.lastIndex() + 1 }).first->second.heardAt = m_now;
         appendOwn(std::nullopt);
         broadcast();
@@ -347,7 +340,7 @@
     void broadcast()
     {
         m_nextHeartbeat = m_now + m_settings.heartbeat;
-        for (const auto* receivers : { &m_voters, &m_learners }) {
+        for (const auto* receivers : { &voters(), &std::as_const(m_learners) }) {
             for (const auto& it : *receivers) {
                 if (it != m_settings.self)
                     sendAppend(it, m_peers[it]);
@@ -412,10 +405,10 @@
         if (m_role != Role::Leader)
             return;
         std::vector<Index> matches;
-        for (const auto& voter : m_voters)
+        for (const auto& voter : voters())
             matches.push_back(voter == m_settings.self ? m_durable : m_peers[voter].match);
         std::sort(matches.begin(), matches.end(), std::greater<> {});
-        const auto index = matches[majority() - 1];
+        const auto index = matches[m_voters.majority() - 1];
         if (index <= m_hard.commit || (Rules::commitsOnlyOwnTerm && m_log.termAt(index) != m_hard.term))
             return;
         setCommit(index);
@@ -424,12 +417,12 @@
 
     [[nodiscard]] bool hearsMajority() const
     {
-        const auto heard = std::count_if(m_voters.begin(), m_voters.end(), [&](const auto& it) {
+        const auto heard = std::count_if(voters().begin(), voters().end(), [&](const auto& it) {
             const auto peer = m_peers.find(it);
             return it == m_settings.self
                 || (peer != m_peers.end() && m_now < peer->second.heardAt + m_settings.electionMin);
         });
-        return static_cast<std::size_t>(heard) >= majority();
+        return static_cast<std::size_t>(heard) >= m_voters.majority();
     }
 
     // Replication at a follower
@@ -497,14 +490,14 @@
         m_record.entries.push_back(entry);
         m_log.append(entry);
         if (!entry.voters.empty())
-            useVoters(entry.index);
+            useVoters();
     }
 
     void truncateFrom(Index index)
     {
         m_log.truncateFrom(index);
-        if (m_votersIndex >= index)
-            useVoters(m_log.lastIndex());
+        if (m_voters.index() >= index)
+            useVoters();
         m_record.truncateFrom = index;
         m_durable = std::min(m_durable, index - 1);
         for (auto& it : m_pending)
@@ -522,7 +515,7 @@
             if (m_log.termAt(index) != install.snapshot.term)
                 m_record.truncateFrom = 1;
             m_log.install(install.snapshot);
-            useVoters(m_log.lastIndex());
+            useVoters();
             m_record.snapshot = install.snapshot;
             setCommit(index);
         }
@@ -584,7 +577,7 @@
     void takeSnapshot()
     {
         SnapshotImage<Snapshot> snapshot { m_applied, *m_log.termAt(m_applied), m_machine.snapshot(),
-            votersAt(m_applied) };
+            m_voters.at(m_log, m_applied) };
         m_record.snapshot = snapshot;
         m_log.compact(std::move(snapshot), m_settings.trailingEntries);
     }
@@ -629,34 +622,11 @@
 
     // Voters
 
-    /// Voters that decide together.
-    [[nodiscard]] std::size_t majority() const noexcept { return m_voters.size() / 2 + 1; }
-
-    /// Index of the entry that names the voters as of an entry; the snapshot's index or 0 when no entry does.
-    [[nodiscard]] Index votersIndexAt(Index index) const
-    {
-        for (; index > m_log.base(); --index) {
-            if (!m_log.at(index).voters.empty())
-                return index;
-        }
-        return m_log.snapshotIndex();
-    }
-
-    [[nodiscard]] std::vector<VmId> votersAt(Index index) const
-    {
-        const auto named = votersIndexAt(index);
-        if (named > m_log.base() && !m_log.at(named).voters.empty())
-            return m_log.at(named).voters;
-        const auto& snapshot = m_log.snapshot();
-        return snapshot && !snapshot->voters.empty() ? snapshot->voters : m_settings.voters;
-    }
-
-    void useVoters(Index last)
+    void useVoters()
     {
-        m_votersIndex = votersIndexAt(last);
-        m_voters = votersAt(last);
+        m_voters.adopt(m_log);
         std::erase_if(m_learners, [&](const auto& it) { return isVoter(it); });
-        for (const auto& it : m_voters)
+        for (const auto& it : m_voters.members())
             m_peers.try_emplace(it, Peer { m_log.lastIndex() + 1 });
     }
 
@@ -673,9 +643,7 @@
 
     Settings m_settings;
     HardState m_hard;
-    std::vector<VmId> m_voters;
-    /// Entry that names the voters.
-    Index m_votersIndex { 0 };
+    VoterSet m_voters;
     std::vector<VmId> m_learners;
     bool m_damaged { false };
     bool m_writable { true };
--- a/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
@@ -174,6 +174,8 @@
     /// Whether this VM is one of those that send to a server while it is cold.
     [[nodiscard]] bool isDelegate(const Entry& entry, double all) const;
     void withdraw(const ServerId& server);
+    /// When a request should come back that found all groups full. Later ones come back later.
+    [[nodiscard]] Duration returnTime(const Query& query, std::size_t groups);
 
     BalancerSettings m_settings;
     std::minstd_rand m_random;
@@ -181,6 +183,8 @@
     /// Assumed before a control VM tells the number, so that shares of limits start small.
     unsigned m_entryVms { 16 };
     unsigned m_position { 0 };
+    /// When the request that was refused last comes back.
+    std::map<ModelName, Instant> m_lastReturn;
 };
 
 } // namespace rosemarymill::dispatch
--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -44,8 +44,8 @@
     Duration forgetAfter { 30s };
     /// A new leader waits this long for the servers' memberships before it judges groups: two heartbeat intervals.
     Duration settle { 2600ms };
-    /// The same before it forms groups of the servers that it has heard of, or judges groups whose requests are stuck:
-    /// one heartbeat interval and the way of a call that is passed on.
+    /// The same before it forms groups of the servers that it has heard of: one heartbeat interval and the way of a
+    /// call that is passed on.
     Duration firstHearing { 1500ms };
     /// Orders without an answer are repeated after this time.
     Duration orderRetry { 700ms };
@@ -244,7 +244,7 @@
     /// Returns whether the group is finished and its members are free.
     bool reviewClosing(Group& group, Effects& effects);
     bool reviewAbandoned(Group& group, Effects& effects);
-    /// Whether all members are gone, left, or silent for long.
+    /// Whether all members are gone or silent for long.
     [[nodiscard]] bool isForgotten(const Group& group) const;
     void startClosing(Group& group, bool shed, const std::string& reason, Effects& effects);
     [[nodiscard]] std::string damageOf(const Group& group) const;
--- a/packages/core/include/rosemarymill/core/fleet/group.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/group.hpp
@@ -52,7 +52,7 @@
     bool shed { true };
     /// Last time that an entry VM received bytes from the head.
     Instant progressAt;
-    /// When the first member acknowledged that it left.
+    /// When the first member acknowledged or reported that it left.
     Instant leftAt;
 
     [[nodiscard]] const ServerId& head() const { return members.front(); }
--- a/packages/core/include/rosemarymill/core/fleet/registry.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/registry.hpp
@@ -20,7 +20,7 @@
     bool gone { false };
     /// Model of the server's last group in this life.
     ModelName lastModel;
-    /// Last time that the server was told, as a spare, to load a model and to start one.
+    /// Last time that the server was told, as a spare, to load a model that it does not hold yet, and to start one.
     Instant stageOrderedAt;
     Instant startOrderedAt;
     /// Not before this time may the server join another group.
--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -22,6 +22,12 @@
 constexpr Duration retryAfterFull = 500ms;
 constexpr Duration retryAfterCold = 300ms;
 
+/// Part of the requests that full groups can begin which is left to requests that come back.
+constexpr double returnShare = 0.25;
+
+/// Longest time after which a refused request comes back: clients wait at most a third of the time that they have left.
+constexpr Duration maxRetryAfter = 2s;
+
 /// Time for which a full server gets no requests.
 constexpr Duration fullPause = 100ms;
 
@@ -139,6 +145,15 @@
         + waiting * seconds(query.work.slotWait);
 }
 
+Duration Balancer::returnTime(const Query& query, std::size_t groups)
+{
+    auto& last = m_lastReturn[query.model];
+    const auto share = static_cast<double>(groups) * returnShare / std::max(m_entryVms, 1U);
+    const auto interval = std::chrono::duration_cast<Duration>(query.work.slotWait / share);
+    last = std::clamp(last + interval, query.now + retryAfterFull, query.now + maxRetryAfter);
+    return last - query.now;
+}
+
 std::variant<Choice, Refusal> Balancer::choose(const Query& query)
 {
     std::uniform_real_distribution<double> noise(0, loadNoise);
@@ -187,8 +202,11 @@
         bestScore = score;
         choice.load = load;
     }
-    if (!best)
+    if (!best) {
+        if (refusal.reason == NoServer::Full && query.work.promptRate > 0)
+            refusal.retryAfter = returnTime(query, groups);
         return refusal;
+    }
     if (isCold(*best, query))
         best->coldTokens -= 1;
     choice.target = &best->target;
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -52,7 +52,9 @@
         log("drain server", name, "announced by the server", effects);
     auto& server = *m_registry.find(event.record.id);
     // An earlier leader may have told it to leave a group whose head could not be reached and may not be broken yet.
-    if (!known && !server.record.group && m_term > 1 && server.record.sequence > newbornSequence)
+    // A member's host holds the weights of its model.
+    if (!known && !server.record.group && !server.record.staged.empty() && m_term > 1
+        && server.record.sequence > newbornSequence)
         server.reusableAt = m_leadsSince + m_settings.stallTime + m_settings.stallMargin;
     if (server.record.group && server.record.group->state != MemberState::Joining && !server.record.loaded.empty())
         server.lastModel = server.record.loaded.front();
--- a/packages/core/src/fleet/groups.cpp
+++ b/packages/core/src/fleet/groups.cpp
@@ -64,8 +64,7 @@
     for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
         const auto& id = group.members[rank];
         if (id.empty()) {
-            const bool stuck = m_now < group.suspectUntil && m_now >= m_leadsSince + m_settings.firstHearing;
-            if (stuck || (m_settled && m_now >= group.since + m_settings.settle))
+            if (m_settled && m_now >= group.since + m_settings.settle)
                 return "member " + std::to_string(rank) + " is unknown";
             continue;
         }
@@ -241,6 +240,9 @@
         orderMember(group, 0, OrderKind::Leave, effects);
         return false;
     }
+    // A new leader has yet to hear of the head.
+    if (!head && !m_settled)
+        return false;
     if (!head || isDead(*head)) {
         log("abandon group", group.name, "the head cannot be reached", effects);
         group.phase = GroupPhase::Abandoned;
@@ -266,7 +268,7 @@
 {
     return std::none_of(group.members.begin(), group.members.end(), [&](const auto& it) {
         const auto* server = m_registry.find(it);
-        return server && !server->gone && server->record.isMemberOf(group.name, group.epoch);
+        return server && !server->gone;
     });
 }
 
@@ -279,6 +281,12 @@
         startClosing(group, true, "the head is back", effects);
         return false;
     }
+    const bool left = std::any_of(group.members.begin() + 1, group.members.end(), [&](const auto& it) {
+        const auto* server = m_registry.find(it);
+        return server && !isDead(*server) && !server->record.isMemberOf(group.name, group.epoch);
+    });
+    if (left && group.leftAt == Instant {})
+        group.leftAt = m_now;
     const auto broken = m_settings.stallTime + m_settings.stallMargin;
     if (group.leftAt != Instant {})
         return m_now >= group.leftAt + broken;
--- a/packages/core/src/fleet/placement.cpp
+++ b/packages/core/src/fleet/placement.cpp
@@ -124,9 +124,11 @@
     if (!m_table || (m_term > 1 && m_now < m_leadsSince + m_settings.firstHearing))
         return;
     for (auto it = m_staging.begin(); it != m_staging.end();) {
-        const auto* server = m_registry.find(it->first);
-        const bool over = !server || isDead(*server) || server->record.holds(it->second.first)
-            || m_now > it->second.second + m_settings.forgetAfter;
+        auto* server = m_registry.find(it->first);
+        const bool loaded = server && server->record.holds(it->second.first);
+        if (loaded)
+            server->stageOrderedAt = {};
+        const bool over = !server || loaded || isDead(*server) || m_now > it->second.second + m_settings.forgetAfter;
         it = over ? m_staging.erase(it) : std::next(it);
     }
     std::map<std::pair<ServiceName, FabricDomainId>, std::vector<KnownServer*>> domains;
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -370,6 +370,10 @@
 void Call::endAttempt(AttemptEnd end, std::string_view why)
 {
     const auto now = readClock();
+    // Work of a model server begins with its first token. A head that sent nothing to anybody since the request came to
+    // it has not begun; whether one that did is still alive cannot be known here.
+    const bool mayHaveBegun
+        = !m_service->engine || m_lastBytesAt > m_attemptAt || m_proxy.m_balancer.lastProgress(m_server) > m_attemptAt;
     const auto server = m_server;
     // The answer to a rejection is complete most of the time, and its connection can be used again.
     if (end == AttemptEnd::Rejected && m_upstream && m_upstream->parser().complete())
@@ -389,12 +393,7 @@
     case AttemptEnd::Broken:
     case AttemptEnd::Stalled:
         ++m_state.possibleRuns;
-        // A head that is gone, or that sent nothing to anybody since, does not count against the route's limit: work
-        // of a model server begins with its first token.
-        m_state.runs += m_service->engine
-                && (!m_proxy.m_balancer.find(server) || m_proxy.m_balancer.lastProgress(server) <= m_attemptAt)
-            ? 0
-            : 1;
+        m_state.runs += mayHaveBegun ? 1 : 0;
         break;
     }
     const bool budgetLeft = m_proxy.budget(m_service->name).available(now, m_proxy.m_balancer.entryVms());
