Stop the leader of the test while its group forms

Cause: the test of a new leader that opens a group stepped down 1.5 s after the stuck request. Groups are repaired within that time now, as another test checks, so the group was open already and the test checked nothing of its own. Found on reading the change again; three tests also wrote out the same loss.

Change: the test waits until the new group's members were told to join, requires that the group does not serve yet, and then stops the leader. Bounds are as they were.

--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -10,6 +10,14 @@
 
 ServerId anyOpenHead(const FakeFleet& fleet) { return fleet.openHeads().front(); }
 
+/// Kills the last member of a group, and an entry VM sees its streams stand still.
+void loseMember(FakeFleet& fleet, const ServerId& head)
+{
+    fleet.kill(fleet.servers.at(head).members.back());
+    fleet.run(300ms);
+    fleet.decide(rosemarymill::fleet::event::StallReported { fleet.now, head });
+}
+
 /// A day of losses, cuts, late orders and changes of the leader.
 std::vector<std::string> playDay(FleetOptions options, bool cutHeads)
 {
@@ -67,11 +75,7 @@
     const auto head = anyOpenHead(fleet);
     const auto model = fleet.servers.at(head).model.text();
     const auto before = fleet.openGroups(model);
-    const auto member = fleet.servers.at(head).members.back();
-    fleet.kill(member);
-    // An entry VM sees its streams stand still.
-    fleet.run(300ms);
-    fleet.decide(rosemarymill::fleet::event::StallReported { fleet.now, head });
+    loseMember(fleet, head);
     fleet.run(4s);
     CHECK(fleet.openGroups(model) == before);
     CHECK(fleet.violations.empty());
@@ -133,11 +137,17 @@
     const auto head = anyOpenHead(fleet);
     const auto model = fleet.servers.at(head).model.text();
     const auto before = fleet.openGroups(model);
-    fleet.kill(fleet.servers.at(head).members.back());
-    fleet.run(300ms);
-    fleet.decide(rosemarymill::fleet::event::StallReported { fleet.now, head });
-    // The members of the new group have joined, but its head has no order to open yet.
-    fleet.run(1500ms);
+    loseMember(fleet, head);
+    // The members of the new group were told to join, but its head gets no order to open any more.
+    const auto forming = [&] {
+        const auto& groups = fleet.control.groups();
+        return std::any_of(groups.begin(), groups.end(),
+            [](const auto& it) { return it.second.phase == rosemarymill::fleet::GroupPhase::Joining; });
+    };
+    for (int i = 0; i < 60 && !forming(); ++i)
+        fleet.run(50ms);
+    REQUIRE(forming());
+    REQUIRE(fleet.openGroups(model) < before);
     fleet.stepDown();
     fleet.run(1s);
     fleet.lead(2);
@@ -227,9 +237,7 @@
     const auto head = anyOpenHead(fleet);
     auto members = fleet.servers.at(head).members;
     fleet.servers.at(head).cut = true;
-    fleet.kill(members.back());
-    fleet.run(300ms);
-    fleet.decide(rosemarymill::fleet::event::StallReported { fleet.now, head });
+    loseMember(fleet, head);
     // Until the members have left, but the head still stands and waits for them.
     for (int i = 0; i < 60 && fleet.servers.at(members[1]).record.group; ++i)
         fleet.run(50ms);
