Show the bytes that wait for subscribers and what a document costs an entry VM

The incident's CONFIG and DENIED faults could come from the leader's queue, the link or the processor of the entry VM; no metric told them apart.

Change: control VMs report the bytes that wait for the sockets of all subscribers and of the slowest; the lines 'document applied' and 'document in force' carry the bytes, and on entry VMs the time to put them in force.

--- a/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
@@ -28,6 +28,13 @@
     [[nodiscard]] const VmId& vm() const { return link->remote()->vm; }
 };
 
+/// Bytes that wait for the sockets of subscribers.
+struct UnsentBytes {
+    std::size_t sum { 0 };
+    /// Most bytes for one subscriber.
+    std::size_t max { 0 };
+};
+
 /// Listener of a control VM for entry VMs and other control VMs.
 class SubscriberServer {
 public:
@@ -58,6 +65,7 @@
     [[nodiscard]] std::list<Subscriber>& subscribers() noexcept { return m_subscribers; }
     [[nodiscard]] const std::list<Subscriber>& subscribers() const noexcept { return m_subscribers; }
     [[nodiscard]] const LinkCounters& counters() const noexcept { return m_counters; }
+    [[nodiscard]] UnsentBytes unsent() const;
 
 private:
     struct FreeListener {
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -247,7 +247,8 @@
         m_documentVersion = state.version;
         auto decoded = m_environment.decodeDocument(state.bytes);
         m_table = std::make_shared<routes::Table>(std::move(decoded.document));
-        writeDecision("fleet", "document applied", { { "version", std::to_string(state.version) } });
+        writeDecision("fleet", "document applied",
+            { { "version", std::to_string(state.version) }, { "bytes", std::to_string(state.bytes.size()) } });
         if (m_leads)
             m_subscribers.broadcast(core::DocumentPush { state.version, state.bytes });
         decide(core::event::DocumentChanged { readClock(), m_table });
@@ -515,6 +516,9 @@
     gauge("open_groups", open);
     gauge("entry_vms", m_entryCount);
     gauge("proposals", m_proposals.size());
+    const auto unsent = m_subscribers.unsent();
+    gauge("subscriber_unsent_bytes", unsent.sum);
+    gauge("subscriber_unsent_bytes_max", unsent.max);
 }
 
 } // namespace rosemarymill::runtime::nodes
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -76,6 +76,7 @@
     // A document that was in force once is never replaced by an older one.
     if (push.version <= held)
         return;
+    const auto startedAt = readClock();
     auto decoded = m_environment.decodeDocument(push.bytes);
     if (!decoded.faults.empty()) {
         writeLog(node::LogLevel::Error, "fleet", "A document that cannot be read was not put in force.");
@@ -83,7 +84,9 @@
     }
     m_proxy.setTable(std::make_shared<routes::Table>(std::move(decoded.document)));
     writeDecision("fleet", "document in force",
-        { { "version", std::to_string(push.version) }, { "before", std::to_string(held) } });
+        { { "version", std::to_string(push.version) }, { "before", std::to_string(held) },
+            { "bytes", std::to_string(push.bytes.size()) },
+            { "applied_us", std::to_string((readClock() - startedAt).count()) } });
 }
 
 void EntryNode::reportStall(const ServerId& server)
--- a/packages/runtime/src/nodes/subscriber_server.cpp
+++ b/packages/runtime/src/nodes/subscriber_server.cpp
@@ -106,6 +106,17 @@
     }
 }
 
+UnsentBytes SubscriberServer::unsent() const
+{
+    UnsentBytes unsent;
+    for (const auto& it : m_subscribers) {
+        const auto n = it.link->unsentBytes();
+        unsent.sum += n;
+        unsent.max = std::max(unsent.max, n);
+    }
+    return unsent;
+}
+
 void SubscriberServer::tick(Instant now)
 {
     m_closed.clear();
