Send entry VMs only what changed of the document, paced by what they have in force

Cause: the leader sent the whole document as submitted to every subscriber for every version, without a bound on what waits for one and without leaving out versions that were overtaken, and each entry VM parsed the JSON of each version. With 87 entry VMs a version of 430 KB is 37 MB (calculated), 1.8 s of a link of 170 Mbit/s.

Change: - VersionedMap, taken from configuration::EntryTable, keeps the revision of each entry; EntryTable and the new routes::DocumentTable use it. Removed entries beyond a bound are forgotten, and older receivers get everything. - fleet::DocumentFeed decides for each subscriber: one push at a time, from the version in force to the newest. - Changes are encoded in FlatBuffers once for all subscribers with the same version and sent in parts of 64 KiB as the socket takes them, so a document longer than a frame arrives too. Entry VMs no longer parse JSON. - Entry VMs answer each push with DocumentInForce. It is a message of its own because a report replaces the VM's loads. - Metrics for the oldest version in force, its age, versions skipped and pushes; log lines with entries, bytes and times.

A receiver's version that this leader never held counts as unknown and gets the whole document: entries that look old may have had other values in between. The order of the document is that of host and prefix, since only routes equal in both depend on it; these keep theirs.

--- a/packages/core/include/rosemarymill/core/configuration/entry_table.hpp
+++ b/packages/core/include/rosemarymill/core/configuration/entry_table.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
+#include <rosemarymill/core/base/versioned_map.hpp>
 #include <rosemarymill/core/configuration/command.hpp>
 
-#include <map>
-#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,25 +25,24 @@
 
 using EntryValue = std::variant<std::monostate, General, ModelSpec, ClientAccount, ServiceSpec, TakeOut>;
 
-/// Entry in the revision that changed it last. A removed entry has no value.
-struct VersionedEntry {
-    std::string key;
-    Revision revision;
-    EntryValue value;
+using EntryMap = VersionedMap<std::string, EntryValue, Revision>;
 
-    friend bool operator==(const VersionedEntry&, const VersionedEntry&) = default;
-};
+/// Entry in the revision that changed it last. A removed entry has no value.
+using VersionedEntry = EntryMap::Entry;
 
 /// All entries of the configuration.
 class EntryTable {
 public:
-    [[nodiscard]] Revision revision() const noexcept { return m_revision; }
+    [[nodiscard]] Revision revision() const noexcept { return m_entries.revision(); }
     [[nodiscard]] const General& general() const noexcept { return m_general; }
     [[nodiscard]] Manifest manifest() const;
     [[nodiscard]] std::vector<TakeOut> takeOuts() const;
 
     /// Entries that changed after a revision.
-    [[nodiscard]] std::vector<VersionedEntry> changesSince(Revision revision) const;
+    [[nodiscard]] std::vector<VersionedEntry> changesSince(Revision revision) const
+    {
+        return m_entries.changesSince(revision);
+    }
 
     /// Applies changed entries that lead from a revision to a higher one. Returns false and changes nothing when the
     /// target is not higher than the revision held, or when changes in between are missing.
@@ -58,12 +56,9 @@
     friend bool operator==(const EntryTable&, const EntryTable&) = default;
 
 private:
-    void set(Revision revision, const std::string& key, EntryValue value);
-    void remove(Revision revision, const std::string& key);
-
-    Revision m_revision;
     General m_general;
-    std::map<std::string, VersionedEntry> m_entries;
+    /// Removed entries are kept without a bound: snapshots of the log hold them too.
+    EntryMap m_entries;
 };
 
 /// Key of a take-out in the table.
--- a/packages/core/include/rosemarymill/core/fleet/message.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/message.hpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/core/fleet/server.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -29,10 +30,21 @@
     std::vector<std::string> entryVms;
 };
 
-/// The document as it was submitted.
-struct DocumentPush {
+/// Part of the encoded changes between two versions of the document. The parts of one push come in their order.
+struct DocumentPart {
+    /// Version from which the changes lead on; 0 when they are the whole document.
+    std::uint64_t from { 0 };
+    std::uint64_t to { 0 };
+    std::uint32_t part { 0 };
+    std::uint32_t parts { 1 };
+    std::vector<std::byte> bytes;
+
+    friend bool operator==(const DocumentPart&, const DocumentPart&) = default;
+};
+
+/// Answers the last part of a push with the version that is in force on the entry VM now.
+struct DocumentInForce {
     std::uint64_t version { 0 };
-    std::string bytes;
 };
 
 /// Change of the servers that entry VMs may use.
@@ -66,6 +78,6 @@
 /// Keeps a quiet connection known to be working.
 struct Alive { };
 
-using Message = std::variant<Subscribe, Members, DocumentPush, TargetsPush, Report, Alive, LoadsPush>;
+using Message = std::variant<Subscribe, Members, DocumentPart, TargetsPush, Report, Alive, LoadsPush, DocumentInForce>;
 
 } // namespace rosemarymill::fleet
--- a/packages/core/include/rosemarymill/core/routes/document.hpp
+++ b/packages/core/include/rosemarymill/core/routes/document.hpp
@@ -26,6 +26,8 @@
 struct Share {
     ServiceName service;
     double weight { 1 };
+
+    friend bool operator==(const Share&, const Share&) = default;
 };
 
 /// One route. The longest matching prefix of a host wins.
@@ -56,6 +58,8 @@
     {
         return kind == RequestKind::Idempotent || (kind == RequestKind::Streaming && resumable);
     }
+
+    friend bool operator==(const Route&, const Route&) = default;
 };
 
 /// Model that an engine can load. A replica is a group of servers.
@@ -70,6 +74,8 @@
     Duration loadTime {};
     /// Start from weights that the host holds.
     Duration warmUp {};
+
+    friend bool operator==(const EngineModel&, const EngineModel&) = default;
 };
 
 /// Batching and loading figures of an engine service.
@@ -91,6 +97,8 @@
     /// Mean number of tokens of an answer.
     double usualAnswer { 0 };
     double promptTokensPerSecond { 0 };
+
+    friend bool operator==(const Engine&, const Engine&) = default;
 };
 
 /// Service that requests are routed to.
@@ -105,6 +113,8 @@
     double coldRate { 0 };
     /// Set for model servers.
     std::optional<Engine> engine;
+
+    friend bool operator==(const Service&, const Service&) = default;
 };
 
 /// Client account with its API keys.
@@ -113,6 +123,8 @@
     std::vector<std::string> keys;
     /// Takes precedence over the route's priority.
     std::optional<unsigned> priority;
+
+    friend bool operator==(const Account&, const Account&) = default;
 };
 
 /// Bounds on what a client may send and how long it may take.
@@ -121,6 +133,8 @@
     std::size_t bodyBytes { 4 * 1024 * 1024 };
     Duration headerTimeout { 3s };
     Duration idleTimeout { 15s };
+
+    friend bool operator==(const Limits&, const Limits&) = default;
 };
 
 /// Complete document.
@@ -130,6 +144,8 @@
     std::vector<Service> services;
     std::vector<Account> accounts;
     Limits limits;
+
+    friend bool operator==(const Document&, const Document&) = default;
 };
 
 /// Rule that a document breaks.
--- a/packages/core/src/configuration/entry_table.cpp
+++ b/packages/core/src/configuration/entry_table.cpp
@@ -1,6 +1,5 @@
 #include <rosemarymill/core/configuration/entry_table.hpp>
 
-#include <algorithm>
 #include <set>
 
 namespace rosemarymill::configuration {
@@ -13,10 +12,10 @@
 std::string keyOf(const ClientAccount& it) { return "account/" + it.id.text(); }
 std::string keyOf(const ServiceSpec& it) { return "service/" + it.name.text(); }
 
-template <typename T> std::vector<T> valuesOf(const std::map<std::string, VersionedEntry>& entries)
+template <typename T> std::vector<T> valuesOf(const EntryMap& entries)
 {
     std::vector<T> values;
-    for (const auto& [key, entry] : entries) {
+    for (const auto& [key, entry] : entries.entries()) {
         if (const auto* value = std::get_if<T>(&entry.value))
             values.push_back(*value);
     }
@@ -38,39 +37,25 @@
 
 std::vector<TakeOut> EntryTable::takeOuts() const { return valuesOf<TakeOut>(m_entries); }
 
-std::vector<VersionedEntry> EntryTable::changesSince(Revision revision) const
-{
-    std::vector<VersionedEntry> changes;
-    for (const auto& [key, entry] : m_entries) {
-        if (entry.revision > revision)
-            changes.push_back(entry);
-    }
-    return changes;
-}
-
 bool EntryTable::apply(Revision from, Revision to, const std::vector<VersionedEntry>& changes)
 {
-    if (to <= m_revision || from > m_revision)
+    if (!m_entries.apply(from, to, changes))
         return false;
-    for (const auto& entry : changes) {
-        if (entry.revision <= m_revision)
-            continue;
-        m_entries[entry.key] = entry;
-        if (const auto* general = std::get_if<General>(&entry.value))
-            m_general = *general;
-    }
-    m_revision = to;
+    const auto it = m_entries.entries().find(generalKey);
+    if (it != m_entries.entries().end())
+        m_general = std::get<General>(it->second.value);
     return true;
 }
 
 void EntryTable::setManifest(Revision revision, const SubmitManifest& submission)
 {
     const auto& manifest = submission.manifest;
+    m_entries.advance(revision);
     std::set<std::string> kept { generalKey };
     const auto setAll = [&](const auto& values) {
         for (const auto& value : values) {
             kept.insert(keyOf(value));
-            set(revision, keyOf(value), value);
+            m_entries.set(keyOf(value), value);
         }
     };
     setAll(manifest.models);
@@ -78,37 +63,23 @@
     setAll(manifest.services);
     m_general = { manifest.dataCentres, manifest.ledgerHomes, manifest.weightStoreBytesPerSecond, revision,
         submission.submissionId, submission.digest };
-    set(revision, generalKey, m_general);
-    for (const auto& [key, entry] : m_entries) {
+    m_entries.set(generalKey, m_general);
+    for (const auto& [key, entry] : m_entries.entries()) {
         if (!kept.contains(key) && !std::holds_alternative<TakeOut>(entry.value))
-            remove(revision, key);
+            m_entries.remove(key);
     }
 }
 
 void EntryTable::addTakeOut(Revision revision, const TakeOut& takeOut)
 {
-    set(revision, takeOutKey(takeOut.id), takeOut);
+    m_entries.advance(revision);
+    m_entries.set(takeOutKey(takeOut.id), takeOut);
 }
 
 void EntryTable::removeTakeOut(Revision revision, const TakeOutId& id)
 {
-    remove(revision, takeOutKey(id));
-    m_revision = revision;
-}
-
-void EntryTable::set(Revision revision, const std::string& key, EntryValue value)
-{
-    m_revision = revision;
-    auto& entry = m_entries[key];
-    if (entry.value != value)
-        entry = { key, revision, std::move(value) };
-}
-
-void EntryTable::remove(Revision revision, const std::string& key)
-{
-    const auto it = m_entries.find(key);
-    if (it != m_entries.end() && !std::holds_alternative<std::monostate>(it->second.value))
-        it->second = { key, revision, {} };
+    m_entries.advance(revision);
+    m_entries.remove(takeOutKey(id));
 }
 
 } // namespace rosemarymill::configuration
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rosemarymill/core/fleet/control.hpp>
+#include <rosemarymill/core/fleet/document_feed.hpp>
 #include <rosemarymill/core/fleet/load_table.hpp>
 #include <rosemarymill/core/fleet/machine.hpp>
 #include <rosemarymill/core/fleet/voters.hpp>
@@ -104,6 +105,9 @@
     void onSubscribed(Subscriber& subscriber);
     bool onLogFrame(const VmId& from, std::span<const std::byte> payload);
     void onReport(const Subscriber& from, const fleet::Report& report);
+    /// Sends a subscriber the changes of the document that it gets next, when there are any.
+    void feedDocument(Subscriber& subscriber);
+    [[nodiscard]] std::shared_ptr<const Frames> framesOf(const fleet::DocumentFeed::Push& push);
     void countEntryVms();
     void pushLoads(Instant now);
     void tick();
@@ -122,6 +126,9 @@
     bool m_leads { false };
     std::uint64_t m_documentVersion { 0 };
     std::shared_ptr<const routes::Table> m_table;
+    fleet::DocumentFeed m_feed;
+    /// Encoded pushes to the newest version.
+    std::map<fleet::DocumentFeed::Push, std::shared_ptr<const Frames>> m_pushes;
     std::set<DataCentreId> m_outOfService;
     std::map<std::string, Proposal> m_proposals;
     std::uint64_t m_submissions { 0 };
--- a/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
@@ -1,13 +1,16 @@
 #pragma once
 
+#include <rosemarymill/core/fleet/document_parts.hpp>
+#include <rosemarymill/core/routes/document_table.hpp>
 #include <rosemarymill/runtime/nodes/control_link.hpp>
-#include <rosemarymill/runtime/nodes/environment.hpp>
 #include <rosemarymill/runtime/proxy/proxy.hpp>
 
 #include <functional>
 #include <iosfwd>
 #include <map>
+#include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -38,7 +41,7 @@
     /// Part of the grace that is kept for the end of the process.
     static constexpr Duration exitMargin = 400ms;
 
-    EntryNode(event_base* base, EntryNodeSettings settings, Environment environment);
+    EntryNode(event_base* base, EntryNodeSettings settings);
     EntryNode(const EntryNode&) = delete;
     EntryNode& operator=(const EntryNode&) = delete;
 
@@ -54,7 +57,8 @@
 
 private:
     void receive(const fleet::Message& message);
-    void receive(const fleet::DocumentPush& push);
+    void receive(const fleet::DocumentPart& part);
+    void putInForce(std::span<const std::byte> bytes);
     void receive(const fleet::Members& members);
     void reportStall(const ServerId& server);
     void report(Instant now);
@@ -62,9 +66,12 @@
 
     event_base* m_base;
     EntryNodeSettings m_settings;
-    Environment m_environment;
     proxy::Proxy m_proxy;
     ControlLink m_link;
+    routes::DocumentTable m_documents;
+    fleet::PartCollector m_parts;
+    /// When a version began to arrive that is not in force yet.
+    std::optional<Instant> m_behindSince;
     bool m_targetsKnown { false };
     bool m_trafficReported { false };
     bool m_loadsReported { false };
--- a/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
@@ -6,24 +6,34 @@
 #include <rosemarymill/runtime/link/connection.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
 #include <span>
 #include <string>
+#include <vector>
 
 struct evconnlistener;
 
 namespace rosemarymill::runtime::nodes {
 
+/// Frames of one push, shared by all subscribers that get it.
+using Frames = std::vector<std::vector<std::byte>>;
+
 /// Process that is connected to a control VM.
 struct Subscriber {
+    /// Number of the connection, unique in this process.
+    std::uint64_t id { 0 };
     std::unique_ptr<LinkConnection> link;
     /// Set once the process has subscribed.
     bool subscribed { false };
     fleet::Subscribe subscription;
     Instant heardAt;
     Instant sentAt;
+    /// Push under way, of which the frames from `nextFrame` on wait until the socket takes more.
+    std::shared_ptr<const Frames> push;
+    std::size_t nextFrame { 0 };
 
     [[nodiscard]] const VmId& vm() const { return link->remote()->vm; }
 };
@@ -41,6 +51,8 @@
     struct Handlers {
         std::function<void(Subscriber&)> onSubscribed;
         std::function<void(Subscriber&, const fleet::Report&)> onReport;
+        /// The subscriber has answered a push with the version that it has in force.
+        std::function<void(Subscriber&, std::uint64_t version)> onInForce;
         /// A frame of the control log. Returns false when it is malformed.
         std::function<bool(const VmId& from, std::span<const std::byte> payload)> onLogFrame;
         std::function<void(const Subscriber&)> onClosed;
@@ -59,6 +71,10 @@
     /// Sends a message, encoded once, to all subscribers.
     void broadcast(const fleet::Message& message);
 
+    /// Sends the frames of a push one after the other as the socket takes them, so that other messages wait for one
+    /// frame at most. Replaces a push that is under way.
+    void sendPush(Subscriber& to, std::shared_ptr<const Frames> push);
+
     /// Closes silent connections and keeps quiet ones known to be working.
     void tick(Instant now);
 
@@ -74,11 +90,13 @@
 
     void accept(int socket);
     bool receive(Subscriber& from, wire::FrameKind kind, std::span<const std::byte> payload);
+    void continuePush(Subscriber& to);
 
     event_base* m_base;
     wire::link::Hello m_self;
     Handlers m_handlers;
     LinkCounters m_counters;
+    std::uint64_t m_lastId { 0 };
     std::list<Subscriber> m_subscribers;
     std::list<Subscriber> m_closed;
     std::unique_ptr<evconnlistener, FreeListener> m_listener;
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -1,8 +1,11 @@
 #include <rosemarymill/runtime/nodes/control_node.hpp>
 
+#include <rosemarymill/core/fleet/document_parts.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/wire/agreement/codec.hpp>
+#include <rosemarymill/wire/fleet/codec.hpp>
+#include <rosemarymill/wire/routes/codec.hpp>
 
 #include <algorithm>
 #include <ostream>
@@ -80,8 +83,12 @@
     , m_subscribers(base, m_settings.address, m_self,
           { [this](Subscriber& it) { onSubscribed(it); },
               [this](Subscriber& it, const core::Report& report) { onReport(it, report); },
+              [this](Subscriber& it, std::uint64_t version) {
+                  m_feed.inForce(it.id, version);
+                  feedDocument(it);
+              },
               [this](const VmId& from, std::span<const std::byte> payload) { return onLogFrame(from, payload); },
-              [](const Subscriber&) {} })
+              [this](const Subscriber& it) { m_feed.unsubscribed(it.id); } })
     , m_link(base, m_self,
           { [](const core::Message&) {},
               [this] {
@@ -249,8 +256,10 @@
         m_table = std::make_shared<routes::Table>(std::move(decoded.document));
         writeDecision("fleet", "document applied",
             { { "version", std::to_string(state.version) }, { "bytes", std::to_string(state.bytes.size()) } });
-        if (m_leads)
-            m_subscribers.broadcast(core::DocumentPush { state.version, state.bytes });
+        m_feed.publish(m_table->document(), readClock());
+        m_pushes.clear();
+        for (auto& it : m_subscribers.subscribers())
+            feedDocument(it);
         decide(core::event::DocumentChanged { readClock(), m_table });
     }
     if (state.outOfService != m_outOfService) {
@@ -377,9 +386,10 @@
         m_entryVms[subscriber.vm()] = readClock();
     if (!m_leads)
         return;
-    const auto& state = m_replica->machine().state();
-    if (state.version > subscriber.subscription.documentVersion)
-        m_subscribers.send(subscriber, core::DocumentPush { state.version, state.bytes });
+    if (!subscriber.subscription.control) {
+        m_feed.subscribed(subscriber.id, subscriber.subscription.documentVersion, readClock());
+        feedDocument(subscriber);
+    }
     core::TargetsPush push;
     push.delta.full = m_control.settled();
     for (const auto& [id, target] : m_control.targets())
@@ -387,6 +397,35 @@
     m_subscribers.send(subscriber, push);
 }
 
+void ControlNode::feedDocument(Subscriber& subscriber)
+{
+    if (!m_leads)
+        return;
+    if (const auto push = m_feed.next(subscriber.id))
+        m_subscribers.sendPush(subscriber, framesOf(*push));
+}
+
+std::shared_ptr<const Frames> ControlNode::framesOf(const core::DocumentFeed::Push& push)
+{
+    auto& known = m_pushes[push];
+    if (known)
+        return known;
+    const auto changes = m_feed.changes(push);
+    wire::Buffer bytes;
+    wire::routes::encode(changes, bytes);
+    Frames frames;
+    for (const auto& part : core::splitPush(push.from, push.to, bytes)) {
+        wire::Buffer payload;
+        wire::fleet::encode(part, payload);
+        wire::appendFrame(wire::FrameKind::Fleet, payload, frames.emplace_back());
+    }
+    writeDecision("fleet", "document push",
+        { { "from", std::to_string(push.from) }, { "to", std::to_string(push.to) },
+            { "entries", std::to_string(changes.entries.size()) }, { "bytes", std::to_string(bytes.size()) },
+            { "parts", std::to_string(frames.size()) } });
+    return known = std::make_shared<const Frames>(std::move(frames));
+}
+
 bool ControlNode::onLogFrame(const VmId& from, std::span<const std::byte> payload)
 {
     const auto decoded = wire::agreement::decode(payload);
@@ -516,6 +555,13 @@
     gauge("open_groups", open);
     gauge("entry_vms", m_entryCount);
     gauge("proposals", m_proposals.size());
+    const auto figures = m_feed.figures(readClock());
+    gauge("oldest_document_version", figures.oldestInForce);
+    gauge("oldest_document_age_ms", static_cast<std::uint64_t>(figures.age / 1ms));
+    gauge("subscribers_behind", figures.behind);
+    gauge("document_versions_skipped", figures.skipped);
+    gauge("document_pushes", figures.pushes);
+    gauge("document_pushes_whole", figures.whole);
     const auto unsent = m_subscribers.unsent();
     gauge("subscriber_unsent_bytes", unsent.sum);
     gauge("subscriber_unsent_bytes_max", unsent.max);
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
+#include <rosemarymill/wire/routes/codec.hpp>
 
 #include <algorithm>
 #include <ostream>
@@ -20,15 +21,14 @@
 
 } // namespace
 
-EntryNode::EntryNode(event_base* base, EntryNodeSettings settings, Environment environment)
+EntryNode::EntryNode(event_base* base, EntryNodeSettings settings)
     : m_base(base)
     , m_settings(std::move(settings))
-    , m_environment(std::move(environment))
     , m_proxy(base, m_settings.proxy)
     , m_link(base, { m_settings.vm, m_settings.dataCentre, BootId { std::to_string(m_settings.seed) } },
           { [this](const core::Message& message) { receive(message); },
               [this] {
-                  return core::Subscribe { {}, false, m_proxy.table() ? m_proxy.table()->document().version : 0 };
+                  return core::Subscribe { {}, false, m_documents.version() };
               } })
     , m_tick(event_new(
           base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<EntryNode*>(self)->tick(); },
@@ -43,8 +43,8 @@
 
 void EntryNode::receive(const core::Message& message)
 {
-    if (const auto* document = std::get_if<core::DocumentPush>(&message)) {
-        receive(*document);
+    if (const auto* part = std::get_if<core::DocumentPart>(&message)) {
+        receive(*part);
     } else if (const auto* targets = std::get_if<core::TargetsPush>(&message)) {
         m_targetsKnown = m_targetsKnown || targets->delta.full || !targets->delta.upserts.empty();
         m_proxy.applyTargets(targets->delta);
@@ -70,23 +70,49 @@
         m_proxy.balancer().setEntryVms(static_cast<unsigned>(all.size()), static_cast<unsigned>(self - all.begin()));
 }
 
-void EntryNode::receive(const core::DocumentPush& push)
+void EntryNode::receive(const core::DocumentPart& part)
 {
-    const auto held = m_proxy.table() ? m_proxy.table()->document().version : 0;
-    // A document that was in force once is never replaced by an older one.
-    if (push.version <= held)
+    if (part.part == 0 && part.to > m_documents.version() && !m_behindSince)
+        m_behindSince = readClock();
+    switch (m_parts.add(part)) {
+    case core::PartCollector::State::Incomplete:
         return;
+    case core::PartCollector::State::Complete:
+        putInForce(m_parts.take());
+        break;
+    case core::PartCollector::State::Broken:
+        writeLog(node::LogLevel::Error, "fleet", "The parts of a document do not belong together; they were dropped.");
+        break;
+    }
+    // The leader sends the whole document when its changes did not fit.
+    m_link.send(core::DocumentInForce { m_documents.version() });
+}
+
+void EntryNode::putInForce(std::span<const std::byte> bytes)
+{
     const auto startedAt = readClock();
-    auto decoded = m_environment.decodeDocument(push.bytes);
-    if (!decoded.faults.empty()) {
+    const auto before = m_documents.version();
+    const auto changes = wire::routes::decode(bytes);
+    if (!changes) {
         writeLog(node::LogLevel::Error, "fleet", "A document that cannot be read was not put in force.");
         return;
     }
-    m_proxy.setTable(std::make_shared<routes::Table>(std::move(decoded.document)));
+    // A document that was in force once is never replaced by an older one.
+    if (!m_documents.apply(changes.value())) {
+        writeDecision("fleet", "document not put in force",
+            { { "version", std::to_string(changes.value().to) }, { "from", std::to_string(changes.value().from) },
+                { "held", std::to_string(before) } });
+        return;
+    }
+    m_proxy.setTable(std::make_shared<routes::Table>(m_documents.document()));
+    const auto now = readClock();
+    const auto receivedFor = startedAt - m_behindSince.value_or(startedAt);
+    m_behindSince.reset();
     writeDecision("fleet", "document in force",
-        { { "version", std::to_string(push.version) }, { "before", std::to_string(held) },
-            { "bytes", std::to_string(push.bytes.size()) },
-            { "applied_us", std::to_string((readClock() - startedAt).count()) } });
+        { { "version", std::to_string(m_documents.version()) }, { "before", std::to_string(before) },
+            { "entries", std::to_string(changes.value().entries.size()) }, { "bytes", std::to_string(bytes.size()) },
+            { "received_us", std::to_string(receivedFor.count()) },
+            { "applied_us", std::to_string((now - startedAt).count()) } });
 }
 
 void EntryNode::reportStall(const ServerId& server)
@@ -113,7 +139,7 @@
         return;
     report.progressed.assign(progress.begin(), progress.end());
     report.traffic = m_proxy.counters().requests > 0;
-    report.documentVersion = m_proxy.table() ? m_proxy.table()->document().version : 0;
+    report.documentVersion = m_documents.version();
     m_trafficReported = report.traffic;
     m_link.send(report);
 }
@@ -148,6 +174,8 @@
     m_proxy.writeMetrics(out);
     out << "# TYPE rosemarymill_control_connected gauge\nrosemarymill_control_connected "
         << (m_link.connected() ? 1 : 0) << '\n';
+    const auto behind = m_behindSince ? readClock() - *m_behindSince : Duration {};
+    out << "# TYPE rosemarymill_document_behind_ms gauge\nrosemarymill_document_behind_ms " << behind / 1ms << '\n';
 }
 
 } // namespace rosemarymill::runtime::nodes
--- a/packages/runtime/src/nodes/subscriber_server.cpp
+++ b/packages/runtime/src/nodes/subscriber_server.cpp
@@ -50,12 +50,14 @@
     }
     setFleetSocketOptions(socket);
     const auto place = m_subscribers.emplace(m_subscribers.end());
+    place->id = ++m_lastId;
     place->heardAt = place->sentAt = readClock();
     LinkConnection::Handlers handlers;
     handlers.onHello = [](const wire::link::Hello&) { return true; };
     handlers.onFrame = [this, place](wire::FrameKind kind, std::span<const std::byte> payload) {
         return receive(*place, kind, payload);
     };
+    handlers.onWritable = [this, place] { continuePush(*place); };
     handlers.onClosed = [this, place](const std::string&) {
         if (place->subscribed)
             m_handlers.onClosed(*place);
@@ -81,6 +83,8 @@
         m_handlers.onSubscribed(from);
     } else if (const auto* report = std::get_if<core::Report>(&message.value())) {
         m_handlers.onReport(from, *report);
+    } else if (const auto* inForce = std::get_if<core::DocumentInForce>(&message.value())) {
+        m_handlers.onInForce(from, inForce->version);
     }
     return true;
 }
@@ -106,6 +110,23 @@
     }
 }
 
+void SubscriberServer::sendPush(Subscriber& to, std::shared_ptr<const Frames> push)
+{
+    to.push = std::move(push);
+    to.nextFrame = 0;
+    continuePush(to);
+}
+
+void SubscriberServer::continuePush(Subscriber& to)
+{
+    while (to.push && to.link->writable()) {
+        to.sentAt = readClock();
+        to.link->write(wire::FrameKind::Fleet, (*to.push)[to.nextFrame]);
+        if (++to.nextFrame == to.push->size())
+            to.push.reset();
+    }
+}
+
 UnsentBytes SubscriberServer::unsent() const
 {
     UnsentBytes unsent;
--- a/packages/wire/include/rosemarymill/wire/codec/codec.hpp
+++ b/packages/wire/include/rosemarymill/wire/codec/codec.hpp
@@ -31,11 +31,15 @@
     buf.insert(buf.end(), data, data + builder.GetSize());
 }
 
+/// Tables of a payload that fits into one frame.
+inline constexpr flatbuffers::uoffset_t maxFrameTables = 100'000;
+
 /// Root table of a payload after verification, or null. Nesting and table count are bounded against forged payloads.
-template <typename Table> [[nodiscard]] const Table* verifiedTable(std::span<const std::byte> payload) noexcept
+template <typename Table>
+[[nodiscard]] const Table* verifiedTable(
+    std::span<const std::byte> payload, flatbuffers::uoffset_t maxTables = maxFrameTables) noexcept
 {
     constexpr flatbuffers::uoffset_t maxDepth = 16;
-    constexpr flatbuffers::uoffset_t maxTables = 100'000;
     const auto* data = reinterpret_cast<const std::uint8_t*>(payload.data());
     flatbuffers::Verifier verifier(data, payload.size(), maxDepth, maxTables);
     return verifier.VerifyBuffer<Table>(nullptr) ? flatbuffers::GetRoot<Table>(data) : nullptr;
@@ -50,9 +54,11 @@
 }
 
 /// Reads a payload into an object of the schema's object API. The error is DecodeError::Malformed.
-template <typename Packed> [[nodiscard]] Result<Packed> unpackTable(std::span<const std::byte> payload)
+template <typename Packed>
+[[nodiscard]] Result<Packed> unpackTable(
+    std::span<const std::byte> payload, flatbuffers::uoffset_t maxTables = maxFrameTables)
 {
-    const auto* table = verifiedTable<typename Packed::TableType>(payload);
+    const auto* table = verifiedTable<typename Packed::TableType>(payload, maxTables);
     if (!table)
         return make_error_code(DecodeError::Malformed);
     Packed packed;
--- a/packages/wire/src/fleet/codec.cpp
+++ b/packages/wire/src/fleet/codec.cpp
@@ -2,6 +2,9 @@
 
 #include <rosemarymill/wire/generated/fleet_generated.hpp>
 
+#include <algorithm>
+#include <cstddef>
+
 #include <boost/outcome/try.hpp>
 
 namespace rosemarymill::wire::fleet {
@@ -78,11 +81,23 @@
     return asUnion<fb::AnyMessageUnion>(std::move(packed));
 }
 
-fb::AnyMessageUnion pack(const core::DocumentPush& it)
+fb::AnyMessageUnion pack(const core::DocumentPart& it)
+{
+    fb::DocumentPartT packed;
+    packed.from = it.from;
+    packed.to = it.to;
+    packed.part = it.part;
+    packed.parts = it.parts;
+    packed.bytes.resize(it.bytes.size());
+    std::transform(it.bytes.begin(), it.bytes.end(), packed.bytes.begin(),
+        [](std::byte byte) { return std::to_integer<std::uint8_t>(byte); });
+    return asUnion<fb::AnyMessageUnion>(std::move(packed));
+}
+
+fb::AnyMessageUnion pack(const core::DocumentInForce& it)
 {
-    fb::DocumentT packed;
+    fb::DocumentInForceT packed;
     packed.version = it.version;
-    packed.bytes = bytesOf(it.bytes);
     return asUnion<fb::AnyMessageUnion>(std::move(packed));
 }
 
@@ -152,6 +167,14 @@
 
 fb::AnyMessageUnion pack(const core::Alive&) { return asUnion<fb::AnyMessageUnion>(fb::AliveT {}); }
 
+core::DocumentPart unpack(const fb::DocumentPartT& it)
+{
+    core::DocumentPart part { it.from, it.to, it.part, it.parts, {} };
+    const auto bytes = std::as_bytes(std::span { it.bytes });
+    part.bytes.assign(bytes.begin(), bytes.end());
+    return part;
+}
+
 core::Target unpack(const fb::TargetT& it)
 {
     return { ServerId { it.id }, it.address, ServiceName { it.service }, DataCentreId { it.data_centre },
@@ -186,8 +209,10 @@
         return core::Subscribe { it->address, it->control, it->document_version };
     if (const auto* it = any.AsMembers())
         return core::Members { it->leader, it->term, it->controls, it->voters, it->entry_vms };
-    if (const auto* it = any.AsDocument())
-        return core::DocumentPush { it->version, textOf(it->bytes) };
+    if (const auto* it = any.AsDocumentPart())
+        return unpack(*it);
+    if (const auto* it = any.AsDocumentInForce())
+        return core::DocumentInForce { it->version };
     if (const auto* it = any.AsTargets())
         return unpack(*it);
     if (const auto* it = any.AsReport())
--- /dev/null
+++ b/tests/runtime/nodes/control_node.cpp
@@ -0,0 +1,250 @@
+#include <rosemarymill/runtime/nodes/control_node.hpp>
+#include <rosemarymill/runtime/nodes/entry_node.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/wire/fleet/codec.hpp>
+
+#include "support/documents.hpp"
+#include "support/http.hpp"
+#include "support/peer.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <sstream>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace rosemarymill;
+using runtime::nodes::ControlNode;
+using runtime::nodes::EntryNode;
+
+namespace {
+
+/// Routes of the large document.
+constexpr std::size_t manyRoutes = 1320;
+
+/// Bytes of the large document as operators submit it.
+constexpr std::size_t manyBytes = 430'000;
+
+struct Folder {
+    Folder()
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "rosemarymill-XXXXXX").string();
+        path = mkdtemp(name.data());
+    }
+    ~Folder() { std::filesystem::remove_all(path); }
+    Folder(const Folder&) = delete;
+    Folder& operator=(const Folder&) = delete;
+
+    std::string path;
+};
+
+/// Submitted text of a version: its number, that of its routes, and padding.
+std::string textOf(std::uint64_t version, std::size_t routeCount = manyRoutes, std::size_t bytes = manyBytes)
+{
+    auto text = std::to_string(version) + ' ' + std::to_string(routeCount);
+    text.resize(bytes, ' ');
+    return text;
+}
+
+runtime::nodes::DecodedDocument decode(std::string_view bytes)
+{
+    std::istringstream in { std::string(bytes.substr(0, 40)) };
+    std::uint64_t version = 0;
+    std::size_t routeCount = 0;
+    in >> version >> routeCount;
+    return { test::largeDocument(version, routeCount), {} };
+}
+
+std::string frameOf(wire::FrameKind kind, const wire::Buffer& payload)
+{
+    std::vector<std::byte> bytes;
+    wire::appendFrame(kind, payload, bytes);
+    return { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
+}
+
+/// Connected socket that takes in little before it is read.
+evutil_socket_t slowSocket(const runtime::SocketAddress& to)
+{
+    constexpr int receiveBytes = 16 * 1024;
+    auto address = to;
+    const auto fd = ::socket(address.get()->sa_family, SOCK_STREAM, 0);
+    ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
+    REQUIRE(::connect(fd, address.get(), address.length) == 0);
+    evutil_make_socket_nonblocking(fd);
+    return fd;
+}
+
+/// Entry VM that reads when it is told to.
+class SlowEntry {
+public:
+    SlowEntry(event_base* base, const std::string& control)
+        : m_peer(base, slowSocket(runtime::parseAddress(control).value()))
+    {
+        wire::Buffer hello;
+        encode(wire::link::Hello { VmId { "entry" }, DataCentreId { "mixco" }, BootId { "1" } }, hello);
+        m_peer.send(frameOf(wire::FrameKind::Hello, hello));
+        send(fleet::Subscribe {});
+    }
+
+    void send(const fleet::Message& message)
+    {
+        wire::Buffer payload;
+        wire::fleet::encode(message, payload);
+        m_peer.send(frameOf(wire::FrameKind::Fleet, payload));
+    }
+
+    void setReading(bool reading) { m_peer.setReading(reading); }
+
+    /// Takes the messages that arrived.
+    std::vector<fleet::Message> take()
+    {
+        std::vector<fleet::Message> messages;
+        const auto bytes = std::as_bytes(std::span { m_peer.received });
+        std::size_t taken = 0;
+        while (const auto frame = wire::readFrame(bytes.subspan(taken)).value()) {
+            if (frame->kind == wire::FrameKind::Fleet)
+                messages.push_back(wire::fleet::decode(frame->payload).value());
+            taken += frame->size;
+        }
+        m_peer.received.erase(0, taken);
+        return messages;
+    }
+
+    [[nodiscard]] bool closed() const noexcept { return m_peer.closed; }
+
+private:
+    test::Peer m_peer;
+};
+
+template <typename Node> std::uint64_t valueOf(const Node& node, const std::string& metric)
+{
+    std::ostringstream out;
+    node.writeMetrics(out);
+    const auto text = out.str();
+    const auto at = text.find('\n' + metric + ' ');
+    REQUIRE(at != std::string::npos);
+    return std::stoull(text.substr(text.find(' ', at)));
+}
+
+struct World {
+    World()
+        : base(event_base_new())
+        , address(test::PeerListener(base.get()).address())
+    {
+        runtime::nodes::ControlNodeSettings settings;
+        settings.address = address;
+        settings.dataCentre = DataCentreId { "mixco" };
+        settings.seeds = { address };
+        settings.bootstrap = true;
+        settings.dataFolder = folder.path;
+        settings.voters.wanted = 1;
+        settings.seed = 1;
+        runtime::nodes::Environment environment;
+        environment.decodeDocument = decode;
+        control.emplace(base.get(), std::move(settings), std::move(environment));
+        REQUIRE(runUntil([&] { return control->leads(); }));
+    }
+
+    bool runUntil(const std::function<bool()>& done) { return test::runUntil(base.get(), done); }
+
+    void store(std::uint64_t version) { store(version, textOf(version)); }
+
+    void store(std::uint64_t version, std::string text)
+    {
+        bool committed = false;
+        control->storeDocument(version, std::move(text), [&](bool it) { committed = it; });
+        REQUIRE(runUntil([&] { return committed; }));
+    }
+
+    std::unique_ptr<EntryNode> startEntry()
+    {
+        runtime::nodes::EntryNodeSettings settings;
+        settings.vm = VmId { "entry" };
+        settings.dataCentre = DataCentreId { "mixco" };
+        settings.seeds = { address };
+        settings.proxy.address = runtime::parseAddress("127.0.0.1:0").value();
+        settings.seed = 2;
+        return std::make_unique<EntryNode>(base.get(), std::move(settings));
+    }
+
+    [[nodiscard]] std::uint64_t metric(const std::string& name) const
+    {
+        return valueOf(*control, "rosemarymill_control_" + name);
+    }
+
+    Folder folder;
+    test::EventBase base;
+    std::string address;
+    std::optional<ControlNode> control;
+};
+
+} // namespace
+
+TEST_CASE("A slow entry VM is not held back by versions that were overtaken", "[nodes]")
+{
+    World world;
+    world.store(1);
+    SlowEntry entry(world.base.get(), world.address);
+    std::uint64_t held = 0;
+    std::uint64_t pushes = 0;
+    const auto answer = [&](const fleet::Message& message) {
+        const auto* it = std::get_if<fleet::DocumentPart>(&message);
+        if (!it || it->part + 1 < it->parts)
+            return;
+        held = it->to;
+        ++pushes;
+        entry.send(fleet::DocumentInForce { held });
+    };
+    const auto answerAll = [&] {
+        for (const auto& it : entry.take())
+            answer(it);
+        return held;
+    };
+    REQUIRE(world.runUntil([&] { return answerAll() == 1; }));
+
+    constexpr std::uint64_t newest = 40;
+    entry.setReading(false);
+    std::uint64_t mostUnsent = 0;
+    for (std::uint64_t version = 2; version <= newest; ++version) {
+        entry.send(fleet::Alive {});
+        world.store(version);
+        mostUnsent = std::max(mostUnsent, world.metric("subscriber_unsent_bytes_max"));
+    }
+    CHECK(mostUnsent < manyBytes);
+
+    entry.setReading(true);
+    pushes = 0;
+    REQUIRE(world.runUntil([&] { return answerAll() == newest; }));
+    CHECK(pushes < newest / 2);
+    CHECK_FALSE(entry.closed());
+}
+
+TEST_CASE("An entry VM comes to the newest version by changes alone", "[nodes]")
+{
+    World world;
+    world.store(1);
+    const auto entry = world.startEntry();
+    const auto held = [&] { return valueOf(*entry, "rosemarymill_proxy_document_version"); };
+    REQUIRE(world.runUntil([&] { return held() == 1; }));
+    for (std::uint64_t version = 2; version <= 20; ++version)
+        world.store(version);
+    REQUIRE(world.runUntil([&] { return held() == 20 && world.metric("subscribers_behind") == 0; }));
+    CHECK(world.metric("document_pushes_whole") == 1);
+    CHECK(world.metric("oldest_document_version") == 20);
+    CHECK(world.metric("oldest_document_age_ms") == 0);
+    CHECK(valueOf(*entry, "rosemarymill_document_behind_ms") == 0);
+}
+
+// A frame holds 1 MiB; a document of 4 MiB has about 13,000 routes.
+TEST_CASE("A document of 4 MiB reaches an entry VM", "[nodes]")
+{
+    constexpr std::size_t largest = std::size_t { 4 } * 1024 * 1024;
+    World world;
+    const auto entry = world.startEntry();
+    world.store(3, textOf(3, 13'000, largest));
+    const auto held = [&] { return valueOf(*entry, "rosemarymill_proxy_document_version"); };
+    REQUIRE(world.runUntil([&] { return held() == 3; }));
+}
--- a/tests/wire/fleet/codec.cpp
+++ b/tests/wire/fleet/codec.cpp
@@ -56,8 +56,9 @@
     CHECK(report.traffic);
     CHECK(report.documentVersion == 9);
 
-    const std::string bytes { "\0\xff{}", 4 };
-    CHECK(roundTrip(fleet::DocumentPush { 5, bytes }).bytes == bytes);
+    const fleet::DocumentPart part { 4, 5, 1, 3, { std::byte { 0 }, std::byte { 0xff }, std::byte { '{' } } };
+    CHECK(roundTrip(part) == part);
+    CHECK(roundTrip(fleet::DocumentInForce { 8 }).version == 8);
     const auto loads = roundTrip(fleet::LoadsPush { { { ServerId { "s" }, 2, 1460 } } }).loads;
     REQUIRE(loads.size() == 1);
     CHECK(loads.front().promptTokens == 1460);
--- /dev/null
+++ b/tests/wire/routes/codec.cpp
@@ -0,0 +1,74 @@
+#include <rosemarymill/wire/routes/codec.hpp>
+
+#include "support/documents.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemarymill;
+using routes::DocumentTable;
+
+TEST_CASE("A document rebuilt from changes that crossed the wire equals the decoded one", "[routes]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        INFO("seed " << seed);
+        test::DocumentSource source(seed);
+        DocumentTable leader;
+        DocumentTable held;
+        for (unsigned step = 0; step < 60; ++step) {
+            REQUIRE(leader.replace(source.next()));
+            if (source.below(3) == 0)
+                continue;
+            const auto changes = leader.changesSince(held.version());
+            wire::Buffer buf;
+            wire::routes::encode(changes, buf);
+            const auto decoded = wire::routes::decode(buf);
+            REQUIRE(decoded);
+            REQUIRE(held.apply(decoded.value()));
+            REQUIRE(held.document() == leader.document());
+        }
+    }
+}
+
+TEST_CASE("Changes are much smaller than a large document, and the document than its text", "[routes]")
+{
+    constexpr std::size_t routeCount = 1320;
+    DocumentTable leader;
+    leader.replace(test::largeDocument(1, routeCount));
+    wire::Buffer whole;
+    wire::routes::encode(leader.changesSince(0), whole);
+    leader.replace(test::largeDocument(2, routeCount));
+    wire::Buffer changed;
+    wire::routes::encode(leader.changesSince(1), changed);
+    // A route takes about 330 bytes as submitted.
+    CHECK(whole.size() < routeCount * 330);
+    CHECK(changed.size() < 1024);
+}
+
+TEST_CASE("A document with as many entries as fit into 4 MiB is read", "[routes]")
+{
+    // `{"name":"a"},` takes 13 bytes of JSON.
+    constexpr std::size_t accountCount = std::size_t { 4 } * 1024 * 1024 / 13;
+    routes::Document document;
+    document.version = 1;
+    for (std::size_t i = 0; i < accountCount; ++i)
+        document.accounts.push_back({ AccountId { "a" }, {}, {} });
+    DocumentTable leader;
+    leader.replace(document);
+    wire::Buffer buf;
+    wire::routes::encode(leader.changesSince(0), buf);
+    CHECK(buf.size() < std::size_t { 32 } * 1024 * 1024);
+    const auto decoded = wire::routes::decode(buf);
+    REQUIRE(decoded);
+    CHECK(decoded.value().entries.size() == accountCount + 1);
+}
+
+TEST_CASE("Bytes that are no changes are refused", "[routes]")
+{
+    DocumentTable leader;
+    leader.replace(test::largeDocument(1, 10));
+    wire::Buffer buf;
+    wire::routes::encode(leader.changesSince(0), buf);
+    buf.resize(buf.size() / 2);
+    CHECK(wire::routes::decode(buf).error() == wire::DecodeError::Malformed);
+    CHECK_FALSE(wire::routes::decode({}));
+}
