Close a silent subscriber's connection once

Cause: a connection given up as silent is destroyed on the next tick. When its end arrived before, it was moved out of the list of subscribers a second time: its end was reported twice and the list's length was one too small, which underflows on an empty list and then refuses every connection as one too many.

Failed before, in "A connection that was given up as silent is not closed a second time by its end": CHECK( closed == 1 ) 2 == 1 Change: connections are moved out by one function, once, and what arrives on them afterwards is ignored.

--- a/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
@@ -28,6 +28,8 @@
     std::unique_ptr<LinkConnection> link;
     /// Set once the process has subscribed.
     bool subscribed { false };
+    /// Set once the connection was given up. It may still bring events until it is destroyed.
+    bool closed { false };
     fleet::Subscribe subscription;
     Instant heardAt;
     Instant sentAt;
@@ -91,6 +93,8 @@
     void accept(int socket);
     bool receive(Subscriber& from, wire::FrameKind kind, std::span<const std::byte> payload);
     void continuePush(Subscriber& to);
+    /// Moves a connection to those that are destroyed on the next tick, once.
+    void retire(std::list<Subscriber>::iterator place);
 
     event_base* m_base;
     wire::link::Hello m_self;
--- a/packages/runtime/src/nodes/subscriber_server.cpp
+++ b/packages/runtime/src/nodes/subscriber_server.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -58,17 +59,15 @@
         return receive(*place, kind, payload);
     };
     handlers.onWritable = [this, place] { continuePush(*place); };
-    handlers.onClosed = [this, place](const std::string&) {
-        if (place->subscribed)
-            m_handlers.onClosed(*place);
-        m_closed.splice(m_closed.end(), m_subscribers, place);
-    };
+    handlers.onClosed = [this, place](const std::string&) { retire(place); };
     auto* buf = bufferevent_socket_new(m_base, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     place->link = std::make_unique<LinkConnection>(buf, m_self, m_counters, std::move(handlers));
 }
 
 bool SubscriberServer::receive(Subscriber& from, wire::FrameKind kind, std::span<const std::byte> payload)
 {
+    if (from.closed)
+        return true;
     from.heardAt = readClock();
     if (kind == wire::FrameKind::Agreement)
         return m_handlers.onLogFrame(from.vm(), payload);
@@ -89,6 +88,15 @@
     return true;
 }
 
+void SubscriberServer::retire(std::list<Subscriber>::iterator place)
+{
+    if (std::exchange(place->closed, true))
+        return;
+    if (place->subscribed)
+        m_handlers.onClosed(*place);
+    m_closed.splice(m_closed.end(), m_subscribers, place);
+}
+
 void SubscriberServer::send(Subscriber& to, const core::Message& message)
 {
     to.sentAt = readClock();
@@ -145,9 +153,7 @@
         const auto next = std::next(it);
         // Connections of other voters carry log frames only, which come more often than this.
         if (now >= it->heardAt + ControlLink::silenceLimit) {
-            if (it->subscribed)
-                m_handlers.onClosed(*it);
-            m_closed.splice(m_closed.end(), m_subscribers, it);
+            retire(it);
         } else if (it->subscribed && now >= it->sentAt + ControlLink::aliveInterval) {
             send(*it, core::Alive {});
         }
