Keep a stored document that breaks rules from entry VMs on the control VMs

Entry VMs used to decode documents and refused one with faults. They now receive entries, so control VMs check instead: a stored document that breaks rules is logged as an error and neither published nor used for decisions.

--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -95,6 +95,7 @@
     void decide(const fleet::ControlEvent& event);
     void reviewLeadership();
     void applied();
+    void publish(routes::Document document);
     void propose(fleet::Command command, Committed done);
     void finishProposal(const std::string& submission, bool committed);
     void failProposals(Instant now, bool all);
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -253,14 +253,12 @@
     if (state.version > m_documentVersion) {
         m_documentVersion = state.version;
         auto decoded = m_environment.decodeDocument(state.bytes);
-        m_table = std::make_shared<routes::Table>(std::move(decoded.document));
+        if (decoded.faults.empty())
+            publish(std::move(decoded.document));
+        else
+            writeLog(node::LogLevel::Error, "fleet", "A stored document that breaks rules was not put in force.");
         writeDecision("fleet", "document applied",
             { { "version", std::to_string(state.version) }, { "bytes", std::to_string(state.bytes.size()) } });
-        m_feed.publish(m_table->document(), readClock());
-        m_pushes.clear();
-        for (auto& it : m_subscribers.subscribers())
-            feedDocument(it);
-        decide(core::event::DocumentChanged { readClock(), m_table });
     }
     if (state.outOfService != m_outOfService) {
         m_outOfService = state.outOfService;
@@ -268,6 +266,16 @@
     }
 }
 
+void ControlNode::publish(routes::Document document)
+{
+    m_table = std::make_shared<routes::Table>(std::move(document));
+    m_feed.publish(m_table->document(), readClock());
+    m_pushes.clear();
+    for (auto& it : m_subscribers.subscribers())
+        feedDocument(it);
+    decide(core::event::DocumentChanged { readClock(), m_table });
+}
+
 void ControlNode::decide(const core::ControlEvent& event)
 {
     core::Control::Effects effects;
