Judge the silence of a control connection by bytes, not by whole frames

Callers got 404 for routes that were in force on a deployment with 87 entry VMs. Cause, as the timeline of the incident shows: a frame that takes longer than the silence limit of 1.2 s to arrive, here a document of 430 KB beside 86 others, made each entry VM close its connection to the leader while the bytes were coming in. It connected again and asked for the same document, so the leader's link stayed full and nothing else came through; 87 connections were lost in each two seconds. Control VMs judged entry VMs and each other the same way.

Change: a connection remembers when bytes last arrived, and both ends judge silence by it. A process that stands still sends no bytes and is noticed as before.

The test sends one frame in pieces over twice the limit.

--- a/packages/runtime/include/rosemarymill/runtime/link/connection.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/link/connection.hpp
@@ -59,6 +59,9 @@
     /// Time of the last whole frame in either direction.
     [[nodiscard]] Instant lastFrame() const noexcept { return m_lastFrame; }
 
+    /// Time when bytes last arrived, also those of a frame that is not complete.
+    [[nodiscard]] Instant heardAt() const noexcept { return m_heardAt; }
+
 private:
     struct FreeBuffer {
         void operator()(bufferevent* it) const noexcept;
@@ -78,6 +81,7 @@
     std::optional<wire::link::Hello> m_remote;
     Instant m_openedAt;
     Instant m_lastFrame;
+    Instant m_heardAt;
     /// When the oldest byte of an incomplete frame arrived.
     std::optional<Instant> m_incompleteSince;
     bool m_closed { false };
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_link.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_link.hpp
@@ -26,9 +26,9 @@
 public:
     /// Interval of the messages that keep a connection known to be working, in both directions.
     static constexpr Duration aliveInterval = 400ms;
-    /// A connection without any message for this long is given up; below a third of the platform's contact time.
+    /// A connection on which no byte arrives for this long is given up; below a third of the platform's contact time.
     static constexpr Duration silenceLimit = 1200ms;
-    /// Time for a new connection to bring its first message.
+    /// The same for a new connection, until it has brought its first message.
     static constexpr Duration connectLimit = 800ms;
     /// Pause before the next control VM is tried.
     static constexpr Duration retryPause = 150ms;
@@ -82,8 +82,6 @@
     std::string m_redirect;
     bool m_subscribed { false };
     bool m_received { false };
-    Instant m_connectedAt;
-    Instant m_heardAt;
     Instant m_sentAt;
     Instant m_retryAt;
 };
--- a/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
@@ -22,7 +22,6 @@
     /// Set once the process has subscribed.
     bool subscribed { false };
     fleet::Subscribe subscription;
-    Instant heardAt;
     Instant sentAt;
 
     [[nodiscard]] const VmId& vm() const { return link->remote()->vm; }
--- a/packages/runtime/src/link/connection.cpp
+++ b/packages/runtime/src/link/connection.cpp
@@ -35,6 +35,7 @@
     , m_handlers(std::move(handlers))
     , m_openedAt(readClock())
     , m_lastFrame(m_openedAt)
+    , m_heardAt(m_openedAt)
 {
     bufferevent_setcb(buf, &LinkConnection::onRead, &LinkConnection::onWrite, &LinkConnection::onEvent, this);
     bufferevent_setwatermark(buf, EV_READ, 0, wire::frameHeaderBytes + wire::maxFramePayloadBytes);
@@ -127,7 +128,12 @@
     onClosed(reason);
 }
 
-void LinkConnection::onRead(bufferevent*, void* self) { static_cast<LinkConnection*>(self)->readFrames(); }
+void LinkConnection::onRead(bufferevent*, void* self)
+{
+    auto& it = *static_cast<LinkConnection*>(self);
+    it.m_heardAt = readClock();
+    it.readFrames();
+}
 
 void LinkConnection::onWrite(bufferevent*, void* self)
 {
--- a/packages/runtime/src/nodes/control_link.cpp
+++ b/packages/runtime/src/nodes/control_link.cpp
@@ -97,7 +97,7 @@
             close(reason);
     };
     m_address = address;
-    m_connectedAt = m_heardAt = m_sentAt = now;
+    m_sentAt = now;
     m_received = m_subscribed = false;
     m_link = connectLink(m_base, address, m_self, m_counters, std::move(handlers));
 }
@@ -114,7 +114,6 @@
 
 void ControlLink::receive(const core::Message& message)
 {
-    m_heardAt = readClock();
     m_received = true;
     if (const auto* members = std::get_if<core::Members>(&message)) {
         m_members = *members;
@@ -144,7 +143,7 @@
             m_retryAt = now + retryPause;
         return;
     }
-    if (now >= m_heardAt + (m_received ? silenceLimit : connectLimit))
+    if (now >= m_link->heardAt() + (m_received ? silenceLimit : connectLimit))
         return close("silent");
     if (now >= m_sentAt + aliveInterval)
         send(core::Alive {});
--- a/packages/runtime/src/nodes/subscriber_server.cpp
+++ b/packages/runtime/src/nodes/subscriber_server.cpp
@@ -50,7 +50,7 @@
     }
     setFleetSocketOptions(socket);
     const auto place = m_subscribers.emplace(m_subscribers.end());
-    place->heardAt = place->sentAt = readClock();
+    place->sentAt = readClock();
     LinkConnection::Handlers handlers;
     handlers.onHello = [](const wire::link::Hello&) { return true; };
     handlers.onFrame = [this, place](wire::FrameKind kind, std::span<const std::byte> payload) {
@@ -67,7 +67,6 @@
 
 bool SubscriberServer::receive(Subscriber& from, wire::FrameKind kind, std::span<const std::byte> payload)
 {
-    from.heardAt = readClock();
     if (kind == wire::FrameKind::Agreement)
         return m_handlers.onLogFrame(from.vm(), payload);
     if (kind != wire::FrameKind::Fleet)
@@ -112,7 +111,7 @@
     for (auto it = m_subscribers.begin(); it != m_subscribers.end();) {
         const auto next = std::next(it);
         // Connections of other voters carry log frames only, which come more often than this.
-        if (now >= it->heardAt + ControlLink::silenceLimit) {
+        if (now >= it->link->heardAt() + ControlLink::silenceLimit) {
             if (it->subscribed)
                 m_handlers.onClosed(*it);
             m_closed.splice(m_closed.end(), m_subscribers, it);
--- a/tests/runtime/nodes/control_link.cpp
+++ b/tests/runtime/nodes/control_link.cpp
@@ -125,3 +125,29 @@
     CHECK(world.runUntil([&] { return !world.link.connected(); }));
     CHECK(world.runUntil([&] { return world.control.peers.size() == 2; }));
 }
+
+TEST_CASE("A connection is not silent while a large frame arrives slowly", "[nodes]")
+{
+    World world;
+    world.link.setSeeds({ world.control.address() });
+    REQUIRE(world.runUntil([&] { return !world.control.peers.empty(); }));
+    auto& leader = world.control.peers.front();
+    leader.send(helloFrame() + membersFrame(world.control.address()));
+    REQUIRE(world.runUntil([&] { return world.link.connected(); }));
+    wire::Buffer payload;
+    fleet::Members members;
+    members.leader = world.control.address();
+    members.controls = { std::string(64 * 1024, 'x') };
+    wire::fleet::encode(members, payload);
+    const auto large = frame(wire::FrameKind::Fleet, payload);
+    constexpr std::size_t pieces = 8;
+    const auto pause = 2 * ControlLink::silenceLimit / pieces;
+    const auto size = (large.size() + pieces - 1) / pieces;
+    for (std::size_t at = 0; at < large.size(); at += size) {
+        leader.send(large.substr(at, size));
+        const auto next = runtime::readClock() + pause;
+        world.runUntil([&] { return runtime::readClock() >= next; });
+        REQUIRE(world.link.connected());
+    }
+    CHECK(world.link.members().controls.front().size() == 64 * 1024);
+}
