--- a/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
@@ -31,7 +31,6 @@
     /// Set once the connection was given up. It may still bring events until it is destroyed.
     bool closed { false };
     fleet::Subscribe subscription;
-    Instant heardAt;
     Instant sentAt;
     /// Push under way, of which the frames from `nextFrame` on wait until the socket takes more.
     std::shared_ptr<const Frames> push;
--- a/packages/runtime/src/nodes/subscriber_server.cpp
+++ b/packages/runtime/src/nodes/subscriber_server.cpp
@@ -52,7 +52,7 @@
     setFleetSocketOptions(socket);
     const auto place = m_subscribers.emplace(m_subscribers.end());
     place->id = ++m_lastId;
-    place->heardAt = place->sentAt = readClock();
+    place->sentAt = readClock();
     LinkConnection::Handlers handlers;
     handlers.onHello = [](const wire::link::Hello&) { return true; };
     handlers.onFrame = [this, place](wire::FrameKind kind, std::span<const std::byte> payload) {
@@ -68,7 +68,6 @@
 {
     if (from.closed)
         return true;
-    from.heardAt = readClock();
     if (kind == wire::FrameKind::Agreement)
         return m_handlers.onLogFrame(from.vm(), payload);
     if (kind != wire::FrameKind::Fleet)
@@ -152,7 +151,7 @@
     for (auto it = m_subscribers.begin(); it != m_subscribers.end();) {
         const auto next = std::next(it);
         // Connections of other voters carry log frames only, which come more often than this.
-        if (now >= it->heardAt + ControlLink::silenceLimit) {
+        if (now >= it->link->heardAt() + ControlLink::silenceLimit) {
             retire(it);
         } else if (it->subscribed && now >= it->sentAt + ControlLink::aliveInterval) {
             send(*it, core::Alive {});
