--- a/packages/wire/src/fleet/codec.cpp
+++ b/packages/wire/src/fleet/codec.cpp
@@ -98,7 +98,7 @@
 {
     fb::DocumentInForceT packed;
     packed.version = it.version;
-    return asUnion<fb::AnyMessageUnion>(std::move(packed));
+    return asUnion<fb::AnyMessageUnion>(packed);
 }
 
 fb::TargetT packTarget(const core::Target& it)
--- a/packages/wire/src/routes/codec.cpp
+++ b/packages/wire/src/routes/codec.cpp
@@ -1,6 +1,7 @@
 #include <rosemarymill/wire/routes/codec.hpp>
 
 #include <rosemarymill/core/base/sink.hpp>
+#include <rosemarymill/core/routes/table.hpp>
 #include <rosemarymill/wire/generated/routes_generated.hpp>
 
 #include <algorithm>
--- a/tests/wire/routes/codec.cpp
+++ b/tests/wire/routes/codec.cpp
@@ -1,3 +1,4 @@
+#include <rosemarymill/core/routes/table.hpp>
 #include <rosemarymill/wire/routes/codec.hpp>
 
 #include "support/documents.hpp"
