Write summaries without labels as valid metrics

Cause: TimeSummary::write put a comma before the quantile also when there were no labels, so rosemarymill_proxy_first_event_seconds and _call_seconds were written as name{,quantile="0.5"}, which is not Prometheus text. Seen while adding summaries to control VMs.

Change: the comma is written only after labels. The test compares the whole line.

--- a/packages/runtime/src/metrics/summary.cpp
+++ b/packages/runtime/src/metrics/summary.cpp
@@ -23,8 +23,10 @@
 void TimeSummary::write(std::ostream& out, const std::string& name, const std::string& labels) const
 {
     if (count() >= minQuantileSamples) {
+        const auto* separator = labels.empty() ? "" : ",";
         for (std::size_t i = 0; i < publishedQuantiles.size(); ++i)
-            out << name << '{' << labels << ",quantile=\"" << publishedQuantiles[i] << "\"} " << quantile(i) << '\n';
+            out << name << '{' << labels << separator << "quantile=\"" << publishedQuantiles[i] << "\"} " << quantile(i)
+                << '\n';
     }
     out << name << "_sum{" << labels << "} " << accumulators::sum(m_samples) << '\n'
         << name << "_count{" << labels << "} " << count() << '\n';
--- a/tests/runtime/metrics/metrics.cpp
+++ b/tests/runtime/metrics/metrics.cpp
@@ -96,6 +96,17 @@
     CHECK(has(text, R"(rosemarymill_between_tokens_seconds_sum{account="brand-1"} 0.25)"));
 }
 
+TEST_CASE("A summary without labels is published with its quantiles alone", "[metrics]")
+{
+    runtime::TimeSummary summary;
+    for (std::size_t i = 0; i < runtime::minQuantileSamples; ++i)
+        summary.add(1s);
+    std::ostringstream out;
+    summary.write(out, "time_seconds", {});
+    CHECK(out.str().starts_with("time_seconds{quantile=\"0.5\"} 1\n"));
+    CHECK(out.str().ends_with("time_seconds_count{} 10\n"));
+}
+
 TEST_CASE("Link and process metrics are published", "[metrics]")
 {
     runtime::LinkCounters counters;
