Publish how log, document and commits fare on control VMs

Cause: when entry VMs acted on old versions of a large document, nothing told a slow link to the followers from a slow disk, slow decoding or a log that does not commit.

Change: gauges of the bytes that wait for each voter, of the commit index and of the stored document, summaries of the time from proposal to commit and of decoding, and a counter of proposals whose outcome stayed unknown. The line "document applied" carries the stored bytes and, on the VM that proposed it, the milliseconds since the proposal.

--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -4,6 +4,7 @@
 #include <rosemarymill/core/fleet/load_table.hpp>
 #include <rosemarymill/core/fleet/machine.hpp>
 #include <rosemarymill/core/fleet/voters.hpp>
+#include <rosemarymill/runtime/metrics/summary.hpp>
 #include <rosemarymill/runtime/nodes/control_link.hpp>
 #include <rosemarymill/runtime/nodes/environment.hpp>
 #include <rosemarymill/runtime/nodes/server_client.hpp>
@@ -20,6 +21,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace rosemarymill::runtime::nodes {
@@ -79,7 +81,7 @@
     using Replica = fleet::Replica;
 
     struct Proposal {
-        Instant deadline;
+        Instant proposedAt;
         Committed done;
     };
 
@@ -93,9 +95,14 @@
     void carryOut(fleet::ControlEffect& effect);
     void decide(const fleet::ControlEvent& event);
     void reviewLeadership();
-    void applied();
+    /// Takes over the state of the log after a change. `submission` names the command that made it; a restored snapshot
+    /// has none.
+    void applied(const std::string& submission = {});
+    /// Milliseconds since a proposal of this VM, or an empty text for one that it does not wait for.
+    [[nodiscard]] std::string ageOf(const std::string& submission) const;
     void propose(fleet::Command command, Committed done);
     void finishProposal(const std::string& submission, bool committed);
+    [[nodiscard]] std::shared_ptr<const routes::Table> decodeTable(std::string_view bytes);
     void failProposals(Instant now, bool all);
     void sendOrder(const fleet::effect::SendOrder& effect);
     void probe(const fleet::effect::ProbeServer& effect);
@@ -125,6 +132,11 @@
     std::set<DataCentreId> m_outOfService;
     std::map<std::string, Proposal> m_proposals;
     std::uint64_t m_submissions { 0 };
+    std::uint64_t m_unknownProposals { 0 };
+    /// Time from a proposal to its commit.
+    TimeSummary m_commitTimes;
+    /// Time that the decoding of a document took.
+    TimeSummary m_decodeTimes;
     ServerClient m_servers;
     VoterLinks m_voterLinks;
     SubscriberServer m_subscribers;
--- a/packages/runtime/include/rosemarymill/runtime/nodes/voter_links.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/voter_links.hpp
@@ -26,6 +26,15 @@
 
     void send(const VmId& to, const fleet::LogMessage& message, Instant now);
 
+    /// Calls `use(const VmId&, bytes)` for each connected voter with the bytes that wait for it in the socket's buffer.
+    template <typename Use> void eachWaiting(Use&& use) const
+    {
+        for (const auto& [vm, link] : m_links) {
+            if (link.connection)
+                use(vm, link.connection->unsentBytes());
+        }
+    }
+
     /// Destroys closed connections. Not to be called from within a callback.
     void tick() { m_closed.clear(); }
 
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -183,7 +183,7 @@
                    [&](agreement::Persist<core::Command, core::Snapshot>& it) { m_storage->carryOut(it); },
                    [&](agreement::Applied<core::Command, core::Machine::Answer>& it) {
                        if (it.answer.changed)
-                           applied();
+                           applied(it.answer.submission);
                        finishProposal(it.answer.submission, true);
                    },
                    [&](agreement::Restored&) { applied(); },
@@ -240,14 +240,32 @@
     }
 }
 
-void ControlNode::applied()
+std::shared_ptr<const routes::Table> ControlNode::decodeTable(std::string_view bytes)
+{
+    const auto begin = readClock();
+    auto decoded = m_environment.decodeDocument(bytes);
+    m_decodeTimes.add(readClock() - begin);
+    return std::make_shared<routes::Table>(std::move(decoded.document));
+}
+
+std::string ControlNode::ageOf(const std::string& submission) const
+{
+    const auto it = m_proposals.find(submission);
+    if (it == m_proposals.end())
+        return {};
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(readClock() - it->second.proposedAt).count());
+}
+
+void ControlNode::applied(const std::string& submission)
 {
     const auto& state = m_replica->machine().state();
     if (state.version > m_documentVersion) {
         m_documentVersion = state.version;
-        auto decoded = m_environment.decodeDocument(state.bytes);
-        m_table = std::make_shared<routes::Table>(std::move(decoded.document));
-        writeDecision("fleet", "document applied", { { "version", std::to_string(state.version) } });
+        m_table = decodeTable(state.bytes);
+        writeDecision("fleet", "document applied",
+            { { "version", std::to_string(state.version) }, { "bytes", std::to_string(state.bytes.size()) },
+                { "age_ms", ageOf(submission) } });
         if (m_leads)
             m_subscribers.broadcast(core::DocumentPush { state.version, state.bytes });
         decide(core::event::DocumentChanged { readClock(), m_table });
@@ -313,7 +331,7 @@
     auto submission
         = m_settings.address + '/' + std::to_string(m_settings.seed) + '/' + std::to_string(++m_submissions);
     std::visit([&](auto& it) { it.submission = submission; }, command);
-    m_proposals.emplace(std::move(submission), Proposal { readClock() + proposalTimeout, std::move(done) });
+    m_proposals.emplace(std::move(submission), Proposal { readClock(), std::move(done) });
     post(agreement::Proposed<core::Command> { readClock(), std::move(command) });
 }
 
@@ -339,6 +357,10 @@
     if (it == m_proposals.end())
         return;
     const auto done = std::move(it->second.done);
+    if (committed)
+        m_commitTimes.add(readClock() - it->second.proposedAt);
+    else
+        ++m_unknownProposals;
     m_proposals.erase(it);
     done(committed);
 }
@@ -347,7 +369,7 @@
 {
     std::vector<std::string> failed;
     for (const auto& [submission, proposal] : m_proposals) {
-        if (all || now >= proposal.deadline)
+        if (all || now >= proposal.proposedAt + proposalTimeout)
             failed.push_back(submission);
     }
     for (const auto& it : failed)
@@ -515,6 +537,18 @@
     gauge("open_groups", open);
     gauge("entry_vms", m_entryCount);
     gauge("proposals", m_proposals.size());
+    gauge("document_bytes", m_replica->machine().state().bytes.size());
+    gauge("log_commit", m_replica->commit());
+    out << "# TYPE rosemarymill_control_log_waiting_bytes gauge\n";
+    m_voterLinks.eachWaiting([&](const VmId& vm, std::size_t bytes) {
+        out << "rosemarymill_control_log_waiting_bytes{vm=\"" << vm.text() << "\"} " << bytes << '\n';
+    });
+    out << "# TYPE rosemarymill_control_unknown_proposals_total counter\nrosemarymill_control_unknown_proposals_total "
+        << m_unknownProposals << '\n';
+    out << "# TYPE rosemarymill_control_commit_seconds summary\n";
+    m_commitTimes.write(out, "rosemarymill_control_commit_seconds", "");
+    out << "# TYPE rosemarymill_control_decode_seconds summary\n";
+    m_decodeTimes.write(out, "rosemarymill_control_decode_seconds", "");
 }
 
 } // namespace rosemarymill::runtime::nodes
--- /dev/null
+++ b/tests/runtime/nodes/control_node.cpp
@@ -0,0 +1,175 @@
+#include <rosemarymill/runtime/nodes/control_node.hpp>
+
+#include <rosemarymill/runtime/base/address.hpp>
+
+#include "support/http.hpp"
+#include "support/peer.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdlib>
+#include <filesystem>
+#include <optional>
+#include <sstream>
+
+using namespace rosemarymill;
+using runtime::nodes::ControlNode;
+
+namespace {
+
+/// Address on loopback that no listener has.
+std::string freeAddress(event_base* base) { return test::PeerListener(base).address(); }
+
+/// Document of a size that repeats itself as routes do. Its text begins with its version.
+std::string documentText(std::uint64_t version, std::size_t bytes)
+{
+    auto text = std::to_string(version);
+    while (text.size() < bytes)
+        text += ",{\"name\":\"r-" + std::to_string(text.size() * 7919) + "\",\"route_kind\":\"streaming\"}";
+    text.resize(std::max(bytes, std::to_string(version).size()));
+    return text;
+}
+
+std::uint64_t versionOf(std::string_view text)
+{
+    std::uint64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version;
+}
+
+/// Control VM of the tests, with its data folder and its count of decoded documents.
+struct Vm {
+    std::string address;
+    std::string folder;
+    unsigned decoded { 0 };
+    std::unique_ptr<ControlNode> node;
+};
+
+struct World {
+    World()
+        : base(event_base_new())
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "rosemarymill-XXXXXX").string();
+        root = mkdtemp(name.data());
+        for (std::size_t i = 0; i < vms.size(); ++i) {
+            vms[i].address = freeAddress(base.get());
+            vms[i].folder = (root / std::to_string(i)).string();
+        }
+        for (auto& it : vms)
+            start(it);
+    }
+
+    ~World()
+    {
+        for (auto& it : vms)
+            it.node.reset();
+        std::error_code ec;
+        std::filesystem::remove_all(root, ec);
+    }
+
+    World(const World&) = delete;
+    World& operator=(const World&) = delete;
+
+    void start(Vm& vm)
+    {
+        runtime::nodes::ControlNodeSettings settings;
+        settings.address = vm.address;
+        settings.dataCentre = DataCentreId { "mixco" };
+        for (const auto& it : vms)
+            settings.seeds.push_back(it.address);
+        settings.bootstrap = true;
+        settings.dataFolder = vm.folder;
+        settings.voters.wanted = vms.size();
+        settings.seed = ++starts;
+        runtime::nodes::Environment environment;
+        environment.decodeDocument = [&vm](std::string_view text) {
+            ++vm.decoded;
+            runtime::nodes::DecodedDocument decoded;
+            decoded.document.version = versionOf(text);
+            return decoded;
+        };
+        vm.node = std::make_unique<ControlNode>(base.get(), std::move(settings), std::move(environment));
+    }
+
+    Vm* leader()
+    {
+        const auto it
+            = std::find_if(vms.begin(), vms.end(), [](const auto& vm) { return vm.node && vm.node->leads(); });
+        return it == vms.end() ? nullptr : &*it;
+    }
+
+    /// Waits for a leader and returns it.
+    Vm& needLeader()
+    {
+        REQUIRE(test::runUntil(base.get(), [&] { return leader() != nullptr; }));
+        return *leader();
+    }
+
+    /// Submits a document as an operator does and returns whether it is committed, or false when it is refused or that
+    /// is not known in time.
+    bool store(std::uint64_t version, const std::string& text)
+    {
+        std::optional<bool> committed;
+        needLeader().node->storeDocument(version, text, [&](bool it) { committed = it; });
+        test::runUntil(base.get(), [&] { return committed.has_value(); });
+        return committed.value_or(false);
+    }
+
+    /// Reads the stored document through the leader; empty when it is not known.
+    std::string read()
+    {
+        std::optional<std::string> text;
+        needLeader().node->read([&](const fleet::Snapshot* it) { text = it ? it->bytes : std::string {}; });
+        test::runUntil(base.get(), [&] { return text.has_value(); });
+        return text.value_or("");
+    }
+
+    /// Value of a metric of a control VM; -1 when it is not written.
+    static double metric(const Vm& vm, const std::string& name)
+    {
+        std::ostringstream out;
+        vm.node->writeMetrics(out);
+        std::istringstream in(out.str());
+        for (std::string line; std::getline(in, line);) {
+            if (line.starts_with(name + ' '))
+                return std::stod(line.substr(name.size()));
+        }
+        return -1;
+    }
+
+    bool allHold(std::uint64_t version)
+    {
+        return test::runUntil(base.get(), [&] {
+            return std::all_of(vms.begin(), vms.end(), [&](const auto& it) {
+                return !it.node || metric(it, "rosemarymill_control_document_version") == static_cast<double>(version);
+            });
+        });
+    }
+
+    test::EventBase base;
+    std::filesystem::path root;
+    std::uint64_t starts { 0 };
+    std::array<Vm, 3> vms;
+};
+
+} // namespace
+
+TEST_CASE("a control VM publishes how its log and its document fare", "[nodes]")
+{
+    World world;
+    REQUIRE(world.store(1, documentText(1, 1000)));
+    REQUIRE(world.allHold(1));
+    const auto& leader = world.needLeader();
+    CHECK(World::metric(leader, "rosemarymill_control_document_bytes") == 1000);
+    CHECK(World::metric(leader, "rosemarymill_control_log_commit") > 1);
+    CHECK(World::metric(leader, "rosemarymill_control_commit_seconds_count{}") == 1);
+    CHECK(World::metric(leader, "rosemarymill_control_unknown_proposals_total") == 0);
+    CHECK(World::metric(leader, "rosemarymill_control_decode_seconds_count{}") >= 1);
+    for (const auto& it : world.vms) {
+        if (&it != &leader)
+            CHECK(World::metric(leader, "rosemarymill_control_log_waiting_bytes{vm=\"" + it.address + "\"}") == 0);
+    }
+}
