Refuse documents that do not fit into a frame of the log

Cause: a request's body may have 1 MiB and so may a frame's payload, but a command adds fields of its own. A document just below 1 MiB was appended to the leader's log and sent in a frame that each follower answered by closing the connection. The entry was sent again and again, nothing after it could commit, and because heartbeats still passed, the leader stayed. Every later change timed out; only a new leader without that entry would have ended it.

A message beyond a frame is logged as an error and not sent, so that such a fault shows itself.

--- a/packages/core/include/rosemarymill/core/fleet/machine.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/machine.hpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/core/agreement/replica.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -10,6 +11,10 @@
 /// State that survives the loss of control VMs: the document, and the data centres out of service.
 namespace rosemarymill::fleet {
 
+/// Longest document in bytes as it was submitted. One frame holds it with the other fields of the log's messages,
+/// because the log sends an entry and a snapshot each as one message.
+inline constexpr std::size_t maxDocumentBytes = 960 * 1024;
+
 /// Stores a document when its version is higher than the stored one.
 struct StoreDocument {
     std::string submission;
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -69,8 +69,9 @@
     void heartbeat(fleet::ServerRecord record);
     void serverLeft(const ServerId& server);
 
-    /// Replicates a change of the document.
-    void storeDocument(std::uint64_t version, std::string bytes, Committed done);
+    /// Replicates a change of the document. A document longer than fleet::maxDocumentBytes is refused with
+    /// std::errc::message_size, and `done` is not called.
+    [[nodiscard]] Result<void> storeDocument(std::uint64_t version, std::string bytes, Committed done);
     void setOutOfService(const DataCentreId& dataCentre, bool outOfService, Committed done);
     /// Reads the latest state through the log.
     void read(StateRead done);
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -335,9 +335,16 @@
     post(agreement::Proposed<core::Command> { readClock(), std::move(command) });
 }
 
-void ControlNode::storeDocument(std::uint64_t version, std::string bytes, Committed done)
+Result<void> ControlNode::storeDocument(std::uint64_t version, std::string bytes, Committed done)
 {
+    if (bytes.size() > core::maxDocumentBytes) {
+        writeDecision("fleet", "document refused",
+            { { "version", std::to_string(version) }, { "bytes", std::to_string(bytes.size()) },
+                { "limit", std::to_string(core::maxDocumentBytes) } });
+        return std::make_error_code(std::errc::message_size);
+    }
     propose(core::StoreDocument { {}, version, std::move(bytes) }, std::move(done));
+    return outcome::success();
 }
 
 void ControlNode::setOutOfService(const DataCentreId& dataCentre, bool outOfService, Committed done)
--- a/packages/runtime/src/nodes/voter_links.cpp
+++ b/packages/runtime/src/nodes/voter_links.cpp
@@ -1,6 +1,7 @@
 #include <rosemarymill/runtime/nodes/voter_links.hpp>
 
 #include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/nodes/control_link.hpp>
 #include <rosemarymill/wire/agreement/codec.hpp>
 #include <rosemarymill/wire/fleet/codec.hpp>
@@ -45,6 +46,12 @@
     wire::agreement::encode(wire::agreement::LogMessage { agreement::LogId { fleet::logName },
                                 wire::agreement::toRaw<wire::fleet::Codec>(message) },
         payload);
+    if (payload.size() > wire::maxFramePayloadBytes) {
+        writeLog(node::LogLevel::Error, "fleet",
+            "A log message of " + std::to_string(payload.size()) + " bytes to " + to.text()
+                + " is longer than a frame and was not sent.");
+        return;
+    }
     std::vector<std::byte> frame;
     wire::appendFrame(wire::FrameKind::Agreement, payload, frame);
     link.connection->write(wire::FrameKind::Agreement, frame);
--- a/packages/wire/src/fleet/codec.cpp
+++ b/packages/wire/src/fleet/codec.cpp
@@ -1,5 +1,6 @@
 #include <rosemarymill/wire/fleet/codec.hpp>
 
+#include <rosemarymill/wire/frame/frame.hpp>
 #include <rosemarymill/wire/generated/fleet_generated.hpp>
 
 #include <boost/outcome/try.hpp>
@@ -11,6 +12,11 @@
 namespace core = rosemarymill::fleet;
 namespace fb = generated::fleet;
 
+/// Bytes of a frame for the fields of a message beside the document, such as data centres and voters.
+constexpr std::size_t messageFieldsBytes = 48 * 1024;
+
+static_assert(core::maxDocumentBytes + messageFieldsBytes <= maxFramePayloadBytes);
+
 std::vector<std::uint8_t> bytesOf(const std::string& text) { return { text.begin(), text.end() }; }
 
 std::string textOf(const std::vector<std::uint8_t>& bytes) { return { bytes.begin(), bytes.end() }; }
--- a/tests/runtime/nodes/control_node.cpp
+++ b/tests/runtime/nodes/control_node.cpp
@@ -113,7 +113,8 @@
     bool store(std::uint64_t version, const std::string& text)
     {
         std::optional<bool> committed;
-        needLeader().node->storeDocument(version, text, [&](bool it) { committed = it; });
+        if (!needLeader().node->storeDocument(version, text, [&](bool it) { committed = it; }))
+            return false;
         test::runUntil(base.get(), [&] { return committed.has_value(); });
         return committed.value_or(false);
     }
@@ -157,6 +158,18 @@
 
 } // namespace
 
+TEST_CASE("the control log goes on after a document that fills a frame", "[nodes]")
+{
+    World world;
+    REQUIRE(world.store(1, documentText(1, 1000)));
+    // A document at the limit of a request's body has no room for the log's own fields in a frame.
+    CHECK_FALSE(world.store(2, documentText(2, wire::maxFramePayloadBytes)));
+    CHECK(world.store(3, documentText(3, 1000)));
+    CHECK(world.allHold(3));
+    CHECK(world.store(4, documentText(4, fleet::maxDocumentBytes)));
+    CHECK(world.allHold(4));
+}
+
 TEST_CASE("a control VM publishes how its log and its document fare", "[nodes]")
 {
     World world;
