Compress documents once when they are submitted

Cause: each version went through the control log as it was submitted. With 1,320 routes that is 430 KB to each of four followers, 80 ms of the leader's link of 170 Mbit/s, and at 16 versions a second more than the link carries.

A field of the schema tells the encoding; without it, as in logs of earlier versions, the bytes are plain. A read gives back what was submitted. Entry VMs receive documents as before.

Ruled out: compressing in the codec, which would compress once for each follower and for the disk.

A control VM of an earlier version that runs beside this one ignores the field and cannot read the document when it comes to lead, so control VMs of both versions must not run together for longer than a restart takes.

--- a/packages/core/include/rosemarymill/core/fleet/machine.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/machine.hpp
@@ -15,11 +15,20 @@
 /// because the log sends an entry and a snapshot each as one message.
 inline constexpr std::size_t maxDocumentBytes = 960 * 1024;
 
+/// How the bytes of a stored document are encoded. The numbers are those of the schema.
+enum class Encoding : std::uint8_t {
+    /// As they were submitted.
+    Plain = 0,
+    /// Compressed by Zstandard.
+    Zstd = 1
+};
+
 /// Stores a document when its version is higher than the stored one.
 struct StoreDocument {
     std::string submission;
     std::uint64_t version { 0 };
     std::string bytes;
+    Encoding encoding { Encoding::Plain };
 
     friend bool operator==(const StoreDocument&, const StoreDocument&) = default;
 };
@@ -53,6 +62,7 @@
     std::uint64_t version { 0 };
     std::string bytes;
     std::set<DataCentreId> outOfService;
+    Encoding encoding { Encoding::Plain };
 
     friend bool operator==(const Snapshot&, const Snapshot&) = default;
 };
--- a/packages/core/src/fleet/machine.cpp
+++ b/packages/core/src/fleet/machine.cpp
@@ -10,6 +10,7 @@
         if (answer.changed) {
             m_state.version = it->version;
             m_state.bytes = it->bytes;
+            m_state.encoding = it->encoding;
         }
     } else if (const auto* change = std::get_if<SetOutOfService>(&command)) {
         answer.changed = change->outOfService ? m_state.outOfService.insert(change->dataCentre).second
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -46,8 +46,13 @@
 public:
     /// Told whether a command is committed; false means that nobody knows.
     using Committed = std::function<void(bool)>;
-    /// Receives the state of the log, or null when this VM cannot be sure that it is the latest.
-    using StateRead = std::function<void(const fleet::Snapshot*)>;
+    /// Document as it was submitted; version 0 when none is stored.
+    struct StoredDocument {
+        std::uint64_t version { 0 };
+        std::string text;
+    };
+    /// Receives the stored document, or null when this VM cannot be sure that it is the latest.
+    using DocumentRead = std::function<void(const StoredDocument*)>;
 
     /// Time after which a proposal that is not committed is answered as unknown: callers wait a second.
     static constexpr Duration proposalTimeout = 900ms;
@@ -69,12 +74,13 @@
     void heartbeat(fleet::ServerRecord record);
     void serverLeft(const ServerId& server);
 
-    /// Replicates a change of the document. A document longer than fleet::maxDocumentBytes is refused with
-    /// std::errc::message_size, and `done` is not called.
-    [[nodiscard]] Result<void> storeDocument(std::uint64_t version, std::string bytes, Committed done);
+    /// Replicates a document as it was submitted, which is compressed here once. `done` is not called after an error: a
+    /// document longer than fleet::maxDocumentBytes is refused with std::errc::message_size; the others are those of
+    /// wire::compress.
+    [[nodiscard]] Result<void> storeDocument(std::uint64_t version, std::string_view text, Committed done);
     void setOutOfService(const DataCentreId& dataCentre, bool outOfService, Committed done);
-    /// Reads the latest state through the log.
-    void read(StateRead done);
+    /// Reads the latest document through the log.
+    void readDocument(DocumentRead done);
 
     void writeMetrics(std::ostream& out) const;
 
@@ -103,6 +109,8 @@
     [[nodiscard]] std::string ageOf(const std::string& submission) const;
     void propose(fleet::Command command, Committed done);
     void finishProposal(const std::string& submission, bool committed);
+    /// Text of the stored document. The errors are those of wire::decompress.
+    [[nodiscard]] Result<std::string> documentText() const;
     [[nodiscard]] std::shared_ptr<const routes::Table> decodeTable(std::string_view bytes);
     void failProposals(Instant now, bool all);
     void sendOrder(const fleet::effect::SendOrder& effect);
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -3,6 +3,9 @@
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/wire/agreement/codec.hpp>
+#include <rosemarymill/wire/compress/compress.hpp>
+
+#include <boost/outcome/try.hpp>
 
 #include <algorithm>
 #include <ostream>
@@ -262,12 +265,15 @@
     const auto& state = m_replica->machine().state();
     if (state.version > m_documentVersion) {
         m_documentVersion = state.version;
-        m_table = decodeTable(state.bytes);
+        const auto text = documentText();
+        if (!text)
+            return;
+        m_table = decodeTable(text.value());
         writeDecision("fleet", "document applied",
             { { "version", std::to_string(state.version) }, { "bytes", std::to_string(state.bytes.size()) },
                 { "age_ms", ageOf(submission) } });
         if (m_leads)
-            m_subscribers.broadcast(core::DocumentPush { state.version, state.bytes });
+            m_subscribers.broadcast(core::DocumentPush { state.version, text.value() });
         decide(core::event::DocumentChanged { readClock(), m_table });
     }
     if (state.outOfService != m_outOfService) {
@@ -335,15 +341,16 @@
     post(agreement::Proposed<core::Command> { readClock(), std::move(command) });
 }
 
-Result<void> ControlNode::storeDocument(std::uint64_t version, std::string bytes, Committed done)
+Result<void> ControlNode::storeDocument(std::uint64_t version, std::string_view text, Committed done)
 {
-    if (bytes.size() > core::maxDocumentBytes) {
+    if (text.size() > core::maxDocumentBytes) {
         writeDecision("fleet", "document refused",
-            { { "version", std::to_string(version) }, { "bytes", std::to_string(bytes.size()) },
+            { { "version", std::to_string(version) }, { "bytes", std::to_string(text.size()) },
                 { "limit", std::to_string(core::maxDocumentBytes) } });
         return std::make_error_code(std::errc::message_size);
     }
-    propose(core::StoreDocument { {}, version, std::move(bytes) }, std::move(done));
+    BOOST_OUTCOME_TRY(bytes, wire::compress(text));
+    propose(core::StoreDocument { {}, version, std::move(bytes), core::Encoding::Zstd }, std::move(done));
     return outcome::success();
 }
 
@@ -352,10 +359,30 @@
     propose(core::SetOutOfService { {}, dataCentre, outOfService }, std::move(done));
 }
 
-void ControlNode::read(StateRead done)
+void ControlNode::readDocument(DocumentRead done)
 {
-    propose(core::Barrier {},
-        [this, done = std::move(done)](bool committed) { done(committed ? &m_replica->machine().state() : nullptr); });
+    propose(core::Barrier {}, [this, done = std::move(done)](bool committed) {
+        if (!committed)
+            return done(nullptr);
+        auto text = documentText();
+        if (!text)
+            return done(nullptr);
+        const StoredDocument document { m_replica->machine().state().version, std::move(text.value()) };
+        done(&document);
+    });
+}
+
+Result<std::string> ControlNode::documentText() const
+{
+    const auto& state = m_replica->machine().state();
+    if (state.encoding == core::Encoding::Plain)
+        return state.bytes;
+    auto text = wire::decompress(state.bytes, core::maxDocumentBytes);
+    if (!text)
+        writeLog(node::LogLevel::Error, "fleet",
+            "The stored document " + std::to_string(state.version) + " cannot be read: " + text.error().message()
+                + '.');
+    return text;
 }
 
 void ControlNode::finishProposal(const std::string& submission, bool committed)
@@ -406,8 +433,10 @@
     if (!m_leads)
         return;
     const auto& state = m_replica->machine().state();
-    if (state.version > subscriber.subscription.documentVersion)
-        m_subscribers.send(subscriber, core::DocumentPush { state.version, state.bytes });
+    if (state.version > subscriber.subscription.documentVersion) {
+        if (auto text = documentText())
+            m_subscribers.send(subscriber, core::DocumentPush { state.version, std::move(text.value()) });
+    }
     core::TargetsPush push;
     push.delta.full = m_control.settled();
     for (const auto& [id, target] : m_control.targets())
--- a/packages/wire/src/fleet/codec.cpp
+++ b/packages/wire/src/fleet/codec.cpp
@@ -1,5 +1,6 @@
 #include <rosemarymill/wire/fleet/codec.hpp>
 
+#include <rosemarymill/wire/compress/compress.hpp>
 #include <rosemarymill/wire/frame/frame.hpp>
 #include <rosemarymill/wire/generated/fleet_generated.hpp>
 
@@ -15,7 +16,11 @@
 /// Bytes of a frame for the fields of a message beside the document, such as data centres and voters.
 constexpr std::size_t messageFieldsBytes = 48 * 1024;
 
-static_assert(core::maxDocumentBytes + messageFieldsBytes <= maxFramePayloadBytes);
+static_assert(
+    core::maxDocumentBytes + compressOverhead(core::maxDocumentBytes) + messageFieldsBytes <= maxFramePayloadBytes);
+static_assert(static_cast<core::Encoding>(fb::Encoding::Zstd) == core::Encoding::Zstd);
+
+bool isKnown(fb::Encoding encoding) noexcept { return encoding >= fb::Encoding::MIN && encoding <= fb::Encoding::MAX; }
 
 std::vector<std::uint8_t> bytesOf(const std::string& text) { return { text.begin(), text.end() }; }
 
@@ -45,6 +50,7 @@
     packed.submission = it.submission;
     packed.version = it.version;
     packed.bytes = bytesOf(it.bytes);
+    packed.encoding = static_cast<fb::Encoding>(it.encoding);
     return asUnion<fb::AnyCommandUnion>(std::move(packed));
 }
 
@@ -219,6 +225,7 @@
     packed.document = std::make_unique<fb::DocumentT>();
     packed.document->version = snapshot.version;
     packed.document->bytes = bytesOf(snapshot.bytes);
+    packed.encoding = static_cast<fb::Encoding>(snapshot.encoding);
     packed.out_of_service.reserve(snapshot.outOfService.size());
     for (const auto& it : snapshot.outOfService)
         packed.out_of_service.emplace_back(std::make_unique<fb::OutOfServiceT>())->data_centre = it.text();
@@ -229,8 +236,12 @@
 {
     BOOST_OUTCOME_TRY(packed, unpackTable<fb::CommandT>(payload));
     const auto& any = packed.command;
-    if (const auto* it = any.AsStoreDocument())
-        return core::StoreDocument { it->submission, it->version, textOf(it->bytes) };
+    if (const auto* it = any.AsStoreDocument()) {
+        if (!isKnown(it->encoding))
+            return DecodeError::UnexpectedKind;
+        return core::StoreDocument { it->submission, it->version, textOf(it->bytes),
+            static_cast<core::Encoding>(it->encoding) };
+    }
     if (const auto* it = any.AsSetOutOfService())
         return core::SetOutOfService { it->submission, DataCentreId { it->data_centre }, it->out_of_service };
     if (const auto* it = any.AsBarrier())
@@ -241,7 +252,10 @@
 Result<Codec::Snapshot> Codec::decodeSnapshot(std::span<const std::byte> payload)
 {
     BOOST_OUTCOME_TRY(packed, unpackTable<fb::SnapshotT>(payload));
-    core::Snapshot snapshot { packed.document->version, textOf(packed.document->bytes), {} };
+    if (!isKnown(packed.encoding))
+        return DecodeError::UnexpectedKind;
+    core::Snapshot snapshot { packed.document->version, textOf(packed.document->bytes), {},
+        static_cast<core::Encoding>(packed.encoding) };
     for (const auto& it : packed.out_of_service)
         snapshot.outOfService.insert(DataCentreId { it->data_centre });
     return snapshot;
--- a/tests/wire/fleet/codec.cpp
+++ b/tests/wire/fleet/codec.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <charconv>
+#include <string_view>
+
 using namespace rosemarymill;
 using wire::fleet::Codec;
 
@@ -25,6 +28,18 @@
     return std::get<Command>(decoded.value());
 }
 
+/// Bytes of their hexadecimal digits.
+wire::Buffer bytesOf(std::string_view digits)
+{
+    wire::Buffer buf;
+    for (std::size_t i = 0; i + 1 < digits.size(); i += 2) {
+        unsigned value = 0;
+        std::from_chars(digits.data() + i, digits.data() + i + 2, value, 16);
+        buf.push_back(static_cast<std::byte>(value));
+    }
+    return buf;
+}
+
 } // namespace
 
 TEST_CASE("messages between entry and control VMs survive the wire", "[fleet]")
@@ -80,6 +95,40 @@
     CHECK(Codec::decodeSnapshot({}).error() == wire::DecodeError::Malformed);
 }
 
+TEST_CASE("stored documents tell how their bytes are encoded", "[fleet]")
+{
+    const fleet::StoreDocument store { "s1", 7, "{}", fleet::Encoding::Zstd };
+    CHECK(roundTripCommand(store) == store);
+    const fleet::Snapshot snapshot { 7, "{}", {}, fleet::Encoding::Zstd };
+    wire::Buffer buf;
+    Codec::encodeSnapshot(snapshot, buf);
+    CHECK(Codec::decodeSnapshot(buf).value() == snapshot);
+}
+
+TEST_CASE("documents stored before their encoding was noted are plain", "[fleet]")
+{
+    // Written by the codec of commit 648d7d3.
+    const auto command = bytesOf("0c00000008000e000700080008000000000000011000000000000a00140004000c0008000a0000001800"
+                                 "00000c0000000700000000000000020000007b7d00000200000073310000");
+    CHECK(std::get<fleet::StoreDocument>(Codec::decodeCommand(command).value())
+        == fleet::StoreDocument { "s1", 7, "{}", fleet::Encoding::Plain });
+    const auto snapshot
+        = bytesOf("0c00000008000c0004000800080000003000000004000000010000000c000000000006000800040006000000"
+                  "04000000010000007a0000000800100008000400080000000c0000000700000000000000020000007b7d0000");
+    CHECK(Codec::decodeSnapshot(snapshot).value()
+        == fleet::Snapshot { 7, "{}", { DataCentreId { "z" } }, fleet::Encoding::Plain });
+}
+
+TEST_CASE("a document in an unknown encoding is refused", "[fleet]")
+{
+    wire::Buffer buf;
+    Codec::encodeCommand(fleet::StoreDocument { "s1", 7, "{}", fleet::Encoding { 2 } }, buf);
+    CHECK(Codec::decodeCommand(buf).error() == wire::DecodeError::UnexpectedKind);
+    buf.clear();
+    Codec::encodeSnapshot(fleet::Snapshot { 7, "{}", {}, fleet::Encoding { 2 } }, buf);
+    CHECK(Codec::decodeSnapshot(buf).error() == wire::DecodeError::UnexpectedKind);
+}
+
 TEST_CASE("bytes that are no message are refused", "[fleet]")
 {
     wire::Buffer buf;
