Decode a document once, and only on the leader

Cause: the leader decoded each version twice, before it proposed it and when it was applied, and each other control VM decoded it too, though only a leader uses the routing table.

Change: the decoded document is handed over with the proposal and used when that version is applied. Up to eight are kept, the number of calls that operators may have in progress; beyond that the stored bytes are decoded again. A VM that comes to lead decodes the stored document then. A document is still validated before it is proposed.

--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -74,10 +74,10 @@
     void heartbeat(fleet::ServerRecord record);
     void serverLeft(const ServerId& server);
 
-    /// Replicates a document as it was submitted, which is compressed here once. `done` is not called after an error: a
-    /// document longer than fleet::maxDocumentBytes is refused with std::errc::message_size; the others are those of
-    /// wire::compress.
-    [[nodiscard]] Result<void> storeDocument(std::uint64_t version, std::string_view text, Committed done);
+    /// Replicates a valid document and its text as it was submitted, which is compressed here once. `done` is not
+    /// called after an error: a text longer than fleet::maxDocumentBytes is refused with std::errc::message_size; the
+    /// others are those of wire::compress.
+    [[nodiscard]] Result<void> storeDocument(routes::Document document, std::string_view text, Committed done);
     void setOutOfService(const DataCentreId& dataCentre, bool outOfService, Committed done);
     /// Reads the latest document through the log.
     void readDocument(DocumentRead done);
@@ -92,6 +92,15 @@
         Committed done;
     };
 
+    /// Decoded document of a proposal.
+    struct Submitted {
+        std::string submission;
+        routes::Document document;
+    };
+
+    /// Decoded documents that are kept until their proposals are applied: operators have up to eight calls in progress.
+    static constexpr std::size_t maxSubmitted = 8;
+
     /// Voters that founded the log; empty on a VM that came later or lost its disk.
     [[nodiscard]] std::vector<std::string> foundingVoters();
     void startReplica();
@@ -107,11 +116,15 @@
     void applied(const std::string& submission = {});
     /// Milliseconds since a proposal of this VM, or an empty text for one that it does not wait for.
     [[nodiscard]] std::string ageOf(const std::string& submission) const;
+    [[nodiscard]] std::string nextSubmission();
+    /// The command carries its submission.
     void propose(fleet::Command command, Committed done);
     void finishProposal(const std::string& submission, bool committed);
     /// Text of the stored document. The errors are those of wire::decompress.
     [[nodiscard]] Result<std::string> documentText() const;
-    [[nodiscard]] std::shared_ptr<const routes::Table> decodeTable(std::string_view bytes);
+    /// Sets the routing table of the stored document, from the decoded document of that submission when it is kept.
+    /// Only a leader needs the table.
+    void loadTable(const std::string& submission = {});
     void failProposals(Instant now, bool all);
     void sendOrder(const fleet::effect::SendOrder& effect);
     void probe(const fleet::effect::ProbeServer& effect);
@@ -137,7 +150,9 @@
     fleet::Control::Effects m_decisions;
     bool m_leads { false };
     std::uint64_t m_documentVersion { 0 };
+    /// Table of the stored document while this VM leads.
     std::shared_ptr<const routes::Table> m_table;
+    std::deque<Submitted> m_submitted;
     std::set<DataCentreId> m_outOfService;
     std::map<std::string, Proposal> m_proposals;
     std::uint64_t m_submissions { 0 };
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -227,6 +227,8 @@
         m_learners.clear();
         decide(core::event::LeadershipChanged { readClock(), leads, m_replica->term() });
         if (leads) {
+            if (m_documentVersion > 0)
+                loadTable();
             decide(core::event::DocumentChanged { readClock(), m_table });
             decide(core::event::OutOfServiceChanged { readClock(), m_outOfService });
             for (auto& it : m_subscribers.subscribers()) {
@@ -234,6 +236,8 @@
                     onSubscribed(it);
             }
         } else {
+            m_submitted.clear();
+            m_table.reset();
             failProposals(readClock(), true);
         }
     }
@@ -243,12 +247,23 @@
     }
 }
 
-std::shared_ptr<const routes::Table> ControlNode::decodeTable(std::string_view bytes)
-{
-    const auto begin = readClock();
-    auto decoded = m_environment.decodeDocument(bytes);
-    m_decodeTimes.add(readClock() - begin);
-    return std::make_shared<routes::Table>(std::move(decoded.document));
+void ControlNode::loadTable(const std::string& submission)
+{
+    const auto it = std::find_if(m_submitted.begin(), m_submitted.end(),
+        [&](const auto& kept) { return !submission.empty() && kept.submission == submission; });
+    if (it != m_submitted.end()) {
+        m_table = std::make_shared<routes::Table>(std::move(it->document));
+        m_submitted.erase(it);
+    } else if (const auto text = documentText()) {
+        const auto begin = readClock();
+        auto decoded = m_environment.decodeDocument(text.value());
+        m_decodeTimes.add(readClock() - begin);
+        if (!decoded.faults.empty())
+            writeLog(node::LogLevel::Error, "fleet",
+                "The stored document breaks a rule at " + decoded.faults.front().path + ": "
+                    + decoded.faults.front().rule + '.');
+        m_table = std::make_shared<routes::Table>(std::move(decoded.document));
+    }
 }
 
 std::string ControlNode::ageOf(const std::string& submission) const
@@ -265,16 +280,16 @@
     const auto& state = m_replica->machine().state();
     if (state.version > m_documentVersion) {
         m_documentVersion = state.version;
-        const auto text = documentText();
-        if (!text)
-            return;
-        m_table = decodeTable(text.value());
         writeDecision("fleet", "document applied",
             { { "version", std::to_string(state.version) }, { "bytes", std::to_string(state.bytes.size()) },
                 { "age_ms", ageOf(submission) } });
-        if (m_leads)
-            m_subscribers.broadcast(core::DocumentPush { state.version, text.value() });
-        decide(core::event::DocumentChanged { readClock(), m_table });
+        if (m_leads) {
+            loadTable(submission);
+            if (auto text = documentText())
+                m_subscribers.broadcast(core::DocumentPush { state.version, std::move(text.value()) });
+            decide(core::event::DocumentChanged { readClock(), m_table });
+        }
+        std::erase_if(m_submitted, [&](const auto& it) { return it.document.version <= state.version; });
     }
     if (state.outOfService != m_outOfService) {
         m_outOfService = state.outOfService;
@@ -332,17 +347,20 @@
 
 void ControlNode::serverLeft(const ServerId& server) { decide(core::event::ServerLeft { readClock(), server }); }
 
+std::string ControlNode::nextSubmission()
+{
+    return m_settings.address + '/' + std::to_string(m_settings.seed) + '/' + std::to_string(++m_submissions);
+}
+
 void ControlNode::propose(core::Command command, Committed done)
 {
-    auto submission
-        = m_settings.address + '/' + std::to_string(m_settings.seed) + '/' + std::to_string(++m_submissions);
-    std::visit([&](auto& it) { it.submission = submission; }, command);
-    m_proposals.emplace(std::move(submission), Proposal { readClock(), std::move(done) });
+    m_proposals.emplace(core::submissionOf(command), Proposal { readClock(), std::move(done) });
     post(agreement::Proposed<core::Command> { readClock(), std::move(command) });
 }
 
-Result<void> ControlNode::storeDocument(std::uint64_t version, std::string_view text, Committed done)
+Result<void> ControlNode::storeDocument(routes::Document document, std::string_view text, Committed done)
 {
+    const auto version = document.version;
     if (text.size() > core::maxDocumentBytes) {
         writeDecision("fleet", "document refused",
             { { "version", std::to_string(version) }, { "bytes", std::to_string(text.size()) },
@@ -350,18 +368,23 @@
         return std::make_error_code(std::errc::message_size);
     }
     BOOST_OUTCOME_TRY(bytes, wire::compress(text));
-    propose(core::StoreDocument { {}, version, std::move(bytes), core::Encoding::Zstd }, std::move(done));
+    auto submission = nextSubmission();
+    if (m_submitted.size() >= maxSubmitted)
+        m_submitted.pop_front();
+    m_submitted.push_back({ submission, std::move(document) });
+    propose(core::StoreDocument { std::move(submission), version, std::move(bytes), core::Encoding::Zstd },
+        std::move(done));
     return outcome::success();
 }
 
 void ControlNode::setOutOfService(const DataCentreId& dataCentre, bool outOfService, Committed done)
 {
-    propose(core::SetOutOfService { {}, dataCentre, outOfService }, std::move(done));
+    propose(core::SetOutOfService { nextSubmission(), dataCentre, outOfService }, std::move(done));
 }
 
 void ControlNode::readDocument(DocumentRead done)
 {
-    propose(core::Barrier {}, [this, done = std::move(done)](bool committed) {
+    propose(core::Barrier { nextSubmission() }, [this, done = std::move(done)](bool committed) {
         if (!committed)
             return done(nullptr);
         auto text = documentText();
