--- a/bench/document/main.cpp
+++ b/bench/document/main.cpp
@@ -90,6 +90,10 @@
               << text.size() << " bytes\n";
     std::cout << "parse JSON: " << meanMs([&] { (void)platform::parseObject(text); }) << " ms\n";
     std::cout << "decode and validate: " << meanMs([&] { (void)platform::decodeDocument(text); }) << " ms\n";
+    platform::DocumentDecoder decoder;
+    (void)decoder.decode(text);
+    std::cout << "decode and validate the next version: " << meanMs([&] { (void)decoder.decode(text); }) << " ms\n";
+    std::cout << "validate: " << meanMs([&] { (void)routes::validate(document); }) << " ms\n";
     std::cout << "routing table: " << meanMs([&] { const routes::Table table(routes::Document { document }); })
               << " ms\n";
     const auto compressed = wire::compress(text).value();
