Keep the linter's rules in the tests of documents

The linter reported texts joined by + and a document moved inside a checked expression in tests that came with the compressed control log. The cases are the same.

--- a/tests/platform/document.cpp
+++ b/tests/platform/document.cpp
@@ -131,24 +131,35 @@
 {
     std::mt19937 random { 3 };
     const auto route = routeOf(random).dump();
-    const auto services = std::string(R"("services":[{"name":"llm"},{"name":"desk"}])");
     DocumentDecoder decoder;
-    for (const auto& text : {
-             R"({"version":1,"routes":[)" + route + R"(],"routes":[],)" + services + "}",
-             R"({"version":1,"routes":[],"routes":[)" + route + "]," + services + "}",
-             R"({"version":1,"\u0072outes":[)" + route + R"(],"routes":[],)" + services + "}",
-             R"({"version":1,"routes":null,)" + services + "}",
-             R"({"version":1,"routes":[)" + route + ",]," + services + "}",
-             R"({"version":1,"routes":[)" + route + " " + route + "]," + services + "}",
-             R"({"version":1,"routes":[1],)" + services + "}",
-             R"({"version":1,"routes":[)" + route + "]," + services + "} x",
-             R"({"version":1,"routes":[)" + route + "]," + services + ",}",
-             R"({"version":1,)" + services + "}",
-             "\xef\xbb\xbf{\"version\":1,\"routes\":[" + route + "]," + services + "}",
-             std::string("{}"),
-             std::string(),
-         })
+    // R stands for a route, S for the services.
+    for (const std::string_view outline : {
+             R"({"version":1,"routes":[R],"routes":[],S})",
+             R"({"version":1,"routes":[],"routes":[R],S})",
+             R"({"version":1,"\u0072outes":[R],"routes":[],S})",
+             R"({"version":1,"routes":null,S})",
+             R"({"version":1,"routes":[R,],S})",
+             R"({"version":1,"routes":[R R],S})",
+             R"({"version":1,"routes":[1],S})",
+             R"({"version":1,"routes":[R],S} x)",
+             R"({"version":1,"routes":[R],S,})",
+             R"({"version":1,S})",
+             "\xef\xbb\xbf{\"version\":1,\"routes\":[R],S}",
+             "{}",
+             "",
+         }) {
+        std::string text;
+        for (const char c : outline) {
+            if (c == 'R')
+                text += route;
+            else if (c == 'S')
+                text += R"("services":[{"name":"llm"},{"name":"desk"}])";
+            else
+                text += c;
+        }
+        CAPTURE(text);
         CHECK(describe(decoder.decode(text)) == describe(platform::decodeDocument(text)));
+    }
 }
 
 TEST_CASE("a version that changes one route has that route parsed and no other", "[platform]")
--- a/tests/runtime/nodes/control_node.cpp
+++ b/tests/runtime/nodes/control_node.cpp
@@ -39,6 +39,13 @@
     return text;
 }
 
+routes::Document documentOf(std::uint64_t version)
+{
+    routes::Document document;
+    document.version = version;
+    return document;
+}
+
 std::uint64_t versionOf(std::string_view text)
 {
     std::uint64_t version = 0;
@@ -123,9 +130,7 @@
     bool store(std::uint64_t version, const std::string& text)
     {
         std::optional<bool> committed;
-        routes::Document document;
-        document.version = version;
-        if (!needLeader().node->storeDocument(std::move(document), text, [&](bool it) { committed = it; }))
+        if (!needLeader().node->storeDocument(documentOf(version), text, [&](bool it) { committed = it; }))
             return false;
         test::runUntil(base.get(), [&] { return committed.has_value(); });
         return committed.value_or(false);
@@ -279,10 +284,8 @@
     unsigned committed = 0;
     // More proposals in flight than decoded documents are kept, in an order that operators may send them.
     for (const std::uint64_t version : { 5, 3, 9, 4, 8, 10, 7, 12, 2, 11 }) {
-        routes::Document document;
-        document.version = version;
         REQUIRE(leader.node->storeDocument(
-            std::move(document), documentText(version, 1000), [&](bool it) { committed += it ? 1 : 0; }));
+            documentOf(version), documentText(version, 1000), [&](bool it) { committed += it ? 1 : 0; }));
     }
     REQUIRE(test::runUntil(world.base.get(), [&] { return committed == 10; }));
     CHECK(world.allHold(12));
