Keep what a server told while the fleet's sums are older

Cause: `fleetLoads` replaced the requests that a head had told in its own answer by the leader's sum.

Change: a server's own figure is kept until sums arrive whose reports are younger than it, on average.

--- a/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
@@ -108,8 +108,8 @@
     /// Requests of this VM at servers that have any.
     [[nodiscard]] std::vector<fleet::ServerLoad> ownLoads(Instant now);
 
-    /// Requests of all entry VMs at the servers, as summed by the control VM a moment ago. Servers that are not named
-    /// have none.
+    /// Requests of all entry VMs at the servers, as summed by the control VM from reports that are up to two intervals
+    /// old. Servers that are not named have none. What a server told itself since then is kept.
     void fleetLoads(std::span<const fleet::ServerLoad> loads, Instant now);
 
     /// The server told its running and waiting requests.
@@ -148,6 +148,8 @@
         unsigned reported { 0 };
         unsigned outstandingAtReport { 0 };
         Instant reportedAt;
+        /// When the server itself told its requests.
+        Instant toldAt;
         Instant progressAt;
         Instant suspendedUntil;
         Duration suspension {};
@@ -173,6 +175,7 @@
     [[nodiscard]] bool coldTokenReady(Entry& entry, double rate, Instant now) const;
     /// Whether this VM is one of those that send to a server while it is cold.
     [[nodiscard]] bool isDelegate(const Entry& entry, double all) const;
+    static void setReported(Entry& entry, unsigned requests, Instant now);
     void withdraw(const ServerId& server);
     /// When a request should come back that found all groups full. Later ones come back later.
     [[nodiscard]] Duration returnTime(const Query& query, std::size_t groups);
@@ -185,6 +188,9 @@
     unsigned m_position { 0 };
     /// When the request that was refused last comes back.
     std::map<ModelName, Instant> m_lastReturn;
+    /// Arrival of the last sums, and the time since those before.
+    Instant m_sumsAt;
+    Duration m_sumsInterval {};
 };
 
 } // namespace rosemarymill::dispatch
--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -251,12 +251,17 @@
 
 void Balancer::fleetLoads(std::span<const fleet::ServerLoad> loads, Instant now)
 {
+    m_sumsInterval = m_sumsAt == Instant {} ? Duration {} : std::min(now - m_sumsAt, m_settings.reportLife);
+    m_sumsAt = now;
+    // Half of the reports in the sums are older.
+    const auto reportsSince = now - m_sumsInterval / 2;
     for (auto& known : m_entries) {
         const auto& server = known.first;
         auto& entry = known.second;
         const auto it
             = std::find_if(loads.begin(), loads.end(), [&](const auto& load) { return load.server == server; });
-        loadReported(server, it == loads.end() ? 0 : it->requests, now);
+        if (entry.toldAt < reportsSince)
+            setReported(entry, it == loads.end() ? 0 : it->requests, now);
         readPrompts(entry, now);
         entry.otherPrompts = it == loads.end() ? 0 : std::max(it->promptTokens - entry.reportedPrompts, 0.0);
     }
@@ -267,9 +272,15 @@
     const auto it = m_entries.find(server);
     if (it == m_entries.end())
         return;
-    it->second.reported = requests;
-    it->second.outstandingAtReport = it->second.outstanding;
-    it->second.reportedAt = now;
+    it->second.toldAt = now;
+    setReported(it->second, requests, now);
+}
+
+void Balancer::setReported(Entry& entry, unsigned requests, Instant now)
+{
+    entry.reported = requests;
+    entry.outstandingAtReport = entry.outstanding;
+    entry.reportedAt = now;
 }
 
 void Balancer::succeeded(const ServerId& server, Instant now)
--- a/tests/core/dispatch/balancer.cpp
+++ b/tests/core/dispatch/balancer.cpp
@@ -298,3 +298,20 @@
     // Nobody was refused for long.
     CHECK(retryAfter(start + 10s) == 500ms);
 }
+
+TEST_CASE("what a server told a moment ago is not replaced by older sums", "[dispatch]")
+{
+    Balancer balancer(settings(), 1);
+    fleet::TargetDelta delta;
+    delta.upserts = { target("a"), target("b") };
+    balancer.apply(delta, start);
+    const std::vector<fleet::ServerLoad> none;
+    balancer.fleetLoads(none, start);
+    balancer.loadReported(ServerId { "a" }, 26, start + 390ms);
+    balancer.fleetLoads(none, start + 400ms);
+    for (int i = 0; i < 20; ++i)
+        CHECK(chosen(balancer, query(start + 400ms)) == "b");
+    balancer.loadReported(ServerId { "a" }, 0, start + 500ms);
+    balancer.loadReported(ServerId { "b" }, 13, start + 500ms);
+    CHECK(chosen(balancer, query(start + 500ms)) == "a");
+}
