Spread requests over groups by the age of the fleet's sums

Cause: entry VMs choose the group with the shortest expected delay by sums that are up to two report intervals old, 0.9 s with 87 entry VMs. Until the next sums all of them choose the same group.

Too few groups is ruled out only for the model with groups of 6 servers.

Change: each VM expects the others to have sent as much work as itself since the sums were taken, and chooses among the groups with the probability by which that work would level their delays.

Open: the model with groups of 12 servers is short of groups.

--- a/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
@@ -165,11 +165,32 @@
         double promptRate { 0 };
     };
 
+    /// Group that may be chosen, with the time until it is expected to send the first event.
+    struct Candidate {
+        Entry* entry { nullptr };
+        double score { 0 };
+        double load { 0 };
+    };
+
+    /// Work of this VM's requests for a model, in seconds of a group per second, as an exponential average.
+    struct WorkRate {
+        double rate { 0 };
+        Instant at;
+    };
+
     /// Accounts for the prompts that the group has read since the last call.
     static void readPrompts(Entry& entry, Instant now);
     /// Time until the group is expected to send the first event of a request.
     [[nodiscard]] double expectedDelay(Entry& entry, const Query& query) const;
 
+    /// Work that other entry VMs are expected to have given to the model's groups since the sums were taken, in seconds
+    /// of a group.
+    [[nodiscard]] double unseenWork(const Query& query);
+    /// Chooses among the candidates in the proportion in which the unseen work levels their delays. Without unseen work
+    /// that is the soonest one.
+    [[nodiscard]] const Candidate& chooseSoonest(std::span<const Candidate> candidates, double unseen);
+    void countWork(const ModelName& model, const Work& work, Instant now);
+
     [[nodiscard]] double loadOf(const Entry& entry, Instant now) const;
     [[nodiscard]] static bool isCold(const Entry& entry, const Query& query);
     [[nodiscard]] bool coldTokenReady(Entry& entry, double rate, Instant now) const;
@@ -188,6 +209,7 @@
     unsigned m_position { 0 };
     /// When the request that was refused last comes back.
     std::map<ModelName, Instant> m_lastReturn;
+    std::map<ModelName, WorkRate> m_workRates;
     /// Arrival of the last sums, and the time since those before.
     Instant m_sumsAt;
     Duration m_sumsInterval {};
--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -3,6 +3,7 @@
 #include <rosemarymill/core/base/hash.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace rosemarymill::dispatch {
 
@@ -34,6 +35,9 @@
 /// Part of the cold rate that is used, since the VMs' windows do not begin together.
 constexpr double coldSafety = 0.7;
 
+/// Time constant of the average of this VM's work: a VM that sends a request a second counts several of them.
+constexpr Duration workAverage = 5s;
+
 /// With many entry VMs only some send to a cold server, two requests a second at most. Their number varies by chance,
 /// so they are counted with half as much again.
 constexpr double delegateCost = 3;
@@ -145,6 +149,51 @@
         + waiting * seconds(query.work.slotWait);
 }
 
+void Balancer::countWork(const ModelName& model, const Work& work, Instant now)
+{
+    if (work.promptRate <= 0)
+        return;
+    auto& it = m_workRates[model];
+    it.rate *= std::exp(-seconds(now - it.at) / seconds(workAverage));
+    it.rate += (work.promptTokens / work.promptRate + seconds(work.eventCost)) / seconds(workAverage);
+    it.at = now;
+}
+
+double Balancer::unseenWork(const Query& query)
+{
+    const auto it = m_workRates.find(query.model);
+    if (it == m_workRates.end() || m_sumsAt == Instant {} || m_entryVms < 2)
+        return 0;
+    // The reports in a sum are half an interval old on average when it is sent.
+    const auto age = std::min(query.now - m_sumsAt + m_sumsInterval / 2, m_settings.reportLife);
+    const auto rate = it->second.rate * std::exp(-seconds(query.now - it->second.at) / seconds(workAverage));
+    return rate * (m_entryVms - 1) * seconds(age);
+}
+
+const Balancer::Candidate& Balancer::chooseSoonest(std::span<const Candidate> candidates, double unseen)
+{
+    std::vector<const Candidate*> sorted;
+    sorted.reserve(candidates.size());
+    for (const auto& it : candidates)
+        sorted.push_back(&it);
+    std::sort(sorted.begin(), sorted.end(), [](const auto* a, const auto* b) { return a->score < b->score; });
+    // Level that the soonest groups reach together once they have got the unseen work.
+    std::size_t n = 0;
+    double sum = 0;
+    double level = 0;
+    do {
+        sum += sorted[n++]->score;
+        level = (unseen + sum) / static_cast<double>(n);
+    } while (n < sorted.size() && sorted[n]->score < level);
+    auto point = std::uniform_real_distribution<double>(0, unseen)(m_random);
+    for (std::size_t i = 0; i < n; ++i) {
+        point -= level - sorted[i]->score;
+        if (point < 0)
+            return *sorted[i];
+    }
+    return *sorted.front();
+}
+
 Duration Balancer::returnTime(const Query& query, std::size_t groups)
 {
     auto& last = m_lastReturn[query.model];
@@ -163,8 +212,7 @@
     const auto groups = static_cast<std::size_t>(
         std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& it) { return serves(it.second); }));
     const auto preferred = groups * m_position / std::max(m_entryVms, 1U);
-    Entry* best = nullptr;
-    double bestScore = 0;
+    std::vector<Candidate> candidates;
     Choice choice;
     Refusal refusal { NoServer::Unknown, retryAfterUnknown };
     const auto limit = 1 + m_settings.queueShare;
@@ -196,20 +244,18 @@
         const auto score = query.work.promptRate > 0
             ? expectedDelay(entry, query) + preferenceStep * static_cast<double>(rank)
             : load + noise(m_random) + (target.dataCentre == m_settings.dataCentre ? 0 : m_settings.remotePenalty);
-        if (best && score >= bestScore)
-            continue;
-        best = &entry;
-        bestScore = score;
-        choice.load = load;
+        candidates.push_back({ &entry, score, load });
     }
-    if (!best) {
+    if (candidates.empty()) {
         if (refusal.reason == NoServer::Full && query.work.promptRate > 0)
             refusal.retryAfter = returnTime(query, groups);
         return refusal;
     }
-    if (isCold(*best, query))
-        best->coldTokens -= 1;
-    choice.target = &best->target;
+    const auto& best = chooseSoonest(candidates, unseenWork(query));
+    if (isCold(*best.entry, query))
+        best.entry->coldTokens -= 1;
+    choice.target = &best.entry->target;
+    choice.load = best.load;
     return choice;
 }
 
@@ -223,6 +269,7 @@
         entry.progressAt = now;
     readPrompts(entry, now);
     entry.ownPrompts += work.promptTokens;
+    countWork(entry.target.model, work, now);
 }
 
 void Balancer::ended(const ServerId& server)
--- a/tests/core/dispatch/balancer.cpp
+++ b/tests/core/dispatch/balancer.cpp
@@ -299,6 +299,126 @@
     CHECK(retryAfter(start + 10s) == 500ms);
 }
 
+namespace {
+
+/// Entry VMs that send to groups which read prompts one after the other, and learn each other's requests only by sums
+/// of reports, both made at intervals as in a fleet of that size.
+struct StaleFleet {
+    static constexpr unsigned vms = 87;
+    static constexpr Duration interval = 435ms;
+    static constexpr double promptRate = 50'000;
+    static constexpr unsigned promptTokens = 1000;
+
+    struct Running {
+        unsigned vm { 0 };
+        std::string group;
+        Instant read;
+        Instant end;
+    };
+
+    explicit StaleFleet(unsigned groups)
+    {
+        fleet::TargetDelta delta;
+        for (unsigned i = 0; i < groups; ++i)
+            delta.upserts.push_back(target("group-" + std::to_string(i), 48));
+        for (unsigned i = 0; i < vms; ++i) {
+            balancers.emplace_back(settings(), i + 1);
+            balancers.back().setEntryVms(vms, i);
+            balancers.back().apply(delta, start);
+            reportAt.push_back(start + interval * i / vms);
+        }
+    }
+
+    void exchangeLoads(Instant now)
+    {
+        for (unsigned i = 0; i < vms; ++i) {
+            if (now < reportAt[i])
+                continue;
+            reportAt[i] += interval;
+            reports[i] = balancers[i].ownLoads(now);
+        }
+        if (now < pushAt)
+            return;
+        pushAt = now + interval;
+        std::map<ServerId, fleet::ServerLoad> sums;
+        for (const auto& [vm, loads] : reports) {
+            for (const auto& it : loads) {
+                auto& sum = sums[it.server];
+                sum.server = it.server;
+                sum.requests += it.requests;
+                sum.promptTokens += it.promptTokens;
+            }
+        }
+        std::vector<fleet::ServerLoad> totals;
+        for (const auto& [server, sum] : sums)
+            totals.push_back(sum);
+        for (auto& it : balancers)
+            it.fleetLoads(totals, now);
+    }
+
+    /// Sends a request of a random VM and adds the time until its prompt is read.
+    void send(Instant now)
+    {
+        const auto vm = std::uniform_int_distribution<unsigned>(0, vms - 1)(random);
+        auto it = query(now);
+        it.work = { promptTokens, promptRate, 500us, 20ms };
+        const auto group = chosen(balancers[vm], it);
+        if (group.empty()) {
+            ++refused;
+            return;
+        }
+        balancers[vm].sent(ServerId { group }, now, it.work);
+        auto& free = freeAt[group];
+        free = std::max(free, now) + std::chrono::duration_cast<Duration>(1s * (promptTokens / promptRate));
+        running.push_back({ vm, group, free, free + 1s });
+        waits.push_back(free - now);
+    }
+
+    void run(Duration time, double requestsPerSecond)
+    {
+        constexpr Duration step = 1ms;
+        std::poisson_distribution<unsigned> arrivals(requestsPerSecond / (1s / step));
+        for (auto now = start; now < start + time; now += step) {
+            exchangeLoads(now);
+            for (auto& it : running) {
+                if (now >= it.end)
+                    balancers[it.vm].ended(ServerId { it.group });
+            }
+            std::erase_if(running, [&](const auto& it) { return now >= it.end; });
+            for (auto n = arrivals(random); n > 0; --n)
+                send(now);
+        }
+    }
+
+    std::vector<Balancer> balancers;
+    std::vector<Instant> reportAt;
+    Instant pushAt { start };
+    std::map<unsigned, std::vector<fleet::ServerLoad>> reports;
+    std::vector<Running> running;
+    std::map<std::string, Instant> freeAt;
+    std::vector<Duration> waits;
+    unsigned refused { 0 };
+    std::minstd_rand random { 1 };
+};
+
+} // namespace
+
+TEST_CASE("entry VMs with an old view do not all choose the same group", "[dispatch]")
+{
+    for (const unsigned groups : { 6U, 12U }) {
+        StaleFleet fleet(groups);
+        // Half of what the groups can read.
+        fleet.run(20s, 0.5 * groups * StaleFleet::promptRate / StaleFleet::promptTokens);
+        // Answers are on time when the first event comes within 300 ms, of which the first pass takes a third. With
+        // half of the groups' time free, chance alone makes fewer than one in twenty late.
+        constexpr Duration readGoal = 200ms;
+        const auto late = std::count_if(fleet.waits.begin(), fleet.waits.end(), [&](auto it) { return it > readGoal; });
+        CAPTURE(groups, late, fleet.waits.size());
+        CHECK(fleet.refused == 0);
+        CHECK(static_cast<double>(late) <= 0.05 * static_cast<double>(fleet.waits.size()));
+    }
+}
+
 TEST_CASE("what a server told a moment ago is not replaced by older sums", "[dispatch]")
 {
     Balancer balancer(settings(), 1);
