Name all requests of an entry VM in a report of stuck ones

Cause: a report replaces the sender's requests in the leader's sums, and the report of a stuck server named none. It also told "no traffic" and document 0.

Change: a stuck server is named in an ordinary report, which is sent at once. Servers that stall in one pass of the event loop share a report.

Before: the new case sees a report with 0 of 2 requests, no traffic and document 0; after: all are named.

--- a/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
@@ -57,6 +57,8 @@
     void receive(const fleet::DocumentPush& push);
     void receive(const fleet::Members& members);
     void reportStall(const ServerId& server);
+    /// Reports requests and progress, and servers at which requests are stuck. A report replaces the sender's earlier
+    /// requests, so each one names all of them.
     void report(Instant now);
     void tick();
 
@@ -72,7 +74,10 @@
     std::map<ServerId, Instant> m_stalls;
     std::function<void()> m_finished;
     Instant m_drainSince;
+    /// Servers to name in the next report.
+    std::vector<ServerId> m_stalled;
     EventHandle m_tick;
+    EventHandle m_stallReport;
 };
 
 } // namespace rosemarymill::runtime::nodes
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -33,6 +33,9 @@
     , m_tick(event_new(
           base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<EntryNode*>(self)->tick(); },
           this))
+    , m_stallReport(event_new(
+          base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<EntryNode*>(self)->report(readClock()); },
+          this))
 {
     m_link.setSeeds(m_settings.seeds);
     m_proxy.onStall([this](const ServerId& server) { reportStall(server); });
@@ -93,22 +96,24 @@
     if (reportedAt != Instant {} && now < reportedAt + stallInterval)
         return;
     reportedAt = now;
-    core::Report report;
-    report.stalled.push_back(server);
-    m_link.send(report);
+    // Servers that stall in one pass of the event loop go into one report.
+    m_stalled.push_back(server);
+    event_active(m_stallReport.get(), EV_TIMEOUT, 0);
 }
 
 void EntryNode::report(Instant now)
 {
     m_reportedAt = now;
     const auto progress = m_proxy.takeProgress();
+    auto stalled = std::exchange(m_stalled, {});
     const bool traffic = m_proxy.counters().requests > 0 && !m_trafficReported;
     core::Report report;
     report.loads = m_proxy.balancer().ownLoads(now);
     const bool hadLoads = std::exchange(m_loadsReported, !report.loads.empty());
-    if (!m_link.connected() || (progress.empty() && !traffic && report.loads.empty() && !hadLoads))
+    if (!m_link.connected() || (progress.empty() && stalled.empty() && !traffic && report.loads.empty() && !hadLoads))
         return;
     report.progressed.assign(progress.begin(), progress.end());
+    report.stalled = std::move(stalled);
     report.traffic = m_proxy.counters().requests > 0;
     report.documentVersion = m_proxy.table() ? m_proxy.table()->document().version : 0;
     m_trafficReported = report.traffic;
