Believe unanswered probes only while other domains answer

Cause: two probes without an answer within 200 to 350 ms make a member dead. When documents fill the leader's connection, answers of servers that serve come later than that. Entry VMs heard of it late: 2,432 attempts ended with 421, none of them before 21.9 s, and 1,802 of the 2,257 refusals of model requests followed from them.

Change: an unanswered probe has some servers of each other domain probed. A server becomes dead only if three quarters of the probes of other domains were answered within the last half second. A lost member, a dark domain, a cut data centre and servers that are cut one by one leave more than that.

A dark domain's groups are still closed within 1.2 s.

Documents that fill the connection still delay changes of the targets.

--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -40,6 +40,14 @@
     Duration suspicionRepeat { 300ms };
     /// Unanswered probes after which a server counts as dead.
     unsigned deadProbes { 2 };
+    /// Answers to probes of other fabric domains are this old at most when they show that the leader itself can be
+    /// reached: longer than a probe and its repetition take.
+    Duration controlWindow { 500ms };
+    /// Servers of each other domain that are probed for that.
+    unsigned controlProbes { 3 };
+    /// Part of the probes of other domains that has to be answered, each domain counting alike. Two domains of a data
+    /// centre that is cut leave more than this part of six domains.
+    double controlShare { 0.75 };
     /// Servers that are silent for this long are forgotten.
     Duration forgetAfter { 30s };
     /// A new leader waits this long for the servers' memberships before it judges groups: two heartbeat intervals.
@@ -227,6 +235,11 @@
     void probe(KnownServer& server, Duration timeout, Effects& effects);
     void probeSilentServers(Effects& effects);
     void probeSuspectGroups(Effects& effects);
+    /// Probes some servers of each other domain whose last results are old.
+    void probeControls(const FabricDomainId& domain, Effects& effects);
+    /// Whether most probes of the other domains were answered. If they were not, a server that does not answer may be
+    /// alive and the leader's own connection congested.
+    [[nodiscard]] bool controlsAnswer(const FabricDomainId& domain) const;
 
     // Groups
     void adopt(const ServerRecord& record, Effects& effects);
@@ -301,6 +314,15 @@
     std::set<DataCentreId> m_outOfService;
     std::map<ServerId, Target> m_published;
     std::set<ServerId> m_lost;
+    /// Results of probes within the control window.
+    struct ProbeResult {
+        Instant at;
+        FabricDomainId domain;
+        bool answered { false };
+    };
+    std::deque<ProbeResult> m_probeResults;
+    /// Last time that unanswered probes were logged as the leader's own fault.
+    Instant m_distrustLoggedAt;
     /// Starts of loads within the last window.
     std::deque<Instant> m_loadStarts;
 };
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -12,6 +12,9 @@
 /// Heartbeats within which a server cannot have been a member: it reports that it joins, is ready, and leaves.
 constexpr std::uint64_t newbornSequence = 2;
 
+/// Unanswered probes that are not believed are logged at most this often.
+constexpr Duration distrustLogInterval = 1s;
+
 /// Whether entry VMs have to hear of the difference. The rest of a cold start only shrinks on its own.
 bool differs(const Target& a, const Target& b)
 {
@@ -92,6 +95,7 @@
     m_published.clear();
     m_lost.clear();
     m_loadStarts.clear();
+    m_probeResults.clear();
     log(m_leads ? "lead" : "follow", "term " + std::to_string(m_term), "election", effects);
 }
 
@@ -114,6 +118,9 @@
     auto* server = m_registry.find(event.server);
     if (!m_leads || !server)
         return;
+    while (!m_probeResults.empty() && m_now > m_probeResults.front().at + m_settings.controlWindow)
+        m_probeResults.pop_front();
+    m_probeResults.push_back({ m_now, server->record.domain, event.result == event::ProbeResult::Alive });
     if (event.result == event::ProbeResult::Alive) {
         server->probedAliveAt = m_now;
         server->failedProbes = 0;
@@ -121,6 +128,17 @@
     }
     ++server->failedProbes;
     server->gone = event.result == event::ProbeResult::Gone;
+    if (!server->gone) {
+        const auto& domain = server->record.domain;
+        if (server->failedProbes >= m_settings.deadProbes && !controlsAnswer(domain)) {
+            server->failedProbes = m_settings.deadProbes - 1;
+            if (m_now >= m_distrustLoggedAt + distrustLogInterval) {
+                m_distrustLoggedAt = m_now;
+                log("distrust probes", event.server.text(), "other domains do not answer either", effects);
+            }
+        }
+        probeControls(domain, effects);
+    }
     if (server->gone || server->failedProbes == m_settings.deadProbes)
         log("suspect server", event.server.text(),
             std::string(server->gone ? "no process at its address" : "probes unanswered") + ", silent for "
@@ -130,6 +148,49 @@
     publish(false, effects);
 }
 
+void Control::probeControls(const FabricDomainId& domain, Effects& effects)
+{
+    std::map<FabricDomainId, std::vector<KnownServer*>> others;
+    for (auto& [id, server] : m_registry.servers()) {
+        if (server.record.domain != domain && !isDead(server))
+            others[server.record.domain].push_back(&server);
+    }
+    for (auto& [other, servers] : others) {
+        if (std::any_of(servers.begin(), servers.end(),
+                [&](const auto* it) { return m_now < it->probeSentAt + m_settings.controlWindow; }))
+            continue;
+        const auto n = std::min<std::size_t>(servers.size(), m_settings.controlProbes);
+        std::partial_sort(servers.begin(), servers.begin() + static_cast<std::ptrdiff_t>(n), servers.end(),
+            [](const auto* a, const auto* b) { return a->probeSentAt < b->probeSentAt; });
+        for (std::size_t i = 0; i < n; ++i)
+            probe(*servers[i], m_settings.memberProbeTimeout, effects);
+    }
+}
+
+bool Control::controlsAnswer(const FabricDomainId& domain) const
+{
+    struct Results {
+        double answered { 0 };
+        double all { 0 };
+    };
+    std::map<FabricDomainId, Results> others;
+    for (const auto& [id, server] : m_registry.servers()) {
+        if (server.record.domain != domain && !isDead(server))
+            others[server.record.domain];
+    }
+    for (const auto& it : m_probeResults) {
+        const auto results = others.find(it.domain);
+        if (results == others.end() || m_now > it.at + m_settings.controlWindow)
+            continue;
+        results->second.answered += it.answered ? 1 : 0;
+        ++results->second.all;
+    }
+    double answering = 0;
+    for (const auto& [other, it] : others)
+        answering += it.all > 0 ? it.answered / it.all : 0;
+    return answering >= m_settings.controlShare * static_cast<double>(others.size());
+}
+
 void Control::handle(const event::ProgressReported& event, Effects&)
 {
     if (auto* group = groupOf(event.server))
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -345,7 +345,9 @@
 
 TEST_CASE("loads stay within the weight store's limit once there is traffic", "[fleet]")
 {
-    FakeFleet fleet({ .domains = 6 });
+    FleetOptions options;
+    options.domains = 6;
+    FakeFleet fleet(options);
     fleet.decide(rosemarymill::fleet::event::TrafficStarted { fleet.now });
     fleet.lead(1);
     std::vector<Instant> starts;
@@ -470,3 +472,45 @@
     fleet.run(20s);
     CHECK_FALSE(fleet.violations.empty());
 }
+
+TEST_CASE("a leader whose own connection is congested closes no group that serves", "[fleet]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        FleetOptions options;
+        options.seed = seed;
+        options.domains = 6;
+        FakeFleet fleet(options);
+        fleet.lead(1);
+        fleet.run(90s);
+        const auto heads = fleet.openHeads();
+        fleet.lostProbes = 0.65;
+        // Requests are stuck for a while at each of them.
+        for (int i = 0; i < 20; ++i) {
+            for (const auto& it : heads)
+                fleet.decide(rosemarymill::fleet::event::StallReported { fleet.now, it });
+            fleet.run(150ms);
+        }
+        CHECK(fleet.openHeads() == heads);
+    }
+}
+
+TEST_CASE("groups of a domain that goes dark are closed while the other domains answer", "[fleet]")
+{
+    FleetOptions options;
+    options.domains = 6;
+    FakeFleet fleet(options);
+    fleet.lead(1);
+    fleet.run(90s);
+    for (const auto& [id, server] : fleet.servers) {
+        if (server.record.domain == FabricDomainId { "domain-0" })
+            fleet.kill(id);
+    }
+    for (int i = 0; i < 8; ++i) {
+        for (const auto& [id, target] : std::map(fleet.control.targets()))
+            if (!fleet.servers.at(id).alive)
+                fleet.decide(rosemarymill::fleet::event::StallReported { fleet.now, id });
+        fleet.run(150ms);
+    }
+    for (const auto& [id, target] : fleet.control.targets())
+        CHECK(fleet.servers.at(id).alive);
+}
--- a/tests/core/fleet/fake_fleet.hpp
+++ b/tests/core/fleet/fake_fleet.hpp
@@ -266,7 +266,7 @@
     void answerProbe(const ServerId& id, Duration timeout)
     {
         const auto& server = servers.at(id);
-        const bool answers = server.alive && !server.cut;
+        const bool answers = server.alive && !server.cut && (lostProbes <= 0 || !chance(lostProbes));
         later(answers ? trip : timeout, [this, id, answers] {
             decide(fleet::event::ProbeAnswered {
                 now, id, answers ? fleet::event::ProbeResult::Alive : fleet::event::ProbeResult::Silent });
@@ -412,6 +412,8 @@
     std::map<ServerId, Server> servers;
     fleet::Control control;
     std::set<DataCentreId> outOfService;
+    /// Probability that a probe is answered too late, as when the leader's connection is congested.
+    double lostProbes { 0 };
     std::vector<std::string> violations;
     std::vector<fleet::TargetDelta> published;
 };
