Show the age of the fleet's sums, choices without a server and open groups by model

Entry VMs tell the time since the leader's last sums and how often no server was chosen, by reason; the leader tells the groups that serve by model.

--- a/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <span>
 #include <variant>
@@ -112,6 +113,12 @@
     /// old. Servers that are not named have none. What a server told itself since then is kept.
     void fleetLoads(std::span<const fleet::ServerLoad> loads, Instant now);
 
+    /// When the last sums arrived; none if there were no sums yet.
+    [[nodiscard]] std::optional<Instant> fleetLoadsAt() const noexcept
+    {
+        return m_sumsAt == Instant {} ? std::nullopt : std::optional { m_sumsAt };
+    }
+
     /// The server told its running and waiting requests.
     void loadReported(const ServerId& server, unsigned requests, Instant now);
 
--- a/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
@@ -11,6 +11,7 @@
 #include <rosemarymill/runtime/proxy/names.hpp>
 #include <rosemarymill/runtime/proxy/upstream.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <iosfwd>
@@ -115,6 +116,8 @@
     std::set<ServerId> m_progress;
     StallHandler m_stallHandler;
     ProxyCounters m_counters;
+    /// Requests for which no server was chosen, by reason.
+    std::array<std::uint64_t, 4> m_withoutServer {};
     TimeSummary m_firstByte;
     TimeSummary m_total;
     std::minstd_rand m_random;
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -504,8 +504,12 @@
             << '\n';
     };
     std::size_t open = 0;
-    for (const auto& [name, group] : m_control.groups())
-        open += group.phase == core::GroupPhase::Open ? 1 : 0;
+    std::map<ModelName, std::size_t> openByModel;
+    for (const auto& [name, group] : m_control.groups()) {
+        const bool isOpen = group.phase == core::GroupPhase::Open;
+        open += isOpen ? 1 : 0;
+        openByModel[group.model] += isOpen ? 1 : 0;
+    }
     gauge("leads", m_leads ? 1 : 0);
     gauge("term", m_replica->term());
     gauge("voters", m_replica->voters().size());
@@ -513,6 +517,9 @@
     gauge("servers", m_control.registry().servers().size());
     gauge("groups", m_control.groups().size());
     gauge("open_groups", open);
+    out << "# TYPE rosemarymill_control_open_model_groups gauge\n";
+    for (const auto& [model, n] : openByModel)
+        out << "rosemarymill_control_open_model_groups{model=\"" << model.text() << "\"} " << n << '\n';
     gauge("entry_vms", m_entryCount);
     gauge("proposals", m_proposals.size());
 }
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -435,6 +435,7 @@
     constexpr std::array<const char*, 4> reasons { "no server serves it", "all servers fail", "all servers are full",
         "all servers with room are cold" };
     const auto* why = reasons[static_cast<std::size_t>(refusal.reason)];
+    ++m_proxy.m_withoutServer[static_cast<std::size_t>(refusal.reason)];
     const auto now = readClock();
     if (m_state.headSent) {
         if (!m_waitingSince)
--- a/packages/runtime/src/proxy/proxy.cpp
+++ b/packages/runtime/src/proxy/proxy.cpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/runtime/base/clock.hpp>
 
+#include <array>
 #include <ostream>
 #include <stdexcept>
 
@@ -164,6 +165,14 @@
     gauge("server_connections", m_pool.connections());
     gauge("targets", m_balancer.size());
     gauge("document_version", m_table ? m_table->document().version : 0);
+    constexpr std::array<const char*, 4> reasons { "unknown", "failing", "full", "cold" };
+    out << "# TYPE rosemarymill_proxy_without_server_total counter\n";
+    for (std::size_t i = 0; i < reasons.size(); ++i)
+        out << "rosemarymill_proxy_without_server_total{reason=\"" << reasons[i] << "\"} " << m_withoutServer[i]
+            << '\n';
+    if (const auto at = m_balancer.fleetLoadsAt())
+        out << "# TYPE rosemarymill_proxy_fleet_loads_age_seconds gauge\nrosemarymill_proxy_fleet_loads_age_seconds "
+            << std::chrono::duration<double>(readClock() - *at).count() << '\n';
     m_firstByte.write(out, "rosemarymill_proxy_first_event_seconds", {});
     m_total.write(out, "rosemarymill_proxy_call_seconds", {});
 }
