--- a/tests/core/dispatch/balancer.cpp
+++ b/tests/core/dispatch/balancer.cpp
@@ -350,6 +350,7 @@
             }
         }
         std::vector<fleet::ServerLoad> totals;
+        totals.reserve(sums.size());
         for (const auto& [server, sum] : sums)
             totals.push_back(sum);
         for (auto& it : balancers)
