Tell repeats by cause, the retry budget left and the entry VMs counted

Cause: the retry budget of the fleet was overrun, and neither logs nor metrics told whether a VM counted too few repeats or took too large a part. The part depends on the number of entry VMs, which no line and no metric named.

Change: `attempt ended` names what is left of the budget and the number of entry VMs; `entry VMs counted` tells each change of the number with the leader named and whether the VM was connected to it. Repeats are counted by the end of the attempt before. The budget left and the number of VMs are metrics. What the budget allows is unchanged.

--- a/packages/core/include/rosemarymill/core/dispatch/call.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/call.hpp
@@ -3,7 +3,9 @@
 #include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/core/routes/document.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 /// What happens to a call after an attempt at one server has ended.
 namespace rosemarymill::dispatch {
@@ -22,6 +24,12 @@
     Stalled
 };
 
+/// Number of values of AttemptEnd.
+inline constexpr std::size_t attemptEnds = 5;
+
+/// Name of the value in logs and metrics.
+[[nodiscard]] std::string_view nameOf(AttemptEnd end) noexcept;
+
 /// What a call has been through so far.
 struct CallState {
     bool repeatable { false };
--- a/packages/core/include/rosemarymill/core/dispatch/retry_budget.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/retry_budget.hpp
@@ -26,8 +26,11 @@
 
     void countRequest(Instant now) { count(now, m_requests); }
 
+    /// Repeats that are left of this VM's part; negative when the part has shrunk below what was used.
+    [[nodiscard]] double left(Instant now, unsigned entryVms) const;
+
     /// Whether one more repeat is within this VM's part.
-    [[nodiscard]] bool available(Instant now, unsigned entryVms);
+    [[nodiscard]] bool available(Instant now, unsigned entryVms) const { return left(now, entryVms) >= 1; }
 
     void countRepeat(Instant now) { count(now, m_repeats); }
 
@@ -38,7 +41,7 @@
     };
 
     void count(Instant now, std::deque<Bucket>& buckets) const;
-    std::uint64_t total(Instant now, std::deque<Bucket>& buckets) const;
+    [[nodiscard]] std::uint64_t total(Instant now, const std::deque<Bucket>& buckets) const;
 
     RetryLimits m_limits;
     std::deque<Bucket> m_requests;
--- a/packages/core/src/dispatch/call.cpp
+++ b/packages/core/src/dispatch/call.cpp
@@ -1,5 +1,7 @@
 #include <rosemarymill/core/dispatch/call.hpp>
 
+#include <array>
+
 namespace rosemarymill::dispatch {
 
 namespace {
@@ -13,6 +15,13 @@
 
 } // namespace
 
+std::string_view nameOf(AttemptEnd end) noexcept
+{
+    constexpr std::array<std::string_view, attemptEnds> names { "not sent", "rejected", "server error", "broken",
+        "stalled" };
+    return names[static_cast<std::size_t>(end)];
+}
+
 Step nextStep(const CallState& state, AttemptEnd end, bool budgetLeft, Instant now) noexcept
 {
     const bool timeLeft = now + minTimeForRetry < state.deadline;
--- a/packages/core/src/dispatch/retry_budget.cpp
+++ b/packages/core/src/dispatch/retry_budget.cpp
@@ -16,27 +16,29 @@
 
 void RetryBudget::count(Instant now, std::deque<Bucket>& buckets) const
 {
+    while (!buckets.empty() && now > buckets.front().begin + bucketWidth + m_limits.window)
+        buckets.pop_front();
     if (buckets.empty() || now >= buckets.back().begin + bucketWidth)
         buckets.push_back({ now, 0 });
     ++buckets.back().n;
 }
 
-std::uint64_t RetryBudget::total(Instant now, std::deque<Bucket>& buckets) const
+std::uint64_t RetryBudget::total(Instant now, const std::deque<Bucket>& buckets) const
 {
-    while (!buckets.empty() && now > buckets.front().begin + bucketWidth + m_limits.window)
-        buckets.pop_front();
     std::uint64_t n = 0;
-    for (const auto& it : buckets)
-        n += it.n;
+    for (const auto& it : buckets) {
+        if (now <= it.begin + bucketWidth + m_limits.window)
+            n += it.n;
+    }
     return n;
 }
 
-bool RetryBudget::available(Instant now, unsigned entryVms)
+double RetryBudget::left(Instant now, unsigned entryVms) const
 {
     const auto requests = static_cast<double>(total(now, m_requests));
     const auto repeats = static_cast<double>(total(now, m_repeats));
     const auto slack = m_limits.slack / static_cast<double>(std::max(entryVms, 1U));
-    return repeats + 1 <= safety * (m_limits.ratio * requests + slack);
+    return safety * (m_limits.ratio * requests + slack) - repeats;
 }
 
 } // namespace rosemarymill::dispatch
--- a/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
@@ -83,6 +83,8 @@
     std::string m_attemptId;
 
     dispatch::CallState m_state;
+    /// How the last attempt ended.
+    dispatch::AttemptEnd m_lastEnd { dispatch::AttemptEnd::NotSent };
     std::vector<ServerId> m_tried;
     Instant m_startedAt;
     Instant m_clientDeadline;
--- a/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
@@ -11,6 +11,7 @@
 #include <rosemarymill/runtime/proxy/names.hpp>
 #include <rosemarymill/runtime/proxy/upstream.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <iosfwd>
@@ -45,7 +46,8 @@
     std::uint64_t failed { 0 };
     std::uint64_t aborted { 0 };
     std::uint64_t abandoned { 0 };
-    std::uint64_t repeats { 0 };
+    /// Repeats by the end of the attempt before.
+    std::array<std::uint64_t, dispatch::attemptEnds> repeats {};
     std::uint64_t resumed { 0 };
     std::uint64_t events { 0 };
 };
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -66,8 +66,14 @@
     // Only the leader knows them.
     const auto& all = members.entryVms;
     const auto self = std::find(all.begin(), all.end(), m_settings.vm.text());
-    if (!all.empty())
-        m_proxy.balancer().setEntryVms(static_cast<unsigned>(all.size()), static_cast<unsigned>(self - all.begin()));
+    if (all.empty())
+        return;
+    const auto n = static_cast<unsigned>(all.size());
+    if (n != m_proxy.balancer().entryVms())
+        writeDecision("fleet", "entry VMs counted",
+            { { "n", std::to_string(n) }, { "before", std::to_string(m_proxy.balancer().entryVms()) },
+                { "leader", members.leader }, { "connected", m_link.connected() ? "yes" : "no" } });
+    m_proxy.balancer().setEntryVms(n, static_cast<unsigned>(self - all.begin()));
 }
 
 void EntryNode::receive(const core::DocumentPush& push)
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -80,10 +80,11 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-const char* nameOf(AttemptEnd end) noexcept
+std::string formatNumber(double value)
 {
-    constexpr std::array<const char*, 5> names { "not sent", "rejected", "server error", "broken", "stalled" };
-    return names[static_cast<std::size_t>(end)];
+    std::array<char, 16> text {};
+    const auto n = std::snprintf(text.data(), text.size(), "%.2f", value);
+    return { text.data(), std::min(static_cast<std::size_t>(n), text.size() - 1) };
 }
 
 } // namespace
@@ -175,7 +176,7 @@
     m_headSeen = m_streaming = false;
     m_attemptAt = m_lastBytesAt = now;
     if (!m_tried.empty()) {
-        ++m_proxy.m_counters.repeats;
+        ++m_proxy.m_counters.repeats[static_cast<std::size_t>(m_lastEnd)];
         m_proxy.budget(m_service->name).countRepeat(now);
     }
     m_tried.push_back(m_server);
@@ -396,12 +397,17 @@
         m_state.runs += mayHaveBegun ? 1 : 0;
         break;
     }
-    const bool budgetLeft = m_proxy.budget(m_service->name).available(now, m_proxy.m_balancer.entryVms());
+    m_lastEnd = end;
+    const auto entryVms = m_proxy.m_balancer.entryVms();
+    const auto budget = m_proxy.budget(m_service->name).left(now, entryVms);
+    const bool budgetLeft = budget >= 1;
     const auto step = dispatch::nextStep(m_state, end, budgetLeft, now);
     writeDecision("call", "attempt ended",
-        { { "request", m_attemptId }, { "server", server.text() }, { "end", nameOf(end) }, { "why", std::string(why) },
-            { "attempt", std::to_string(m_tried.size()) }, { "age_ms", std::to_string((now - m_attemptAt) / 1ms) },
-            { "budget", budgetLeft ? "left" : "spent" }, { "next", step == Step::TryNext ? "try next" : "end" } });
+        { { "request", m_attemptId }, { "server", server.text() }, { "end", std::string(nameOf(end)) },
+            { "why", std::string(why) }, { "attempt", std::to_string(m_tried.size()) },
+            { "age_ms", std::to_string((now - m_attemptAt) / 1ms) }, { "budget", budgetLeft ? "left" : "spent" },
+            { "budget_left", formatNumber(budget) }, { "entry_vms", std::to_string(entryVms) },
+            { "next", step == Step::TryNext ? "try next" : "end" } });
     if (step != Step::TryNext)
         return giveUp(step, why);
     if (m_state.headSent)
@@ -486,10 +492,7 @@
     if (!m_attemptId.empty())
         appendHeader(headers, m_proxy.m_settings.names.attemptId, m_attemptId);
     if (retryAfter > Duration::zero()) {
-        std::array<char, 16> seconds {};
-        const auto n
-            = std::snprintf(seconds.data(), seconds.size(), "%.2f", std::chrono::duration<double>(retryAfter).count());
-        appendHeader(headers, "Retry-After", { seconds.data(), static_cast<std::size_t>(n) });
+        appendHeader(headers, "Retry-After", formatNumber(std::chrono::duration<double>(retryAfter).count()));
     }
     m_client.answer(status, status == 503 ? "Service Unavailable" : "Failed", headers, {}, m_client.closing());
 }
@@ -560,14 +563,12 @@
     if (m_eventCount > 0)
         m_proxy.m_firstByte.add(m_firstEventAt - m_startedAt);
     const auto age = [&](Instant it) { return std::to_string((it - m_startedAt) / 1ms); };
-    std::array<char, 16> load {};
-    std::snprintf(load.data(), load.size(), "%.2f", m_chosenLoad);
     writeDecision("call", outcome,
         { { "request", m_attemptId }, { "route", m_route ? m_route->name : std::string {} },
             { "account", m_account ? m_account->id.text() : std::string {} }, { "model", m_model.text() },
             { "status", std::to_string(status) }, { "why", std::string(why) },
             { "server", m_tried.empty() ? std::string {} : m_tried.back().text() },
-            { "attempts", std::to_string(m_tried.size()) }, { "load", load.data() },
+            { "attempts", std::to_string(m_tried.size()) }, { "load", formatNumber(m_chosenLoad) },
             { "candidates", std::to_string(m_candidates) },
             { "document", std::to_string(m_table ? m_table->document().version : 0) },
             { "first_event_ms", m_eventCount > 0 ? age(m_firstEventAt) : std::string {} }, { "ms", age(now) } });
--- a/packages/runtime/src/proxy/proxy.cpp
+++ b/packages/runtime/src/proxy/proxy.cpp
@@ -156,7 +156,6 @@
     counter("failed", m_counters.failed);
     counter("aborted", m_counters.aborted);
     counter("abandoned", m_counters.abandoned);
-    counter("repeats", m_counters.repeats);
     counter("resumed", m_counters.resumed);
     counter("events", m_counters.events);
     gauge("calls", m_calls.size());
@@ -164,6 +163,15 @@
     gauge("server_connections", m_pool.connections());
     gauge("targets", m_balancer.size());
     gauge("document_version", m_table ? m_table->document().version : 0);
+    gauge("entry_vms", m_balancer.entryVms());
+    out << "# TYPE rosemarymill_proxy_repeats_total counter\n";
+    for (std::size_t i = 0; i < m_counters.repeats.size(); ++i)
+        out << "rosemarymill_proxy_repeats_total{cause=\"" << nameOf(static_cast<dispatch::AttemptEnd>(i)) << "\"} "
+            << m_counters.repeats[i] << '\n';
+    out << "# TYPE rosemarymill_proxy_retry_budget_left gauge\n";
+    for (const auto& [service, budget] : m_budgets)
+        out << "rosemarymill_proxy_retry_budget_left{service=\"" << service.text() << "\"} "
+            << budget.left(readClock(), m_balancer.entryVms()) << '\n';
     m_firstByte.write(out, "rosemarymill_proxy_first_event_seconds", {});
     m_total.write(out, "rosemarymill_proxy_call_seconds", {});
 }
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -227,6 +227,21 @@
     CHECK_FALSE(client.has("failed"));
 }
 
+TEST_CASE("repeats are counted by the end of the attempt before", "[proxy]")
+{
+    World world;
+    auto& client = world.client("/lookup/1", "GET", "");
+    world.nextRequest().send(answer("500 Internal Server Error", "failed"));
+    world.nextRequest().send(answer("200 OK", "found"));
+    world.waitFor([&] { return client.has("found"); });
+    std::ostringstream metrics;
+    world.proxy->writeMetrics(metrics);
+    CHECK_THAT(metrics.str(), Catch::Contains("rosemarymill_proxy_repeats_total{cause=\"server error\"} 1\n"));
+    CHECK_THAT(metrics.str(), Catch::Contains("rosemarymill_proxy_repeats_total{cause=\"rejected\"} 0\n"));
+    CHECK_THAT(metrics.str(), Catch::Contains("rosemarymill_proxy_retry_budget_left{service=\"desk\"} "));
+    CHECK_THAT(metrics.str(), Catch::Contains("rosemarymill_proxy_entry_vms 1\n"));
+}
+
 TEST_CASE("a lookup goes to a second server after silence", "[proxy]")
 {
     World world;
