Divide the retry budget only by what the leader counts

Cause: entry VMs took the number of entry VMs from any control VM. Followers know only those that asked them lately, and a new leader those that have found it so far, so a VM whose connection to the leader was lost took the slack of the whole fleet for that of a few VMs. Besides, a process that had just started took a full part of the slack though the process before it had used its own, assumed 16 VMs until it was told, and requests up to 10.5 s old gave allowance to a window of 10 s.

Ruled out: repeats that are not counted.

Entry VMs listen to the leader only, and take no slack as long as they do not know the number. A process takes a quarter of its share of the slack in its first window, what the three quarters that the process before it may use leave. Requests count only while they lie in the window wholly.

Tests: 87 simulated VMs with a rolling restart of 33, with VMs that do not know the number, and with all restarting at once. An entry VM that is told of two VMs by a follower divided by 2, now not at all.

--- a/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
@@ -133,7 +133,10 @@
     {
         m_entryVms = n;
         m_position = position;
+        m_entryVmsKnown = true;
     }
+    /// Number of entry VMs once a control VM has told it, 0 before.
+    [[nodiscard]] unsigned knownEntryVms() const noexcept { return m_entryVmsKnown ? m_entryVms : 0; }
     [[nodiscard]] unsigned entryVms() const noexcept { return m_entryVms; }
     [[nodiscard]] const fleet::Target* find(const ServerId& server) const;
     [[nodiscard]] Instant lastProgress(const ServerId& server) const;
@@ -182,6 +185,7 @@
     std::map<ServerId, Entry> m_entries;
     /// Assumed before a control VM tells the number, so that shares of limits start small.
     unsigned m_entryVms { 16 };
+    bool m_entryVmsKnown { false };
     unsigned m_position { 0 };
     /// When the request that was refused last comes back.
     std::map<ModelName, Instant> m_lastReturn;
--- a/packages/core/include/rosemarymill/core/fleet/fwd.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/fwd.hpp
@@ -4,6 +4,7 @@
 namespace rosemarymill::fleet {
 
 class Control;
+class EntryRoster;
 class Machine;
 class Registry;
 struct Group;
--- a/packages/core/include/rosemarymill/core/fleet/message.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/message.hpp
@@ -26,6 +26,7 @@
     std::uint64_t term { 0 };
     std::vector<std::string> controls;
     std::vector<std::string> voters;
+    /// Empty when the sender does not know them all.
     std::vector<std::string> entryVms;
 };
 
--- a/packages/core/src/dispatch/retry_budget.cpp
+++ b/packages/core/src/dispatch/retry_budget.cpp
@@ -1,7 +1,5 @@
 #include <rosemarymill/core/dispatch/retry_budget.hpp>
 
-#include <algorithm>
-
 namespace rosemarymill::dispatch {
 
 namespace {
@@ -12,6 +10,9 @@
 /// Part of the limits that is used, since the VMs' windows do not begin together.
 constexpr double safety = 0.75;
 
+/// Part of its share of the slack that a process uses in its first window: what the process before it leaves.
+constexpr double firstWindowPart = 1 - safety;
+
 } // namespace
 
 void RetryBudget::count(Instant now, std::deque<Bucket>& buckets) const
@@ -23,22 +24,29 @@
     ++buckets.back().n;
 }
 
-std::uint64_t RetryBudget::total(Instant now, const std::deque<Bucket>& buckets) const
+double RetryBudget::slackShare(Instant now, unsigned entryVms) const
 {
-    std::uint64_t n = 0;
-    for (const auto& it : buckets) {
-        if (now <= it.begin + bucketWidth + m_limits.window)
-            n += it.n;
-    }
-    return n;
+    if (entryVms == 0)
+        return 0;
+    const bool first = now < m_startedAt + m_limits.window + bucketWidth;
+    return (first ? firstWindowPart : safety) * m_limits.slack / entryVms;
 }
 
 double RetryBudget::left(Instant now, unsigned entryVms) const
 {
-    const auto requests = static_cast<double>(total(now, m_requests));
-    const auto repeats = static_cast<double>(total(now, m_repeats));
-    const auto slack = m_limits.slack / static_cast<double>(std::max(entryVms, 1U));
-    return safety * (m_limits.ratio * requests + slack) - repeats;
+    std::uint64_t requests = 0;
+    for (const auto& it : m_requests) {
+        // A bucket that lies in the window only in part could give for requests that are too old.
+        if (now < it.begin + m_limits.window)
+            requests += it.n;
+    }
+    std::uint64_t repeats = 0;
+    for (const auto& it : m_repeats) {
+        if (now <= it.begin + bucketWidth + m_limits.window)
+            repeats += it.n;
+    }
+    return safety * m_limits.ratio * static_cast<double>(requests) + slackShare(now, entryVms)
+        - static_cast<double>(repeats);
 }
 
 } // namespace rosemarymill::dispatch
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rosemarymill/core/fleet/control.hpp>
+#include <rosemarymill/core/fleet/entry_roster.hpp>
 #include <rosemarymill/core/fleet/load_table.hpp>
 #include <rosemarymill/core/fleet/machine.hpp>
 #include <rosemarymill/core/fleet/voters.hpp>
@@ -131,8 +132,8 @@
     std::vector<VmId> m_learners;
     /// Used while this VM does not vote or knows no leader.
     ControlLink m_link;
-    /// Entry VMs by the time when they were last connected.
-    std::map<VmId, Instant> m_entryVms;
+    fleet::EntryRoster m_entryVms;
+    /// Number of entry VMs that was last told to them.
     unsigned m_entryCount { 0 };
     fleet::LoadTable m_loads;
     Instant m_loadsSentAt;
--- a/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
@@ -105,6 +105,7 @@
 
     event_base* m_base;
     ProxySettings m_settings;
+    Instant m_startedAt;
     std::shared_ptr<const routes::Table> m_table;
     dispatch::Balancer m_balancer;
     std::map<ServiceName, dispatch::RetryBudget> m_budgets;
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -23,9 +23,6 @@
 /// Ticks between two counts of the entry VMs: every second.
 constexpr unsigned countTicks = 20;
 
-/// An entry VM that was connected this recently still counts for the shares of limits.
-constexpr Duration entryMemory = 30s;
-
 /// Time for a server to answer an order.
 constexpr Duration orderTimeout = 600ms;
 
@@ -221,6 +218,7 @@
     const bool leads = m_replica->role() == agreement::Role::Leader && m_replica->caughtUp();
     if (leads != m_leads) {
         m_leads = leads;
+        m_entryVms.setLeads(leads, readClock());
         m_learners.clear();
         decide(core::event::LeadershipChanged { readClock(), leads, m_replica->term() });
         if (leads) {
@@ -364,16 +362,15 @@
     members.controls = members.voters;
     for (const auto& it : m_learners)
         members.controls.push_back(it.text());
-    for (const auto& [vm, heardAt] : m_entryVms)
-        members.entryVms.push_back(vm.text());
+    members.entryVms = m_entryVms.known(readClock());
     return members;
 }
 
 void ControlNode::onSubscribed(Subscriber& subscriber)
 {
-    m_subscribers.send(subscriber, members());
     if (!subscriber.subscription.control)
-        m_entryVms[subscriber.vm()] = readClock();
+        m_entryVms.heard(subscriber.vm(), readClock());
+    m_subscribers.send(subscriber, members());
     if (!m_leads)
         return;
     const auto& state = m_replica->machine().state();
@@ -400,7 +397,7 @@
 
 void ControlNode::onReport(const Subscriber& from, const core::Report& report)
 {
-    m_entryVms[from.vm()] = readClock();
+    m_entryVms.heard(from.vm(), readClock());
     if (!m_leads)
         return;
     m_loads.report(from.vm(), report.loads, readClock());
@@ -466,10 +463,10 @@
     const auto now = readClock();
     for (const auto& it : m_subscribers.subscribers()) {
         if (it.subscribed && !it.subscription.control)
-            m_entryVms[it.vm()] = now;
+            m_entryVms.heard(it.vm(), now);
     }
-    std::erase_if(m_entryVms, [&](const auto& it) { return now >= it.second + entryMemory; });
-    const auto n = static_cast<unsigned>(m_entryVms.size());
+    m_entryVms.expire(now);
+    const auto n = static_cast<unsigned>(m_entryVms.known(now).size());
     if (n != std::exchange(m_entryCount, n) && m_leads)
         m_subscribers.broadcast(members());
 }
@@ -489,7 +486,7 @@
     ++m_ticks;
     if (m_leads && m_ticks % decisionTicks == 0)
         decide(core::event::Tick { now });
-    if (m_leads && now >= m_loadsSentAt + std::max(minLoadInterval, loadIntervalPerVm * m_entryCount))
+    if (m_leads && now >= m_loadsSentAt + std::max(minLoadInterval, loadIntervalPerVm * m_entryVms.size()))
         pushLoads(now);
     if (m_ticks % countTicks == 0) {
         countEntryVms();
@@ -513,7 +510,7 @@
     gauge("servers", m_control.registry().servers().size());
     gauge("groups", m_control.groups().size());
     gauge("open_groups", open);
-    gauge("entry_vms", m_entryCount);
+    gauge("entry_vms", m_entryVms.size());
     gauge("proposals", m_proposals.size());
 }
 
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -63,7 +63,9 @@
 
 void EntryNode::receive(const core::Members& members)
 {
-    // Only the leader knows them.
+    // Other control VMs have heard of a few only; shares of limits that are divided by these would be too large.
+    if (!m_link.connected())
+        return;
     const auto& all = members.entryVms;
     const auto self = std::find(all.begin(), all.end(), m_settings.vm.text());
     if (all.empty())
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -398,7 +398,7 @@
         break;
     }
     m_lastEnd = end;
-    const auto entryVms = m_proxy.m_balancer.entryVms();
+    const auto entryVms = m_proxy.m_balancer.knownEntryVms();
     const auto budget = m_proxy.budget(m_service->name).left(now, entryVms);
     const bool budgetLeft = budget >= 1;
     const auto step = dispatch::nextStep(m_state, end, budgetLeft, now);
@@ -551,7 +551,7 @@
     m_proxy.m_balancer.failed(m_server, now);
     // Without another server to go on with, waiting is better than giving up.
     if (dispatch::nextStep(m_state, AttemptEnd::Stalled,
-            m_proxy.budget(m_service->name).available(now, m_proxy.m_balancer.entryVms()), now)
+            m_proxy.budget(m_service->name).available(now, m_proxy.m_balancer.knownEntryVms()), now)
         == Step::TryNext)
         endAttempt(AttemptEnd::Stalled, "silent for " + std::to_string(silent / 1ms) + " ms");
 }
--- a/packages/runtime/src/proxy/proxy.cpp
+++ b/packages/runtime/src/proxy/proxy.cpp
@@ -27,6 +27,7 @@
 Proxy::Proxy(event_base* base, ProxySettings settings)
     : m_base(base)
     , m_settings(std::move(settings))
+    , m_startedAt(readClock())
     , m_balancer(m_settings.balancer, m_settings.seed)
     , m_pool(base)
     , m_random(static_cast<std::minstd_rand::result_type>(m_settings.seed))
@@ -85,7 +86,7 @@
 
 dispatch::RetryBudget& Proxy::budget(const ServiceName& service)
 {
-    return m_budgets.try_emplace(service, m_settings.retryLimits).first->second;
+    return m_budgets.try_emplace(service, m_settings.retryLimits, m_startedAt).first->second;
 }
 
 void Proxy::scheduleCleanUp() { event_active(m_cleanUp.get(), EV_TIMEOUT, 0); }
@@ -163,7 +164,7 @@
     gauge("server_connections", m_pool.connections());
     gauge("targets", m_balancer.size());
     gauge("document_version", m_table ? m_table->document().version : 0);
-    gauge("entry_vms", m_balancer.entryVms());
+    gauge("entry_vms", m_balancer.knownEntryVms());
     out << "# TYPE rosemarymill_proxy_repeats_total counter\n";
     for (std::size_t i = 0; i < m_counters.repeats.size(); ++i)
         out << "rosemarymill_proxy_repeats_total{cause=\"" << nameOf(static_cast<dispatch::AttemptEnd>(i)) << "\"} "
@@ -171,7 +172,7 @@
     out << "# TYPE rosemarymill_proxy_retry_budget_left gauge\n";
     for (const auto& [service, budget] : m_budgets)
         out << "rosemarymill_proxy_retry_budget_left{service=\"" << service.text() << "\"} "
-            << budget.left(readClock(), m_balancer.entryVms()) << '\n';
+            << budget.left(readClock(), m_balancer.knownEntryVms()) << '\n';
     m_firstByte.write(out, "rosemarymill_proxy_first_event_seconds", {});
     m_total.write(out, "rosemarymill_proxy_call_seconds", {});
 }
--- a/tests/core/dispatch/retry_budget.cpp
+++ b/tests/core/dispatch/retry_budget.cpp
@@ -3,55 +3,158 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <random>
 #include <vector>
 
 using namespace rosemarymill;
+using dispatch::RetryBudget;
+using dispatch::RetryLimits;
 
 namespace {
 
-/// Largest excess of repeats over the limit in any window, over all entry VMs, when each VM repeats all that its budget
-/// allows. `share` is the number of entry VMs that each VM believes in.
-double worstExcess(std::uint64_t seed, unsigned vms, unsigned share)
+constexpr Instant start { 100s };
+constexpr Instant end { 140s };
+constexpr Duration step = 10ms;
+
+/// Entry VMs that repeat all that their budgets allow.
+struct Fleet {
+    RetryLimits limits { 0.2, 130, 10s };
+    unsigned vms { 7 };
+    /// Mean requests of one VM in a second.
+    double rate { 20 };
+    /// Number of entry VMs that a VM believes in.
+    std::function<unsigned(unsigned vm, Instant now)> believed;
+    /// Whether the VM's process is replaced now.
+    std::function<bool(unsigned vm, Instant now)> restarts = [](unsigned, Instant) { return false; };
+    /// Whether requests fail now.
+    std::function<bool(Instant now)> failing = [](Instant now) { return (now.time_since_epoch() / 7s) % 2 != 0; };
+};
+
+/// Largest excess of repeats over the limit in any window, over all entry VMs.
+double worstExcess(const Fleet& fleet, std::uint64_t seed)
 {
-    const dispatch::RetryLimits limits { 0.2, 130, 10s };
+    const auto& limits = fleet.limits;
     std::minstd_rand random(static_cast<std::minstd_rand::result_type>(seed));
-    std::vector<dispatch::RetryBudget> budgets(vms, dispatch::RetryBudget { limits });
+    std::bernoulli_distribution arrives(fleet.rate * std::chrono::duration<double>(step).count());
+    // All processes have run for long at first.
+    std::vector<RetryBudget> budgets(fleet.vms, RetryBudget { limits, start - 60s });
     std::vector<Instant> requests;
     std::vector<Instant> repeats;
-    constexpr Duration step = 10ms;
-    for (Instant now { 100s }; now < Instant { 140s }; now += step) {
-        for (auto& budget : budgets) {
-            if (std::bernoulli_distribution(0.2)(random)) {
+    for (auto now = start; now < end; now += step) {
+        for (unsigned vm = 0; vm < fleet.vms; ++vm) {
+            auto& budget = budgets[vm];
+            if (fleet.restarts(vm, now))
+                budget = RetryBudget { limits, now };
+            if (arrives(random)) {
                 budget.countRequest(now);
                 requests.push_back(now);
             }
             // Bursts of repeats, so that windows with none are followed by windows with all.
-            if ((now.time_since_epoch() / 7s) % 2 && budget.available(now, share)) {
+            while (fleet.failing(now) && budget.available(now, fleet.believed(vm, now))) {
                 budget.countRepeat(now);
                 repeats.push_back(now);
             }
         }
     }
-    const auto within = [&](const std::vector<Instant>& times, Instant end) {
-        return static_cast<double>(
-            std::count_if(times.begin(), times.end(), [&](auto it) { return it <= end && it > end - limits.window; }));
+    const auto within = [&](const std::vector<Instant>& times, Instant last) {
+        return static_cast<double>(std::upper_bound(times.begin(), times.end(), last)
+            - std::upper_bound(times.begin(), times.end(), last - limits.window));
     };
     double worst = -1e9;
-    for (const auto end : repeats)
-        worst = std::max(worst, within(repeats, end) - limits.ratio * within(requests, end) - limits.slack);
+    for (const auto last : repeats)
+        worst = std::max(worst, within(repeats, last) - limits.ratio * within(requests, last) - limits.slack);
     return worst;
 }
 
+/// A fleet of 87 VMs with the limits and requests of its size.
+Fleet largeFleet()
+{
+    Fleet it;
+    it.limits = { 0.2, 358, 10s };
+    it.vms = 87;
+    it.rate = 4.7;
+    it.believed = [](unsigned, Instant) { return 87; };
+    return it;
+}
+
+/// A third of the VMs are restarted one after the other, once they have used their budgets.
+bool rollingRestart(unsigned vm, Instant now) { return vm < 33 && now == start + 25s + vm * 20ms; }
+
 } // namespace
 
 TEST_CASE("repeats of all entry VMs stay within the shared budget", "[dispatch]")
 {
+    Fleet fleet;
+    fleet.believed = [](unsigned, Instant) { return 7; };
     for (std::uint64_t seed = 1; seed <= 10; ++seed)
-        CHECK(worstExcess(seed, 7, 7) <= 0);
+        CHECK(worstExcess(fleet, seed) <= 0);
+    for (std::uint64_t seed = 1; seed <= 3; ++seed)
+        CHECK(worstExcess(largeFleet(), seed) <= 0);
+}
+
+TEST_CASE("repeats stay within the shared budget while a third of the entry VMs restart", "[dispatch]")
+{
+    auto fleet = largeFleet();
+    fleet.restarts = rollingRestart;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed)
+        CHECK(worstExcess(fleet, seed) <= 0);
+    // The processes that have just started do not know the number of entry VMs for a time.
+    fleet.believed = [](unsigned vm, Instant now) { return vm < 33 && now > start + 25s && now < end - 5s ? 0 : 87; };
+    for (std::uint64_t seed = 1; seed <= 3; ++seed)
+        CHECK(worstExcess(fleet, seed) <= 0);
+}
+
+TEST_CASE("repeats stay within the shared budget when all entry VMs restart at once", "[dispatch]")
+{
+    auto fleet = largeFleet();
+    // With few requests the slack is most of the limit.
+    fleet.rate = 1;
+    fleet.restarts = [](unsigned, Instant now) { return now == start + 25s; };
+    for (std::uint64_t seed = 1; seed <= 3; ++seed)
+        CHECK(worstExcess(fleet, seed) <= 0);
+}
+
+TEST_CASE("a new process leaves most of its share of the slack to the process before it", "[dispatch]")
+{
+    const RetryLimits limits { 0.2, 100, 10s };
+    const RetryBudget budget(limits, start);
+    CHECK(budget.left(start + 1s, 1) == Approx(25));
+    CHECK(budget.left(start + 11s, 1) == Approx(75));
+    CHECK(budget.left(start + 11s, 4) == Approx(18.75));
+}
+
+TEST_CASE("a VM that does not know the number of entry VMs takes no slack", "[dispatch]")
+{
+    const RetryLimits limits { 0.2, 100, 10s };
+    RetryBudget budget(limits, start);
+    CHECK_FALSE(budget.available(start + 20s, 0));
+    for (int i = 0; i < 100; ++i)
+        budget.countRequest(start + 20s);
+    CHECK(budget.left(start + 20s, 0) == Approx(15));
+}
+
+TEST_CASE("requests older than the window give nothing", "[dispatch]")
+{
+    const RetryLimits limits { 0.2, 0, 10s };
+    RetryBudget budget(limits, start);
+    for (int i = 0; i < 100; ++i)
+        budget.countRequest(start + 20s);
+    CHECK(budget.left(start + 29s, 7) == Approx(15));
+    CHECK(budget.left(start + 30s, 7) == Approx(0));
 }
 
 TEST_CASE("the check of the retry budget notices VMs that take the whole slack each", "[dispatch]")
 {
-    CHECK(worstExcess(1, 7, 1) > 0);
+    Fleet fleet;
+    fleet.believed = [](unsigned, Instant) { return 1; };
+    CHECK(worstExcess(fleet, 1) > 0);
+}
+
+TEST_CASE("the check of the retry budget notices VMs that count a few of the entry VMs", "[dispatch]")
+{
+    auto fleet = largeFleet();
+    // Each VM is told of the VMs that have asked before it, as by a control VM that does not lead.
+    fleet.believed = [](unsigned vm, Instant now) { return now > start + 25s ? 1 + vm / 6 : 87; };
+    CHECK(worstExcess(fleet, 1) > 0);
 }
