Ask the retry budget when a request goes out again

Cause: a stream that found no server waits for one, and went on later without asking the budget again; the streams of a lost group were all allowed while none was counted. A request that had reached a server and then failed to connect to another was not asked either, and one whose attempts had all failed to connect counted as a repeat, though none had arrived.

Change: CallState counts attempts that may have arrived. Whatever goes out after the first of them is a repeat: it needs the budget and is counted. Waiting streams ask again when a server is there.

Tests: without the change three streams that wait together go on with a budget for one, and nextStep sends on without a budget after an attempt that was not sent.

--- a/packages/core/include/rosemarymill/core/dispatch/call.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/call.hpp
@@ -39,6 +39,8 @@
     unsigned runs { 0 };
     /// Attempts that may have run at all.
     unsigned possibleRuns { 0 };
+    /// Attempts that may have reached a server. After the first of them each further one is a repeat.
+    unsigned arrivals { 0 };
     unsigned rejections { 0 };
     unsigned unsent { 0 };
     /// The client has received the head of the answer.
--- a/packages/core/src/dispatch/call.cpp
+++ b/packages/core/src/dispatch/call.cpp
@@ -26,21 +26,10 @@
 {
     const bool timeLeft = now + minTimeForRetry < state.deadline;
     const bool mayRunAgain = state.possibleRuns == 0 || (state.repeatable && state.runs < state.maxServers);
-    bool another = timeLeft && mayRunAgain;
-    switch (end) {
-    case AttemptEnd::NotSent:
-        another = another && state.unsent < maxUnsent;
-        break;
-    case AttemptEnd::Rejected:
-        another = another && budgetLeft && state.rejections < maxRejections;
-        break;
-    case AttemptEnd::ServerError:
-    case AttemptEnd::Broken:
-    case AttemptEnd::Stalled:
-        another = another && budgetLeft;
-        break;
-    }
-    if (another)
+    const bool repeats = state.arrivals > 0 || end != AttemptEnd::NotSent;
+    const bool tooMany = (end == AttemptEnd::NotSent && state.unsent >= maxUnsent)
+        || (end == AttemptEnd::Rejected && state.rejections >= maxRejections);
+    if (timeLeft && mayRunAgain && !tooMany && (budgetLeft || !repeats))
         return Step::TryNext;
     if (state.headSent)
         return Step::Abort;
--- a/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
@@ -68,6 +68,8 @@
     void refuse(unsigned status, std::string_view why, Duration retryAfter);
     void giveUp(dispatch::Step step, std::string_view why);
     void refuseWithoutServer(const dispatch::Refusal& refusal);
+    /// Leaves a broken stream waiting for a server to continue on, for a time.
+    void waitForServer(Instant now, std::string_view why);
     void log(std::string_view outcome, unsigned status, std::string_view why);
 
     Proxy& m_proxy;
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -164,6 +164,11 @@
 void Call::attempt()
 {
     const auto now = readClock();
+    auto& budget = m_proxy.budget(m_service->name);
+    const bool repeats = m_state.arrivals > 0;
+    // Streams that waited for a server were allowed to go on before others used the budget.
+    if (repeats && m_waitingSince && !budget.available(now, m_proxy.m_balancer.knownEntryVms()))
+        return waitForServer(now, "the retry budget is spent");
     const dispatch::Query query { m_service->name, m_model, m_tried, m_service->coldRate, now, m_work };
     const auto result = m_proxy.m_balancer.choose(query);
     if (const auto* refusal = std::get_if<dispatch::Refusal>(&result))
@@ -175,9 +180,9 @@
     m_waitingSince.reset();
     m_headSeen = m_streaming = false;
     m_attemptAt = m_lastBytesAt = now;
-    if (!m_tried.empty()) {
+    if (repeats) {
         ++m_proxy.m_counters.repeats[static_cast<std::size_t>(m_lastEnd)];
-        m_proxy.budget(m_service->name).countRepeat(now);
+        budget.countRepeat(now);
     }
     m_tried.push_back(m_server);
     const auto target = *choice.target;
@@ -383,6 +388,7 @@
     finishAttempt();
     m_headSeen = m_streaming = m_readingPaused = false;
     m_events.dropPartial();
+    m_state.arrivals += end == AttemptEnd::NotSent ? 0 : 1;
     switch (end) {
     case AttemptEnd::NotSent:
         ++m_state.unsent;
@@ -442,18 +448,21 @@
         "all servers with room are cold" };
     const auto* why = reasons[static_cast<std::size_t>(refusal.reason)];
     const auto now = readClock();
-    if (m_state.headSent) {
-        if (!m_waitingSince)
-            m_waitingSince = now;
-        if (now < *m_waitingSince + resumeWait && now < m_state.deadline)
-            return;
-        return giveUp(Step::Abort, why);
-    }
+    if (m_state.headSent)
+        return waitForServer(now, why);
     if (m_state.possibleRuns > 0)
         return m_held.head.status ? giveUp(Step::PassOn, why) : refuse(502, why, {});
     refuse(503, why, refusal.retryAfter);
 }
 
+void Call::waitForServer(Instant now, std::string_view why)
+{
+    if (!m_waitingSince)
+        m_waitingSince = now;
+    if (now >= *m_waitingSince + resumeWait || now >= m_state.deadline)
+        giveUp(Step::Abort, why);
+}
+
 void Call::passOn(const MessageHead& head, std::string_view body)
 {
     m_done = true;
--- a/tests/core/dispatch/call.cpp
+++ b/tests/core/dispatch/call.cpp
@@ -43,9 +43,19 @@
     CHECK(nextStep(it, AttemptEnd::Rejected, false, now) == Step::Fail);
 }
 
+TEST_CASE("an attempt that was not sent does not lift the retry budget from a request that has arrived", "[dispatch]")
+{
+    auto it = state();
+    it.unsent = 1;
+    CHECK(nextStep(it, AttemptEnd::NotSent, false, now) == Step::TryNext);
+    it.arrivals = it.rejections = 1;
+    CHECK(nextStep(it, AttemptEnd::NotSent, false, now) == Step::Refuse);
+    CHECK(nextStep(it, AttemptEnd::NotSent, true, now) == Step::TryNext);
+}
+
 TEST_CASE("all step decisions keep their promises", "[dispatch]")
 {
-    for (unsigned bits = 0; bits < 1024; ++bits) {
+    for (unsigned bits = 0; bits < 2048; ++bits) {
         auto it = state();
         it.repeatable = bits & 1U;
         it.headSent = bits & 2U;
@@ -55,6 +65,7 @@
         const bool budget = bits & 256U;
         if (bits & 512U)
             it.deadline = now;
+        it.arrivals = it.possibleRuns + it.rejections + (bits & 1024U ? 1 : 0);
         for (const auto end : { AttemptEnd::NotSent, AttemptEnd::Rejected, AttemptEnd::ServerError, AttemptEnd::Broken,
                  AttemptEnd::Stalled }) {
             const auto step = nextStep(it, end, budget, now);
@@ -63,6 +74,7 @@
             CHECK_FALSE((step == Step::TryNext && !it.repeatable && it.possibleRuns > 0));
             CHECK_FALSE((step == Step::TryNext && it.possibleRuns > 0 && it.runs >= it.maxServers));
             CHECK_FALSE((step == Step::TryNext && !budget && end != AttemptEnd::NotSent));
+            CHECK_FALSE((step == Step::TryNext && !budget && it.arrivals > 0));
             CHECK_FALSE((step == Step::TryNext && it.deadline <= now));
             CHECK((!it.headSent || step == Step::Abort || step == Step::TryNext));
         }
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -38,7 +38,7 @@
 
 /// A proxy between a client and two servers, with a route for each kind of request.
 struct World {
-    World()
+    explicit World(double retrySlack = 100)
         : base(event_base_new())
         , a(base.get())
         , b(base.get())
@@ -47,7 +47,7 @@
         runtime::proxy::ProxySettings settings;
         settings.address = runtime::parseAddress("127.0.0.1:0").value();
         settings.dataCentre = DataCentreId { "mixco" };
-        settings.retryLimits = { 0.2, 100, 10s };
+        settings.retryLimits = { 0.2, retrySlack, 10s };
         settings.balancer.dataCentre = settings.dataCentre;
         settings.seed = 1;
         auto& names = settings.names;
@@ -352,6 +352,29 @@
     CHECK(world.requests().size() == 2);
 }
 
+TEST_CASE("streams that wait for a server together repeat no more than the budget allows", "[proxy]")
+{
+    // A new process takes a quarter of the slack: one repeat, and the ratio gives less than another.
+    World world(4);
+    constexpr int streams = 3;
+    std::vector<Peer*> callers;
+    for (int i = 0; i < streams; ++i) {
+        callers.push_back(&world.client("/stream/1"));
+        world.nextRequest().send(streamHead + eventChunk(1));
+        world.waitFor([&] { return callers.back()->has("id: 1"); });
+    }
+    fleet::TargetDelta lost;
+    lost.lost = { ServerId { "a" }, ServerId { "b" } };
+    world.proxy->applyTargets(lost);
+    fleet::TargetDelta announced;
+    announced.upserts = { World::target("c", world.a) };
+    world.proxy->applyTargets(announced);
+    world.waitFor([&] {
+        return std::count_if(callers.begin(), callers.end(), [](auto* it) { return it->closed; }) == streams - 1;
+    });
+    CHECK(world.requests().size() == streams + 1);
+}
+
 TEST_CASE("a stream that cannot continue is cut, not ended", "[proxy]")
 {
     World world;
