Let servers rest that only reject

Cause: each answer reset the time for which a failing server rests, also the rejection that made it rest, so the time never grew beyond 250 ms. A server that answers 421 has left its group or is another process; it was asked again and again.

Change: a server that answers 421 gets no requests until it is announced again, 4 s (the longest suspension) at most. Rejections are no progress, neither for suspensions nor in reports to the leader.

Tests: without the change the proxy sends further requests to a server after 421, and to a head that rejects each 300 ms.

--- a/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
@@ -121,6 +121,10 @@
     /// The server did not take or finish a request. It gets no requests for a time that doubles.
     void failed(const ServerId& server, Instant now);
 
+    /// The server does not serve what it was announced for. It gets no requests until it is announced again, or for the
+    /// longest suspension.
+    void misdirected(const ServerId& server, Instant now);
+
     /// The server took no request because it was full.
     void full(const ServerId& server, Instant now);
 
@@ -147,6 +151,7 @@
         fleet::Target target;
         bool withdrawn { false };
         bool gone { false };
+        bool misdirected { false };
         unsigned outstanding { 0 };
         unsigned reported { 0 };
         unsigned outstandingAtReport { 0 };
--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -63,13 +63,14 @@
         auto& entry = m_entries[target.id];
         if (entry.target.id.empty())
             entry.progressAt = now;
-        if (entry.withdrawn || entry.gone) {
+        if (entry.withdrawn || entry.gone || entry.misdirected) {
             entry.suspendedUntil = {};
             entry.suspension = {};
         }
         entry.target = target;
         entry.withdrawn = false;
         entry.gone = false;
+        entry.misdirected = false;
         if (target.coldLeft > Duration::zero()) {
             if (now >= entry.coldUntil) {
                 entry.coldTokens = 0;
@@ -294,6 +295,15 @@
     entry.suspendedUntil = now + entry.suspension;
 }
 
+void Balancer::misdirected(const ServerId& server, Instant now)
+{
+    const auto it = m_entries.find(server);
+    if (it == m_entries.end())
+        return;
+    it->second.misdirected = true;
+    it->second.suspendedUntil = now + m_settings.maxSuspension;
+}
+
 void Balancer::full(const ServerId& server, Instant now)
 {
     const auto it = m_entries.find(server);
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -232,14 +232,15 @@
 {
     const auto now = readClock();
     m_lastBytesAt = now;
-    m_proxy.m_balancer.succeeded(m_server, now);
-    m_proxy.m_progress.insert(m_server);
     if (!m_headSeen) {
         m_headSeen = true;
         onHead();
         if (m_done || !m_upstream || !m_headSeen)
             return;
     }
+    // A rejection is no progress: a head whose group is gone still rejects.
+    m_proxy.m_balancer.succeeded(m_server, now);
+    m_proxy.m_progress.insert(m_server);
     if (m_streaming)
         onStreamBytes();
     else if (m_upstream->parser().complete())
@@ -261,7 +262,10 @@
     if (head.status == 421 || head.has(names.notExecuted)) {
         const auto faulty = head.find(names.faultyServer);
         if (head.status == 421 || (!faulty.empty() && m_model != ModelName {})) {
-            m_proxy.m_balancer.failed(m_server, now);
+            if (head.status == 421)
+                m_proxy.m_balancer.misdirected(m_server, now);
+            else
+                m_proxy.m_balancer.failed(m_server, now);
             if (m_proxy.m_stallHandler)
                 m_proxy.m_stallHandler(m_server);
         } else {
--- a/tests/core/dispatch/balancer.cpp
+++ b/tests/core/dispatch/balancer.cpp
@@ -143,6 +143,21 @@
     CHECK(chosen(balancer, query(start + 20s)) == "a");
 }
 
+TEST_CASE("a server that is not what it was announced as rests until it is announced again", "[dispatch]")
+{
+    Balancer balancer(settings(), 1);
+    fleet::TargetDelta delta;
+    delta.upserts = { target("a") };
+    balancer.apply(delta, start);
+    balancer.misdirected(ServerId { "a" }, start);
+    CHECK(refused(balancer, query(start + 3s)) == NoServer::Failing);
+    balancer.apply(delta, start + 3s);
+    CHECK(chosen(balancer, query(start + 3s)) == "a");
+    // An announcement may have been before the server's answer.
+    balancer.misdirected(ServerId { "a" }, start + 3s);
+    CHECK(chosen(balancer, query(start + 7s)) == "a");
+}
+
 TEST_CASE("nothing is refused while half of the places are free", "[dispatch]")
 {
     Balancer balancer(settings(), 1);
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -199,6 +199,50 @@
     world.waitFor([&] { return client.has("done"); });
 }
 
+TEST_CASE("a server that does not know its requests gets no more of them", "[proxy]")
+{
+    World world;
+    auto& client = world.client("/order/1");
+    auto& wrong = world.nextRequest();
+    wrong.send(answer("421 Misdirected Request", ""));
+    world.nextRequest().send(answer("200 OK", "done"));
+    world.waitFor([&] { return client.has("done"); });
+    const auto name = wrong.has("X-Expect: a\r\n") ? "X-Expect: a\r\n" : "X-Expect: b\r\n";
+    test::runFor(world.base.get(), std::chrono::milliseconds { 400 });
+    for (int i = 0; i < 8; ++i) {
+        auto& later = world.client("/order/1");
+        auto& server = world.nextRequest();
+        CHECK_FALSE(server.has(name));
+        // Without Connection: close the next request would follow on the same connection.
+        server.send(answer("200 OK", "done", "X-Seal: s\r\nConnection: close\r\n"));
+        world.waitFor([&] { return later.has("done"); });
+    }
+}
+
+TEST_CASE("a head that rejects again and again rests for longer each time", "[proxy]")
+{
+    World world;
+    auto head = World::target("one", world.a);
+    head.service = ServiceName { "llm" };
+    head.model = ModelName { "large" };
+    fleet::TargetDelta delta;
+    delta.upserts = { head };
+    world.proxy->applyTargets(delta);
+    const auto send = [&]() -> Peer& {
+        return world.client("/model/1", "POST", "body", "X-Model: large\r\nX-Tokens: 1460,80\r\n");
+    };
+    for (int i = 0; i < 2; ++i) {
+        auto& client = send();
+        world.nextRequest().send(
+            answer("503 Service Unavailable", "", "X-Not-Run: 1\r\nAt: two\r\nConnection: close\r\n"));
+        world.waitFor([&] { return client.has("HTTP/1.1 503 "); });
+        test::runFor(world.base.get(), std::chrono::milliseconds { 300 });
+    }
+    auto& client = send();
+    world.waitFor([&] { return client.has("HTTP/1.1 503 "); });
+    CHECK(world.requests().size() == 2);
+}
+
 TEST_CASE("a refusal of a server that promises nothing is not passed on as a promise", "[proxy]")
 {
     World world;
