Bound what a backend server may send without an answer

Cause: plain answers were collected whole without bound, and any byte behind a head counted as a sign of life: of the call, of the server in the balancer, and in the report by which the control VM takes a group for whole. An event without end, comments and repeated events kept a stream in the same way. Interim answers were read without bound.

Ruled out: a status line, header lines, a chunk's size line and extension, and trailer lines in one flood. http_parser ends them at 80 KiB, but then the server was not suspended.

Change: a head of 32 KiB with its interim answers, an event of 256 KiB and a plain answer of 4 MiB. Beyond that the attempt is broken and may have run, the connection is closed and the server suspended, as after bytes that are no answer. All answers that are being collected share 16 MiB, a tenth of an entry VM; beyond them the largest one's attempt ends. Signs of life are a head, a new event and a whole answer. Parts of a plain body of 64 KiB keep the call's own patience. Comments and events that the client has are no progress.

--- a/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
@@ -30,6 +30,11 @@
     /// The servers are known to be dead or stalled.
     void serverLost(const ServerId& server);
 
+    /// Memory in bytes that the answer so far takes.
+    [[nodiscard]] std::size_t collectedBytes() const noexcept { return m_collected; }
+    /// The answers of all calls take too much memory, and this one's most of it: the attempt ends.
+    void dropCollected();
+
     /// The client has gone: the request is cancelled at the server.
     void clientGone();
 
@@ -57,7 +62,12 @@
 
     void onHead();
     void onStreamBytes();
+    void onPlainBytes();
     void onPlainComplete();
+    /// The server sent a head, an event or a whole answer.
+    void progressed(Instant now);
+    /// Reports the memory that the answer takes, and keeps that of all answers within its bound.
+    void setCollected(std::size_t bytes);
     void endAttempt(dispatch::AttemptEnd end, std::string_view why);
     void dropUpstream();
     void finishAttempt();
@@ -100,6 +110,9 @@
     std::optional<Instant> m_waitingSince;
     EventBuffer m_events;
     std::uint64_t m_eventCount { 0 };
+    std::size_t m_collected { 0 };
+    /// Size of the body at which the answer has made progress again.
+    std::size_t m_nextProgress { 0 };
     HeldAnswer m_held;
     bool m_readingPaused { false };
     bool m_done { false };
--- a/packages/runtime/include/rosemarymill/runtime/proxy/event_buffer.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/event_buffer.hpp
@@ -15,12 +15,16 @@
     void setLastId(std::optional<std::uint64_t> id) noexcept { m_lastId = id; }
     [[nodiscard]] std::optional<std::uint64_t> lastId() const noexcept { return m_lastId; }
 
-    /// Takes bytes of the body and appends the whole events among them to `out`. Returns the number of events.
+    /// Takes bytes of the body and appends the whole events among them to `out`. Returns the number of events; those
+    /// with neither id nor data, as comments that keep a connection open, do not count.
     std::size_t feed(std::string_view bytes, std::string& out);
 
     /// Whether the last event is incomplete.
     [[nodiscard]] bool partial() const noexcept { return !m_rest.empty(); }
 
+    /// Memory in bytes that an incomplete event takes.
+    [[nodiscard]] std::size_t heldBytes() const noexcept { return m_rest.capacity(); }
+
     /// Drops an incomplete event, before the stream continues from another server.
     void dropPartial() noexcept { m_rest.clear(); }
 
--- a/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
@@ -37,6 +37,10 @@
     std::uint64_t seed { 0 };
 };
 
+/// Memory in bytes that answers of servers may take together until they are passed on: a tenth of the 160 MB of an
+/// entry VM.
+inline constexpr std::size_t maxCollectedBytes = 16 * 1024 * 1024;
+
 /// Counters of the proxy since the start.
 struct ProxyCounters {
     std::uint64_t requests { 0 };
@@ -98,6 +102,8 @@
     void remove(ClientConnection& client);
     void finish(std::unique_ptr<Call> call);
     void scheduleCleanUp();
+    /// Ends attempts until the answers of all calls keep within their bound.
+    void limitCollected();
     [[nodiscard]] dispatch::RetryBudget& budget(const ServiceName& service);
     [[nodiscard]] const routes::Limits& limits() const noexcept;
 
@@ -112,6 +118,7 @@
     std::vector<std::unique_ptr<ClientConnection>> m_removed;
     std::vector<std::unique_ptr<Call>> m_finished;
     std::set<Call*> m_calls;
+    std::size_t m_collected { 0 };
     std::set<ServerId> m_progress;
     StallHandler m_stallHandler;
     ProxyCounters m_counters;
--- a/packages/runtime/include/rosemarymill/runtime/proxy/upstream.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/upstream.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rosemarymill/core/fleet/server.hpp>
+#include <rosemarymill/runtime/base/receive_limit.hpp>
 #include <rosemarymill/runtime/proxy/fwd.hpp>
 #include <rosemarymill/runtime/proxy/message.hpp>
 
@@ -39,7 +40,9 @@
         Closed,
         Reset,
         /// Bytes that are no answer.
-        Invalid
+        Invalid,
+        /// More bytes than expected without progress of the answer.
+        TooLong
     };
 
     Upstream(UpstreamPool& pool, ServerId server, const std::string& address);
@@ -55,6 +58,11 @@
     [[nodiscard]] bool connected() const noexcept { return m_connected; }
     [[nodiscard]] bool reused() const noexcept { return m_uses > 1; }
 
+    /// The answer made progress. At most this many bytes may come before it does so again.
+    void expect(std::size_t bytes) noexcept { m_limit.expect(bytes); }
+    /// Whether bytes arrived since the request was sent, of an answer or not.
+    [[nodiscard]] bool hasReceived() const noexcept { return m_hasReceived; }
+
     /// Stops or continues reading, so that a slow client does not fill the memory.
     void setReading(bool reading);
 
@@ -77,6 +85,8 @@
     Parser m_parser;
     Call* m_call { nullptr };
     std::string m_request;
+    ReceiveLimit m_limit;
+    bool m_hasReceived { false };
     bool m_connected { false };
     unsigned m_uses { 0 };
     Instant m_idleSince;
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -100,7 +100,11 @@
     ++m_proxy.m_counters.requests;
 }
 
-Call::~Call() { m_proxy.m_calls.erase(this); }
+Call::~Call()
+{
+    setCollected(0);
+    m_proxy.m_calls.erase(this);
+}
 
 bool Call::admit()
 {
@@ -173,6 +177,7 @@
     m_candidates = choice.candidates;
     m_waitingSince.reset();
     m_headSeen = m_streaming = false;
+    m_nextProgress = bodyProgressBytes;
     m_attemptAt = m_lastBytesAt = now;
     if (!m_tried.empty()) {
         ++m_proxy.m_counters.repeats;
@@ -224,12 +229,10 @@
 
 void Call::onAnswer()
 {
-    const auto now = readClock();
-    m_lastBytesAt = now;
-    m_proxy.m_balancer.succeeded(m_server, now);
-    m_proxy.m_progress.insert(m_server);
     if (!m_headSeen) {
         m_headSeen = true;
+        progressed(readClock());
+        m_upstream->expect(maxAnswerBytes);
         onHead();
         if (m_done || !m_upstream || !m_headSeen)
             return;
@@ -238,6 +241,43 @@
         onStreamBytes();
     else if (m_upstream->parser().complete())
         onPlainComplete();
+    else
+        onPlainBytes();
+}
+
+void Call::progressed(Instant now)
+{
+    m_lastBytesAt = now;
+    m_proxy.m_balancer.succeeded(m_server, now);
+    m_proxy.m_progress.insert(m_server);
+}
+
+void Call::onPlainBytes()
+{
+    const auto& body = m_upstream->parser().body();
+    if (m_upstream->parser().head().length.value_or(0) > maxAnswerBytes)
+        return onUpstreamEnd(Upstream::End::TooLong);
+    // Only the call's own patience: the server makes progress when the answer is whole.
+    if (body.size() >= m_nextProgress) {
+        m_nextProgress = body.size() + bodyProgressBytes;
+        m_lastBytesAt = readClock();
+    }
+    setCollected(body.capacity());
+}
+
+void Call::setCollected(std::size_t bytes)
+{
+    m_proxy.m_collected = m_proxy.m_collected - m_collected + bytes;
+    const bool grew = bytes > m_collected;
+    m_collected = bytes;
+    if (grew)
+        m_proxy.limitCollected();
+}
+
+void Call::dropCollected()
+{
+    m_proxy.m_balancer.failed(m_server, readClock());
+    endAttempt(AttemptEnd::Broken, "answers take too much memory");
 }
 
 void Call::onHead()
@@ -270,6 +310,7 @@
         return endAttempt(AttemptEnd::Broken, "answer is not the server's");
     if (success && m_state.streaming && head.find("Content-Type").starts_with("text/event-stream")) {
         m_streaming = true;
+        m_upstream->expect(maxEventBytes);
         if (!m_state.headSent)
             beginStream(head);
     }
@@ -277,6 +318,7 @@
 
 void Call::onPlainComplete()
 {
+    progressed(readClock());
     auto& parser = m_upstream->parser();
     const auto status = parser.head().status;
     // A status that promises "not run" must be a promise of the server.
@@ -302,9 +344,13 @@
     std::string whole;
     const auto n = m_events.feed(parser.body(), whole);
     parser.body().clear();
-    if (n > 0) {
-        if (m_eventCount == 0)
-            m_firstEventAt = readClock();
+    if (n > 0 || parser.complete()) {
+        progressed(readClock());
+        m_upstream->expect(maxEventBytes);
+    }
+    if (n > 0 && m_eventCount == 0)
+        m_firstEventAt = readClock();
+    if (!whole.empty()) {
         m_eventCount += n;
         m_proxy.m_counters.events += n;
         m_client.writeChunk(whole);
@@ -314,7 +360,7 @@
         }
     }
     if (!parser.complete())
-        return;
+        return setCollected(m_events.partial() ? m_events.heldBytes() : 0);
     if (m_events.partial())
         return endAttempt(AttemptEnd::Broken, "the stream ended within an event");
     finishStream();
@@ -350,7 +396,10 @@
             m_proxy.m_balancer.failed(m_server, now);
         return endAttempt(AttemptEnd::Broken, end == Upstream::End::Closed ? "connection closed" : "connection reset");
     case Upstream::End::Invalid:
-        return endAttempt(AttemptEnd::Broken, "bytes that are no answer");
+    case Upstream::End::TooLong:
+        m_proxy.m_balancer.failed(m_server, now);
+        return endAttempt(AttemptEnd::Broken,
+            end == Upstream::End::Invalid ? "bytes that are no answer" : "too many bytes without an answer");
     }
 }
 
@@ -362,6 +411,7 @@
 
 void Call::finishAttempt()
 {
+    setCollected(0);
     if (!m_server.empty())
         m_proxy.m_balancer.ended(m_server);
     m_server = {};
@@ -372,8 +422,8 @@
     const auto now = readClock();
     // Work of a model server begins with its first token. A head that sent nothing to anybody since the request came to
     // it has not begun; whether one that did is still alive cannot be known here.
-    const bool mayHaveBegun
-        = !m_service->engine || m_lastBytesAt > m_attemptAt || m_proxy.m_balancer.lastProgress(m_server) > m_attemptAt;
+    const bool mayHaveBegun = !m_service->engine || m_lastBytesAt > m_attemptAt
+        || (m_upstream && m_upstream->hasReceived()) || m_proxy.m_balancer.lastProgress(m_server) > m_attemptAt;
     const auto server = m_server;
     // The answer to a rejection is complete most of the time, and its connection can be used again.
     if (end == AttemptEnd::Rejected && m_upstream && m_upstream->parser().complete())
--- a/packages/runtime/src/proxy/event_buffer.cpp
+++ b/packages/runtime/src/proxy/event_buffer.cpp
@@ -19,6 +19,19 @@
     return std::string_view::npos;
 }
 
+/// Whether an event has a field that makes it more than a comment.
+bool hasContent(std::string_view event) noexcept
+{
+    while (!event.empty()) {
+        const auto end = std::min(event.find('\n'), event.size());
+        const auto line = event.substr(0, end);
+        if (line.starts_with("id:") || line.starts_with("data"))
+            return true;
+        event.remove_prefix(std::min(end + 1, event.size()));
+    }
+    return false;
+}
+
 std::optional<std::uint64_t> idOf(std::string_view event) noexcept
 {
     constexpr std::string_view field = "id:";
@@ -69,7 +82,7 @@
         const auto event = left.substr(0, end);
         if (take(event)) {
             out.append(event);
-            ++n;
+            n += hasContent(event) ? 1 : 0;
         }
         left.remove_prefix(end);
     }
--- a/packages/runtime/src/proxy/proxy.cpp
+++ b/packages/runtime/src/proxy/proxy.cpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/runtime/base/clock.hpp>
 
+#include <algorithm>
 #include <ostream>
 #include <stdexcept>
 
@@ -88,6 +89,17 @@
     return m_budgets.try_emplace(service, m_settings.retryLimits).first->second;
 }
 
+void Proxy::limitCollected()
+{
+    while (m_collected > maxCollectedBytes) {
+        const auto largest = std::max_element(m_calls.begin(), m_calls.end(),
+            [](const auto* a, const auto* b) { return a->collectedBytes() < b->collectedBytes(); });
+        if (largest == m_calls.end() || (*largest)->collectedBytes() == 0)
+            return;
+        (*largest)->dropCollected();
+    }
+}
+
 void Proxy::scheduleCleanUp() { event_active(m_cleanUp.get(), EV_TIMEOUT, 0); }
 
 void Proxy::finish(std::unique_ptr<Call> call)
@@ -162,6 +174,7 @@
     gauge("calls", m_calls.size());
     gauge("clients", m_clients.size());
     gauge("server_connections", m_pool.connections());
+    gauge("collected_bytes", m_collected);
     gauge("targets", m_balancer.size());
     gauge("document_version", m_table ? m_table->document().version : 0);
     m_firstByte.write(out, "rosemarymill_proxy_first_event_seconds", {});
--- a/packages/runtime/src/proxy/upstream.cpp
+++ b/packages/runtime/src/proxy/upstream.cpp
@@ -63,6 +63,8 @@
     m_call = &call;
     ++m_uses;
     m_parser.reset(headRequest);
+    m_limit.expect(maxAnswerHeadBytes);
+    m_hasReceived = false;
     if (m_connected)
         bufferevent_write(m_buf.get(), request.data(), request.size());
     else
@@ -98,6 +100,8 @@
         const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(n)));
         const auto used = m_parser.feed({ data, n });
         evbuffer_drain(input, used);
+        m_limit.add(used);
+        m_hasReceived = true;
         if (m_parser.failed())
             return fail(End::Invalid);
         // An interim answer precedes the final one.
@@ -111,8 +115,12 @@
         if (m_parser.complete())
             break;
     }
+    auto* call = m_call;
     if (m_parser.headComplete())
-        m_call->onAnswer();
+        call->onAnswer();
+    // The call may have ended, or continue on another connection.
+    if (m_call && call->upstream() == this && m_limit.exceeded())
+        fail(End::TooLong);
 }
 
 void Upstream::onEvent(bufferevent* buf, short what, void* self)
--- /dev/null
+++ b/tests/runtime/proxy/endless_answers.cpp
@@ -0,0 +1,334 @@
+#include <rosemarymill/runtime/proxy/proxy.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
+
+#include "support/flood.hpp"
+#include "support/http.hpp"
+#include "support/peer.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+using namespace rosemarymill;
+using runtime::proxy::Proxy;
+using test::Flood;
+using test::FloodServer;
+using test::Peer;
+using test::PeerListener;
+
+namespace {
+
+constexpr std::size_t mebibyte = 1024 * 1024;
+
+/// An entry VM has 160 MB; one server in trouble may not take more than a tenth of them.
+constexpr std::size_t maxHeapGrowth = 16 * mebibyte;
+
+/// Time limit of the routes.
+constexpr Duration routeTimeout = 5s;
+
+/// Time within which a silent server is given up for a lookup, and for a stream that has begun, with a margin for a
+/// busy machine.
+constexpr Duration lookupGivenUp = 400ms + 600ms;
+constexpr Duration streamGivenUp = 1200ms + 600ms;
+
+const std::string plainHead = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\n";
+const std::string chunkedHead = plainHead + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string streamHead = plainHead + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string streamFirst = streamHead + "f\r\nid: 1\ndata: t\n\n\r\n";
+const std::string goodAnswer = plainHead + "Content-Length: 4\r\n\r\ngood";
+
+struct Case {
+    const char* name;
+    Flood flood;
+};
+
+/// Floods that are no plain answer.
+std::vector<Case> plainFloods()
+{
+    return {
+        { "status line", { "HTTP/1.1 200 ", "a" } },
+        { "header line", { plainHead + "X-Long: ", "a" } },
+        { "header lines", { plainHead, "X-More: a\r\n" } },
+        { "interim answers", { "", "HTTP/1.1 100 Continue\r\n\r\n" } },
+        { "body without length", { plainHead + "\r\n", "a" } },
+        { "body of a huge length", { plainHead + "Content-Length: 1000000000000\r\n\r\n", "a" } },
+        { "chunks", { chunkedHead, "4\r\naaaa\r\n" } },
+        { "chunk of a huge length", { chunkedHead + "ffffffffff\r\n", "a" } },
+        { "chunk size line", { chunkedHead, "0" } },
+        { "chunk extension", { chunkedHead + "4;", "a" } },
+        { "trailer lines", { chunkedHead + "0\r\n", "X-More: a\r\n" } },
+    };
+}
+
+/// Floods behind the first event of a stream.
+std::vector<Case> streamFloods()
+{
+    return {
+        { "event", { streamFirst, "4\r\naaaa\r\n" } },
+        { "event of many lines", { streamFirst, "8\r\ndata: a\n\r\n" } },
+        { "comments", { streamFirst, "4\r\n:a\n\n\r\n" } },
+        { "blank lines", { streamFirst, "2\r\n\n\n\r\n" } },
+        { "events that the client has", { streamFirst, "f\r\nid: 1\ndata: t\n\n\r\n" } },
+        { "chunk size line", { streamFirst, "0" } },
+    };
+}
+
+/// A proxy before a server in trouble and, for other routes, one that answers.
+struct World {
+    ~World() { runtime::setUpLog(node::LogLevel::Error); }
+
+    explicit World(Flood flood)
+        : base(event_base_new())
+        , bad(base.get(), std::move(flood))
+        , good(base.get())
+    {
+        runtime::setUpLog(log, node::LogLevel::Info, runtime::LogFormat::Json);
+        good.onReceived = [](Peer& it) {
+            if (!it.has("\r\n\r\n"))
+                return;
+            const bool stream = it.has("/stream/");
+            it.received.clear();
+            it.send(stream ? streamHead + "f\r\nid: 2\ndata: t\n\n\r\n0\r\n\r\n" : goodAnswer);
+        };
+        runtime::proxy::ProxySettings settings;
+        settings.address = runtime::parseAddress("127.0.0.1:0").value();
+        settings.dataCentre = DataCentreId { "mixco" };
+        settings.retryLimits = { 0.2, 100, 10s };
+        settings.balancer.dataCentre = settings.dataCentre;
+        settings.seed = 1;
+        settings.names = { "X-Id", "X-Deadline", "Last-Event-Id", "X-Model", "X-Tokens", "X-Seal", "X-Not-Run",
+            "X-Expect", "X-Account", "X-Rank", "X-Load", "At" };
+        proxy = std::make_unique<Proxy>(base.get(), settings);
+        proxy->balancer().setEntryVms(1);
+        routes::Document document;
+        document.version = 1;
+        document.routes = { route("/order/", routes::RequestKind::NonIdempotent, "desk"),
+            route("/lookup/", routes::RequestKind::Idempotent, "desk"),
+            route("/stream/", routes::RequestKind::Streaming, "desk"),
+            route("/other/", routes::RequestKind::Idempotent, "other") };
+        for (const auto* name : { "desk", "other" })
+            document.services.push_back({ ServiceName { name }, {}, 0, {}, 0, {} });
+        proxy->setTable(std::make_shared<routes::Table>(std::move(document)));
+        addTarget("bad", bad.address(), "desk", 1000);
+        addTarget("other", good.address(), "other", 1000);
+    }
+
+    static routes::Route route(const std::string& prefix, routes::RequestKind kind, const char* service)
+    {
+        routes::Route it;
+        it.name = prefix;
+        it.host = "x.example";
+        it.pathPrefix = prefix;
+        it.kind = kind;
+        it.isPublic = true;
+        it.resumable = true;
+        it.timeout = routeTimeout;
+        it.maxServers = kind == routes::RequestKind::NonIdempotent ? 1 : 2;
+        it.shares = { { ServiceName { service }, 1 } };
+        return it;
+    }
+
+    void addTarget(const char* id, const std::string& address, const char* service, unsigned slots)
+    {
+        fleet::TargetDelta delta;
+        delta.upserts
+            = { { ServerId { id }, address, ServiceName { service }, DataCentreId { "mixco" }, {}, slots, {} } };
+        proxy->applyTargets(delta);
+    }
+
+    /// Adds a second server of the service in trouble, which answers.
+    void addHealthyServer() { addTarget("healthy", good.address(), "desk", 6); }
+
+    Peer& client(const std::string& path)
+    {
+        auto& it = clients.emplace_back(base.get(), proxy->address());
+        it.send("GET " + path + " HTTP/1.1\r\nHost: x.example\r\nX-Id: r1\r\n\r\n");
+        return it;
+    }
+
+    /// Runs the loop until the condition holds and watches the heap. Meanwhile another request is always under way.
+    bool run(Duration limit, const std::function<bool()>& done)
+    {
+        const auto before = test::heapBytes();
+        const auto begin = runtime::readClock();
+        Peer* other = nullptr;
+        const bool result = test::runUntil(base.get(), [&] {
+            if (other && other->has("good"))
+                ++othersAnswered;
+            if (!other || other->has("good"))
+                other = &client("/other/1");
+            heapGrowth = std::max(heapGrowth, test::heapBytes() - std::min(before, test::heapBytes()));
+            return done() || runtime::readClock() - begin > limit;
+        });
+        took = runtime::readClock() - begin;
+        return result && done();
+    }
+
+    /// Whether a report to the control VM would name the server in trouble.
+    bool reportsProgress() { return proxy->takeProgress().contains(ServerId { "bad" }); }
+
+    test::EventBase base;
+    std::ostringstream log;
+    FloodServer bad;
+    PeerListener good;
+    std::unique_ptr<Proxy> proxy;
+    std::list<Peer> clients;
+    std::size_t heapGrowth { 0 };
+    std::size_t othersAnswered { 0 };
+    Duration took {};
+};
+
+} // namespace
+
+TEST_CASE("a plain answer without end ends the attempt before it fills the memory", "[proxy]")
+{
+    for (auto& [name, flood] : plainFloods()) {
+        World world(flood);
+        auto& client = world.client("/order/1");
+        const bool closed = world.run(routeTimeout - 500ms, [&] { return world.bad.closed() == 1; });
+        CAPTURE(name, world.heapGrowth, world.bad.sent(), world.took.count(), world.othersAnswered);
+        CHECK(closed);
+        CHECK(world.heapGrowth < maxHeapGrowth);
+        CHECK(world.othersAnswered > 0);
+        CHECK(world.bad.requests() == 1);
+        CHECK(test::runUntil(world.base.get(), [&] { return client.has("HTTP/1.1 502 "); }));
+        CHECK(world.log.str().find(R"("end":"broken")") != std::string::npos);
+        // The server gets no requests for a while.
+        auto& next = world.client("/order/2");
+        CHECK(test::runUntil(world.base.get(), [&] { return next.has("HTTP/1.1 503 "); }));
+    }
+}
+
+TEST_CASE("a stream without a further event ends the attempt before it fills the memory", "[proxy]")
+{
+    for (auto& [name, flood] : streamFloods()) {
+        World world(flood);
+        auto& client = world.client("/stream/1");
+        REQUIRE(test::runUntil(world.base.get(), [&] { return client.has("id: 1"); }));
+        world.addHealthyServer();
+        const bool continued = world.run(streamGivenUp, [&] { return client.has("id: 2"); });
+        CAPTURE(name, world.heapGrowth, world.bad.sent(), world.took.count(), world.othersAnswered);
+        CHECK(continued);
+        CHECK(world.bad.closed() == 1);
+        CHECK(world.heapGrowth < maxHeapGrowth);
+        CHECK(world.othersAnswered > 0);
+    }
+}
+
+TEST_CASE("plain answers of many requests share one bound on the memory", "[proxy]")
+{
+    constexpr std::size_t calls = 40;
+    // So slow that all requests have come before the bound is reached.
+    World world({ plainHead + "\r\n", std::string(32 * 1024, 'a'), std::chrono::milliseconds { 50 } });
+    for (std::size_t i = 0; i < calls; ++i)
+        world.client("/order/" + std::to_string(i));
+    world.run(3s, [] { return false; });
+    CAPTURE(world.heapGrowth, world.othersAnswered, world.bad.closed());
+    CHECK(world.bad.requests() == calls);
+    CHECK(world.bad.closed() > 0);
+    CHECK(world.log.str().find("answers take too much memory") != std::string::npos);
+    // What is read and sent at once is 64 KiB for each connection at either end.
+    CHECK(world.heapGrowth < maxHeapGrowth + calls * 2 * 64 * 1024);
+    CHECK(world.othersAnswered > 0);
+}
+
+TEST_CASE("bytes that come slowly and form no answer do not keep a lookup", "[proxy]")
+{
+    for (auto& [name, flood] : plainFloods()) {
+        flood.pause = std::chrono::milliseconds { 20 };
+        // Its head is enough to refuse it, which the test of floods covers.
+        if (flood.first.find("Content-Length") != std::string::npos)
+            continue;
+        World world(flood);
+        auto& client = world.client("/lookup/1");
+        REQUIRE(test::runUntil(world.base.get(), [&] { return world.bad.requests() == 1; }));
+        world.addHealthyServer();
+        test::runFor(world.base.get(), std::chrono::milliseconds { 100 });
+        world.reportsProgress();
+        const bool answered = world.run(lookupGivenUp, [&] { return client.has("good"); });
+        CAPTURE(name, world.took.count());
+        CHECK(answered);
+        CHECK_FALSE(world.reportsProgress());
+        CHECK(test::runUntil(world.base.get(), [&] { return world.bad.closed() == 1; }));
+    }
+}
+
+TEST_CASE("bytes that come slowly and form no event do not keep a stream", "[proxy]")
+{
+    for (auto& [name, flood] : streamFloods()) {
+        flood.pause = std::chrono::milliseconds { 20 };
+        World world(flood);
+        auto& client = world.client("/stream/1");
+        REQUIRE(test::runUntil(world.base.get(), [&] { return client.has("id: 1"); }));
+        world.addHealthyServer();
+        world.reportsProgress();
+        const bool continued = world.run(streamGivenUp, [&] { return client.has("id: 2"); });
+        CAPTURE(name, world.took.count());
+        CHECK(continued);
+        CHECK_FALSE(world.reportsProgress());
+        CHECK(test::runUntil(world.base.get(), [&] { return world.bad.closed() == 1; }));
+    }
+}
+
+TEST_CASE("a large answer that keeps coming is not given up", "[proxy]")
+{
+    constexpr std::size_t size = 3 * mebibyte;
+    const std::size_t block = 64 * 1024;
+    World world({ plainHead + "Content-Length: " + std::to_string(size) + "\r\n\r\n", std::string(block, 'a'),
+        std::chrono::milliseconds { 20 } });
+    auto& client = world.client("/lookup/1");
+    REQUIRE(test::runUntil(world.base.get(), [&] { return world.bad.requests() == 1; }));
+    world.addHealthyServer();
+    CHECK(world.run(routeTimeout, [&] { return client.received.size() > size; }));
+    CHECK_FALSE(client.has("good"));
+}
+
+TEST_CASE("bytes without end on an idle connection close it", "[proxy]")
+{
+    World world({ goodAnswer, "HTTP/1.1 200 OK\r\n", std::chrono::milliseconds { 50 } });
+    auto& client = world.client("/order/1");
+    CHECK(world.run(routeTimeout, [&] { return client.has("good") && world.bad.closed() == 1; }));
+    CHECK(world.heapGrowth < maxHeapGrowth);
+}
+
+TEST_CASE("bytes without end behind a complete answer close the connection", "[proxy]")
+{
+    World world({ goodAnswer, "HTTP/1.1 200 OK\r\n" });
+    auto& client = world.client("/order/1");
+    CHECK(world.run(routeTimeout, [&] { return client.has("good") && world.bad.closed() == 1; }));
+    CHECK(world.heapGrowth < maxHeapGrowth);
+}
+
+TEST_CASE("a request without end is cut off by its client's limits", "[proxy]")
+{
+    const std::string head = "POST /order/1 HTTP/1.1\r\nHost: x.example\r\nX-Id: r1\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto& [first, unit] : std::initializer_list<std::pair<std::string, std::string>> {
+             { "POST /", "a" },
+             { head + "X-Long: ", "a" },
+             { head, "X-More: a\r\n" },
+             { chunked, "4\r\naaaa\r\n" },
+             { chunked, "0" },
+             { chunked + "4;", "a" },
+             { chunked + "0\r\n", "X-More: a\r\n" },
+         }) {
+        CAPTURE(first, unit);
+        World world({ "", "a" });
+        auto& client = world.clients.emplace_back(world.base.get(), world.proxy->address());
+        std::string block;
+        while (block.size() < 16 * 1024)
+            block += unit;
+        client.send(first);
+        std::size_t sent = 0;
+        CHECK(world.run(routeTimeout, [&] {
+            for (std::size_t i = 0; i < 16 && !client.closed && sent < 64 * mebibyte; ++i, sent += block.size())
+                client.send(block);
+            return client.closed;
+        }));
+        CHECK(sent < 64 * mebibyte);
+        CHECK(world.bad.requests() == 0);
+    }
+}
