Bound the answers of backend servers on the product's own interface

Cause: evhttp has no bound on header lines, chunk size lines and chunks, and begins its time limit anew with each byte. An attempt that had failed stayed on its connection, which was read for as long as the server sent; so did one whose stream had ended. Each small chunk kept a block of memory of its own.

Change: AnswerGuard counts what evhttp reads, with the bounds of the proxy, and keeps the time since the last progress: a head, an event, 64 KiB of a body. It ends attempts, orders and cancellations. A failed attempt closes its connection and leaves a line in the log. Bodies are copied together.

Regression test that held before: bytes on an idle connection. The limit of 120 s without progress has no test of its own; that of orders, by the same guard, has.

--- a/packages/runtime/include/rosemarymill/runtime/backend/client.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/backend/client.hpp
@@ -4,6 +4,7 @@
 #include <rosemarymill/core/node/event.hpp>
 #include <rosemarymill/runtime/backend/connection_pool.hpp>
 #include <rosemarymill/runtime/backend/outgoing_request.hpp>
+#include <rosemarymill/runtime/base/receive_limit.hpp>
 #include <rosemarymill/runtime/loop/post_event.hpp>
 
 #include <memory>
@@ -15,8 +16,7 @@
 /// HTTP client towards backend servers by evhttp.
 namespace rosemarymill::runtime::backend {
 
-/// Largest answer that is not a stream, in bytes. It is buffered whole.
-inline constexpr std::size_t maxAnswerBytes = 4 * 1024 * 1024;
+using runtime::maxAnswerBytes;
 
 namespace detail {
 struct Exchange;
@@ -33,7 +33,9 @@
 class Client {
 public:
     /// The name is unique among all processes and starts; it makes attempt ids unique at the servers.
-    Client(event_base* base, ConnectionPool& pool, PostEvent post, FindRequest find, std::string name);
+    /// An attempt is given up after the time without progress, however many bytes come meanwhile.
+    Client(event_base* base, ConnectionPool& pool, PostEvent post, FindRequest find, std::string name,
+        Duration patience = maxSilence);
     ~Client();
 
     void dispatch(const node::Dispatch& effect);
@@ -60,10 +62,12 @@
     void finish(AttemptId attempt, bool reuseConnection);
     void dispose(std::unique_ptr<detail::Exchange> exchange);
 
+    event_base* m_base;
     ConnectionPool& m_pool;
     PostEvent m_post;
     FindRequest m_find;
     std::string m_name;
+    Duration m_patience;
     EventHandle m_cleanUp;
     std::unordered_map<AttemptId, std::unique_ptr<detail::Exchange>> m_exchanges;
     std::vector<std::unique_ptr<detail::Exchange>> m_disposed;
--- a/packages/runtime/include/rosemarymill/runtime/backend/connection_pool.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/backend/connection_pool.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <rosemarymill/core/base/time.hpp>
 #include <rosemarymill/runtime/base/handles.hpp>
 
 #include <string>
@@ -12,8 +13,11 @@
 /// Idle connections kept per address. More concurrent requests open further connections.
 inline constexpr std::size_t maxIdleConnections = 64;
 
-/// Time without a byte after which a request counts as timed out. It is above the longest pause that a busy engine
+/// Time without progress after which a request counts as timed out. It is above the longest pause that a busy engine
 /// makes before the first token; a lost server is noticed earlier by its missing announcements.
+inline constexpr Duration maxSilence = 120s;
+
+/// The same for evhttp, which begins it anew with each byte.
 inline constexpr timeval silenceTimeout { 120, 0 };
 
 /// Pool of evhttp connections by address. A connection carries one request at a time.
--- a/packages/runtime/include/rosemarymill/runtime/backend/sse_parser.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/backend/sse_parser.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <rosemarymill/runtime/base/receive_limit.hpp>
+
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -9,8 +11,7 @@
 /// Parser of server-sent events that reads no more than the `id:` and `data:` fields.
 namespace rosemarymill::runtime::backend {
 
-/// Longest event in bytes. A longer one makes the answer malformed.
-inline constexpr std::size_t maxEventBytes = 256 * 1024;
+using runtime::maxEventBytes;
 
 /// One event of a stream. The bytes include the empty line that ends the event.
 struct SseEvent {
@@ -29,7 +30,7 @@
     /// Returns false to stop the parsing.
     using Handler = std::function<bool(const SseEvent&)>;
 
-    /// Parses the next bytes. Returns false when an event is too long or the handler stopped.
+    /// Parses the next bytes. Returns false when an event is longer than maxEventBytes or the handler stopped.
     bool feed(std::string_view bytes, const Handler& handler);
 
 private:
--- a/packages/runtime/src/backend/client.cpp
+++ b/packages/runtime/src/backend/client.cpp
@@ -1,15 +1,33 @@
 #include <rosemarymill/runtime/backend/client.hpp>
 
 #include <rosemarymill/runtime/backend/sse_parser.hpp>
+#include <rosemarymill/runtime/base/answer_guard.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
 
 #include <nlohmann/json.hpp>
 
+#include <array>
+
 #include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 
 namespace rosemarymill::runtime::backend {
 
+namespace {
+
+const char* nameOf(node::AttemptError error) noexcept
+{
+    constexpr std::array<const char*, 6> names { "no connection", "connection lost", "no progress in time",
+        "answer to another request", "malformed answer", "answer too large" };
+    return names[static_cast<std::size_t>(error)];
+}
+
+/// Time for a server to answer a cancellation, as for an order.
+constexpr Duration cancelTimeout = 5s;
+
+} // namespace
+
 namespace detail {
 
 /// One attempt: its request, connection and the state of its answer.
@@ -18,6 +36,7 @@
     AttemptId id;
     std::string address;
     HttpConnectionHandle connection;
+    std::optional<AnswerGuard> guard;
     evhttp_request* request { nullptr };
     SseParser parser;
     BufferHandle body { evbuffer_new() };
@@ -29,14 +48,34 @@
     bool captureAnswer { false };
     /// Set by the error callback, which evhttp calls only after the connection was made.
     bool connected { false };
+    /// Size of the body at which the answer has made progress again.
+    std::size_t nextProgress { bodyProgressBytes };
     node::AttemptError error { node::AttemptError::ConnectFailed };
 
     [[nodiscard]] bool owned() const { return client->m_exchanges.contains(id); }
 
+    /// Ends the attempt and closes its connection; evhttp would go on reading.
     void fail(node::AttemptError why)
     {
         failed = true;
+        writeDecision("backend", "attempt ended",
+            { { "attempt", std::to_string(id.value) }, { "server", address }, { "why", nameOf(why) } });
         client->fail(id, why, true);
+        client->finish(id, false);
+    }
+
+    static void onFault(AnswerGuard::Fault fault, void* arg)
+    {
+        auto& it = *static_cast<Exchange*>(arg);
+        if (it.failed)
+            return;
+        // What follows the end of a stream belongs to no request.
+        if (it.finished)
+            return it.client->finish(it.id, false);
+        if (fault == AnswerGuard::Fault::Silent)
+            return it.fail(node::AttemptError::TimedOut);
+        it.fail(
+            it.status != 0 && !it.stream ? node::AttemptError::AnswerTooLarge : node::AttemptError::MalformedAnswer);
     }
 
     /// Returns false to close the connection.
@@ -53,6 +92,7 @@
         const auto* type = evhttp_find_header(headers, "Content-Type");
         contentType = type ? type : "application/octet-stream";
         stream = contentType.starts_with("text/event-stream");
+        guard->expect(stream ? maxEventBytes : maxAnswerBytes, client->m_patience);
         client->m_post(node::ResponseStarted { readClock(), id, status, stream });
         return true;
     }
@@ -65,6 +105,7 @@
             return true;
         if (event.done) {
             finished = true;
+            guard->expect(maxAnswerHeadBytes, client->m_patience);
             client->m_post(node::ResponseFinished { readClock(), id });
             return false;
         }
@@ -72,6 +113,7 @@
             fail(node::AttemptError::MalformedAnswer);
             return false;
         }
+        guard->expect(maxEventBytes, client->m_patience);
         client->m_currentAttempt = id;
         client->m_currentToken = event.bytes;
         client->m_post(
@@ -86,9 +128,17 @@
         if (finished || failed)
             return;
         if (!stream) {
-            evbuffer_add_buffer(body.get(), input);
-            if (evbuffer_get_length(body.get()) > maxAnswerBytes)
-                fail(node::AttemptError::AnswerTooLarge);
+            // Moving the input's pieces would keep a block of memory for each chunk, however small.
+            const auto added = evbuffer_get_length(input);
+            evbuffer_add(body.get(), evbuffer_pullup(input, -1), added);
+            evbuffer_drain(input, added);
+            const auto size = evbuffer_get_length(body.get());
+            if (size > maxAnswerBytes)
+                return fail(node::AttemptError::AnswerTooLarge);
+            if (size >= nextProgress) {
+                nextProgress = size + bodyProgressBytes;
+                guard->expect(maxAnswerBytes - size, client->m_patience);
+            }
             return;
         }
         const auto size = evbuffer_get_length(input);
@@ -167,11 +217,14 @@
 
 } // namespace detail
 
-Client::Client(event_base* base, ConnectionPool& pool, PostEvent post, FindRequest find, std::string name)
-    : m_pool(pool)
+Client::Client(
+    event_base* base, ConnectionPool& pool, PostEvent post, FindRequest find, std::string name, Duration patience)
+    : m_base(base)
+    , m_pool(pool)
     , m_post(std::move(post))
     , m_find(std::move(find))
     , m_name(std::move(name))
+    , m_patience(patience)
     , m_cleanUp(event_new(
           base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<Client*>(self)->m_disposed.clear(); },
           this))
@@ -213,6 +266,8 @@
     it->address = effect.address;
     it->captureAnswer = effect.captureAnswer;
     it->connection = std::move(connection);
+    it->guard.emplace(m_base, it->connection.get(), &detail::Exchange::onFault, it);
+    it->guard->expect(maxAnswerHeadBytes, m_patience);
     it->request = evhttp_request_new(detail::onEnd, it);
     evhttp_request_set_header_cb(it->request, detail::onHead);
     evhttp_request_set_chunked_cb(it->request, detail::onBody);
@@ -278,6 +333,8 @@
         return;
     auto exchange = std::move(it->second);
     m_exchanges.erase(it);
+    if (reuseConnection)
+        exchange->guard.reset();
     if (reuseConnection)
         m_pool.put(exchange->address, std::move(exchange->connection));
     dispose(std::move(exchange));
@@ -302,11 +359,22 @@
         ConnectionPool& pool;
         std::string address;
         HttpConnectionHandle connection;
+        std::optional<AnswerGuard> guard {};
     };
     auto* cancel = new Cancel { m_pool, address, std::move(connection) };
+    cancel->guard.emplace(
+        m_base, cancel->connection.get(),
+        [](AnswerGuard::Fault fault, void* arg) {
+            const std::unique_ptr<Cancel> given(static_cast<Cancel*>(arg));
+            writeDecision("backend", "cancellation not answered",
+                { { "server", given->address }, { "why", std::string(nameOf(fault)) } });
+        },
+        cancel);
+    cancel->guard->expect(maxAnswerHeadBytes, cancelTimeout);
     auto* request = evhttp_request_new(
         [](evhttp_request* answered, void* arg) {
             const std::unique_ptr<Cancel> done(static_cast<Cancel*>(arg));
+            done->guard.reset();
             if (answered && evhttp_request_get_response_code(answered) != 0)
                 done->pool.put(done->address, std::move(done->connection));
             else
@@ -319,6 +387,7 @@
     detail::addHeader(request, "Content-Type", "application/json");
     evbuffer_add(evhttp_request_get_output_buffer(request), text.data(), text.size());
     if (evhttp_make_request(cancel->connection.get(), request, EVHTTP_REQ_POST, "/v1/cancel") != 0) {
+        cancel->guard.reset();
         m_pool.discard(std::move(cancel->connection));
         delete cancel;
     }
--- a/packages/runtime/src/backend/order_sender.cpp
+++ b/packages/runtime/src/backend/order_sender.cpp
@@ -1,7 +1,9 @@
 #include <rosemarymill/runtime/backend/order_sender.hpp>
 
 #include <rosemarymill/runtime/base/address.hpp>
+#include <rosemarymill/runtime/base/answer_guard.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/wire/backend/json.hpp>
 
 namespace rosemarymill::runtime::backend {
@@ -12,6 +14,7 @@
     ServerId server;
     std::uint64_t orderId;
     HttpConnectionHandle connection;
+    std::unique_ptr<AnswerGuard> guard {};
 };
 
 OrderSender::OrderSender(event_base* base, PostEvent post)
@@ -39,6 +42,16 @@
     auto* it = pending.get();
     m_pending.emplace(it, std::move(pending));
     evhttp_connection_set_timeout_tv(it->connection.get(), &orderTimeout);
+    it->guard = std::make_unique<AnswerGuard>(
+        m_base, it->connection.get(),
+        [](AnswerGuard::Fault fault, void* arg) {
+            auto& given = *static_cast<Pending*>(arg);
+            writeDecision("backend", "order not answered",
+                { { "server", given.server.text() }, { "why", std::string(nameOf(fault)) } });
+            given.sender.answered(given, false);
+        },
+        it);
+    it->guard->expect(maxAnswerHeadBytes, std::chrono::seconds { orderTimeout.tv_sec });
     auto* request = evhttp_request_new(
         [](evhttp_request* answer, void* arg) {
             auto& done = *static_cast<Pending*>(arg);
@@ -60,6 +73,7 @@
     const auto it = m_pending.find(&pending);
     if (it == m_pending.end())
         return;
+    it->second->guard.reset();
     m_done.push_back(std::move(it->second));
     m_pending.erase(it);
     event_active(m_cleanUp.get(), EV_TIMEOUT, 0);
