Bound the answers to orders and probes of the control VM

Cause: evhttp collects an answer without bound until the time limit of the exchange, and nothing said so in the log. Many servers may be in trouble at once.

Change: AnswerGuard ends the exchange at 64 KiB as one without an answer, with a warning that names the server.

Tests: floods of 10 kinds took the whole 2 s each and up to 1,900 MB, all without a log line; 19 of 60 checks failed. Now 0.1 s for all, below 1 MiB each. Regression test that held before: slow bytes of 10 kinds end at the time limit of 300 ms.

--- a/packages/runtime/src/nodes/server_client.cpp
+++ b/packages/runtime/src/nodes/server_client.cpp
@@ -1,6 +1,8 @@
 #include <rosemarymill/runtime/nodes/server_client.hpp>
 
 #include <rosemarymill/runtime/base/address.hpp>
+#include <rosemarymill/runtime/base/answer_guard.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
 
 #include <cerrno>
 
@@ -10,6 +12,9 @@
 
 namespace {
 
+/// Longest answer in bytes with its head. Only the status is read; reports of servers are below 1 KiB.
+constexpr std::size_t maxReplyBytes = 64 * 1024;
+
 timeval toTimeval(Duration it)
 {
     constexpr std::int64_t microseconds = 1'000'000;
@@ -22,7 +27,9 @@
 
 struct ServerClient::Pending {
     ServerClient& client;
+    std::string address;
     HttpConnectionHandle connection;
+    std::unique_ptr<AnswerGuard> guard;
     Handler handler;
     /// Limits the whole exchange; the connection's own time limit restarts with each step.
     EventHandle timer;
@@ -46,7 +53,8 @@
 
 void ServerClient::send(const std::string& address, const ServerRequest& request, Duration timeout, Handler handler)
 {
-    auto pending = std::make_unique<Pending>(Pending { *this, nullptr, std::move(handler), nullptr, false });
+    auto pending
+        = std::make_unique<Pending>(Pending { *this, address, nullptr, nullptr, std::move(handler), nullptr, false });
     auto* it = pending.get();
     m_pending.emplace(it, std::move(pending));
     it->timer.reset(event_new(
@@ -66,6 +74,16 @@
     it->connection.reset(
         evhttp_connection_base_new(m_base, nullptr, formatIp(parsed.value()).c_str(), portOf(parsed.value())));
     evhttp_connection_set_timeout_tv(it->connection.get(), &limit);
+    it->guard = std::make_unique<AnswerGuard>(
+        m_base, it->connection.get(),
+        [](AnswerGuard::Fault fault, void* arg) {
+            auto& given = *static_cast<Pending*>(arg);
+            writeLog(node::LogLevel::Warning, "fleet",
+                "The answer of " + given.address + " was given up: " + std::string(nameOf(fault)) + ".");
+            given.client.finish(given, {});
+        },
+        it);
+    it->guard->expect(maxReplyBytes);
     auto* message = evhttp_request_new(
         [](evhttp_request* answer, void* arg) {
             auto& done = *static_cast<Pending*>(arg);
@@ -92,6 +110,7 @@
     if (pending.finished)
         return;
     pending.finished = true;
+    pending.guard.reset();
     const auto it = m_pending.find(&pending);
     m_done.push_back(std::move(it->second));
     m_pending.erase(it);
--- /dev/null
+++ b/tests/runtime/nodes/server_client.cpp
@@ -0,0 +1,111 @@
+#include <rosemarymill/runtime/nodes/server_client.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
+
+#include "support/flood.hpp"
+#include "support/http.hpp"
+#include "support/peer.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <sstream>
+
+using namespace rosemarymill;
+using runtime::nodes::ServerAnswer;
+using runtime::nodes::ServerClient;
+using test::Flood;
+using test::FloodServer;
+
+namespace {
+
+constexpr std::size_t mebibyte = 1024 * 1024;
+
+/// Many servers may be in trouble at once, each with an order or a probe under way: a hundred of them share a tenth of
+/// a control VM's 256 MB.
+constexpr std::size_t maxHeapGrowth = mebibyte;
+
+const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::vector<Flood> floods()
+{
+    return {
+        { "HTTP/1.1 200 ", "a" },
+        { "HTTP/1.1 200 OK\r\nX-Long: ", "a" },
+        { "HTTP/1.1 200 OK\r\n", "X-More: a\r\n" },
+        { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "HTTP/1.1 200 OK\r\n\r\n", "a" },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "a" },
+        { chunkedHead, "4\r\naaaa\r\n" },
+        { chunkedHead + "ffffffffff\r\n", "a" },
+        { chunkedHead, "0" },
+        { chunkedHead + "0\r\n", "X-More: a\r\n" },
+    };
+}
+
+struct World {
+    ~World() { runtime::setUpLog(node::LogLevel::Error); }
+
+    explicit World(Flood flood)
+        : base(event_base_new())
+        , server(base.get(), std::move(flood))
+        , client(base.get())
+    {
+        runtime::setUpLog(log, node::LogLevel::Debug, runtime::LogFormat::Json);
+    }
+
+    bool run(Duration timeout)
+    {
+        const auto before = test::heapBytes();
+        const auto begin = runtime::readClock();
+        client.send(server.address(), { "GET", "/api/report", {}, {} }, timeout,
+            [this](const ServerAnswer& it) { answer = it; });
+        const bool result = test::runUntil(base.get(), [&] {
+            heapGrowth = std::max(heapGrowth, test::heapBytes() - std::min(before, test::heapBytes()));
+            return answer && server.closed() == 1;
+        });
+        took = runtime::readClock() - begin;
+        return result;
+    }
+
+    test::EventBase base;
+    std::ostringstream log;
+    FloodServer server;
+    ServerClient client;
+    std::optional<ServerAnswer> answer;
+    std::size_t heapGrowth { 0 };
+    Duration took {};
+};
+
+} // namespace
+
+TEST_CASE("an order or probe ends at its bound when the answer comes without end", "[nodes]")
+{
+    for (const auto& flood : floods()) {
+        World world(flood);
+        const bool ended = world.run(2s);
+        CAPTURE(flood.first, flood.unit, world.heapGrowth, world.took.count());
+        CHECK(ended);
+        CHECK(world.heapGrowth < maxHeapGrowth);
+        REQUIRE(world.answer);
+        CHECK(world.answer->status == 0);
+        CHECK_FALSE(world.answer->refused);
+        CHECK(world.log.str().find(world.server.address()) != std::string::npos);
+    }
+}
+
+TEST_CASE("an order or probe ends at its time limit while bytes of an answer keep coming", "[nodes]")
+{
+    for (auto flood : floods()) {
+        flood.pause = std::chrono::milliseconds { 20 };
+        World world(flood);
+        const bool ended = world.run(300ms);
+        CAPTURE(flood.first, flood.unit, world.took.count());
+        CHECK(ended);
+        CHECK(world.took < 1s);
+        REQUIRE(world.answer);
+        CHECK(world.answer->status == 0);
+    }
+}
