Check that requests without end are closed

Seven kinds of requests without end to the HTTP server, two of them in a chunk's size line and in trailers.

--- /dev/null
+++ b/tests/runtime/http/server.cpp
@@ -0,0 +1,77 @@
+#include <rosemarymill/runtime/http/server.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+
+#include "support/flood.hpp"
+#include "support/http.hpp"
+#include "support/peer.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace rosemarymill;
+using runtime::http::Exchange;
+using runtime::http::Server;
+using test::Peer;
+
+namespace {
+
+constexpr std::size_t mebibyte = 1024 * 1024;
+
+/// Bound in bytes for one client: the largest body that is kept, and as much again for what is under way.
+constexpr std::size_t maxHeapGrowth = 4 * mebibyte;
+
+/// The time limit for a whole request, with a margin for a busy machine.
+constexpr Duration closedWithin = std::chrono::seconds { runtime::http::arrivalTimeout.tv_sec } + 2s;
+
+} // namespace
+
+TEST_CASE("A request without end is closed and keeps nobody else from being answered", "[http]")
+{
+    const std::string head = "POST /echo HTTP/1.1\r\nHost: x\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const auto& [first, unit] : std::initializer_list<std::pair<std::string, std::string>> {
+             { "POST /", "a" },
+             { head + "X-Long: ", "a" },
+             { head, "X-More: a\r\n" },
+             { chunked, "4\r\naaaa\r\n" },
+             { chunked, "0" },
+             { chunked + "4;", "a" },
+             { chunked + "0\r\n", "X-More: a\r\n" },
+         }) {
+        const test::EventBase base(event_base_new());
+        Server server(base.get(), runtime::parseAddress("127.0.0.1:0").value());
+        server.route("POST", "/echo", [](Exchange& exchange) { exchange.reply(200, "text/plain", "echoed"); });
+        std::string block;
+        while (block.size() < 16 * 1024)
+            block += unit;
+        Peer flooding(base.get(), server.address());
+        Peer other(base.get(), server.address());
+        const auto before = test::heapBytes();
+        std::size_t growth = 0;
+        std::size_t sent = 0;
+        std::size_t answered = 0;
+        flooding.send(first);
+        const auto begin = runtime::readClock();
+        other.send(head + "Content-Length: 0\r\n\r\n");
+        const auto step = [&] {
+            // What the test itself has not handed to the kernel yet counts as well, so little is sent at once.
+            for (std::size_t i = 0; i < 16 && !flooding.closed; ++i, sent += block.size())
+                flooding.send(block);
+            growth = std::max(growth, test::heapBytes() - std::min(before, test::heapBytes()));
+            if (other.has("echoed")) {
+                ++answered;
+                other.received.clear();
+                other.send(head + "Content-Length: 0\r\n\r\n");
+            }
+            return flooding.closed || runtime::readClock() - begin > closedWithin;
+        };
+        while (!step())
+            test::runUntil(base.get(), step);
+        CAPTURE(first, unit, sent, growth, answered, (runtime::readClock() - begin) / 1ms);
+        CHECK(flooding.closed);
+        CHECK(growth < maxHeapGrowth);
+        CHECK(answered > 0);
+    }
+}
