--- a/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <span>
 #include <variant>
@@ -108,10 +109,16 @@
     /// Requests of this VM at servers that have any.
     [[nodiscard]] std::vector<fleet::ServerLoad> ownLoads(Instant now);
 
-    /// Requests of all entry VMs at the servers, as summed by the control VM a moment ago. Servers that are not named
-    /// have none.
+    /// Requests of all entry VMs at the servers, as summed by the control VM from reports that are up to two intervals
+    /// old. Servers that are not named have none. What a server told itself since then is kept.
     void fleetLoads(std::span<const fleet::ServerLoad> loads, Instant now);
 
+    /// When the last sums arrived; none if there were no sums yet.
+    [[nodiscard]] std::optional<Instant> fleetLoadsAt() const noexcept
+    {
+        return m_sumsAt == Instant {} ? std::nullopt : std::optional { m_sumsAt };
+    }
+
     /// The server told its running and waiting requests.
     void loadReported(const ServerId& server, unsigned requests, Instant now);
 
@@ -121,6 +128,10 @@
     /// The server did not take or finish a request. It gets no requests for a time that doubles.
     void failed(const ServerId& server, Instant now);
 
+    /// The server does not serve what it was announced for. It gets no requests until it is announced again, or for the
+    /// longest suspension.
+    void misdirected(const ServerId& server, Instant now);
+
     /// The server took no request because it was full.
     void full(const ServerId& server, Instant now);
 
@@ -133,7 +144,10 @@
     {
         m_entryVms = n;
         m_position = position;
+        m_entryVmsKnown = true;
     }
+    /// Number of entry VMs once a control VM has told it, 0 before.
+    [[nodiscard]] unsigned knownEntryVms() const noexcept { return m_entryVmsKnown ? m_entryVms : 0; }
     [[nodiscard]] unsigned entryVms() const noexcept { return m_entryVms; }
     [[nodiscard]] const fleet::Target* find(const ServerId& server) const;
     [[nodiscard]] Instant lastProgress(const ServerId& server) const;
@@ -144,10 +158,13 @@
         fleet::Target target;
         bool withdrawn { false };
         bool gone { false };
+        bool misdirected { false };
         unsigned outstanding { 0 };
         unsigned reported { 0 };
         unsigned outstandingAtReport { 0 };
         Instant reportedAt;
+        /// When the server itself told its requests.
+        Instant toldAt;
         Instant progressAt;
         Instant suspendedUntil;
         Duration suspension {};
@@ -163,16 +180,38 @@
         double promptRate { 0 };
     };
 
+    /// Group that may be chosen, with the time until it is expected to send the first event.
+    struct Candidate {
+        Entry* entry { nullptr };
+        double score { 0 };
+        double load { 0 };
+    };
+
+    /// Work of this VM's requests for a model, in seconds of a group per second, as an exponential average.
+    struct WorkRate {
+        double rate { 0 };
+        Instant at;
+    };
+
     /// Accounts for the prompts that the group has read since the last call.
     static void readPrompts(Entry& entry, Instant now);
     /// Time until the group is expected to send the first event of a request.
     [[nodiscard]] double expectedDelay(Entry& entry, const Query& query) const;
 
+    /// Work that other entry VMs are expected to have given to the model's groups since the sums were taken, in seconds
+    /// of a group.
+    [[nodiscard]] double unseenWork(const Query& query);
+    /// Chooses among the candidates in the proportion in which the unseen work levels their delays. Without unseen work
+    /// that is the soonest one.
+    [[nodiscard]] const Candidate& chooseSoonest(std::span<const Candidate> candidates, double unseen);
+    void countWork(const ModelName& model, const Work& work, Instant now);
+
     [[nodiscard]] double loadOf(const Entry& entry, Instant now) const;
     [[nodiscard]] static bool isCold(const Entry& entry, const Query& query);
     [[nodiscard]] bool coldTokenReady(Entry& entry, double rate, Instant now) const;
     /// Whether this VM is one of those that send to a server while it is cold.
     [[nodiscard]] bool isDelegate(const Entry& entry, double all) const;
+    static void setReported(Entry& entry, unsigned requests, Instant now);
     void withdraw(const ServerId& server);
     /// When a request should come back that found all groups full. Later ones come back later.
     [[nodiscard]] Duration returnTime(const Query& query, std::size_t groups);
@@ -182,9 +221,14 @@
     std::map<ServerId, Entry> m_entries;
     /// Assumed before a control VM tells the number, so that shares of limits start small.
     unsigned m_entryVms { 16 };
+    bool m_entryVmsKnown { false };
     unsigned m_position { 0 };
     /// When the request that was refused last comes back.
     std::map<ModelName, Instant> m_lastReturn;
+    std::map<ModelName, WorkRate> m_workRates;
+    /// Arrival of the last sums, and the time since those before.
+    Instant m_sumsAt;
+    Duration m_sumsInterval {};
 };
 
 } // namespace rosemarymill::dispatch
--- a/packages/core/include/rosemarymill/core/fleet/machine.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/machine.hpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/core/agreement/replica.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -10,11 +11,27 @@
 /// State that survives the loss of control VMs: the document, and the data centres out of service.
 namespace rosemarymill::fleet {
 
+/// Longest document in bytes as it was submitted.
+inline constexpr std::size_t maxDocumentBytes = 4 * 1024 * 1024;
+
+/// Longest document in bytes as the log carries it. One frame holds it with the other fields of the log's messages,
+/// because the log sends an entry and a snapshot each as one message.
+inline constexpr std::size_t maxStoredDocumentBytes = 960 * 1024;
+
+/// How the bytes of a stored document are encoded. The numbers are those of the schema.
+enum class Encoding : std::uint8_t {
+    /// As they were submitted.
+    Plain = 0,
+    /// Compressed by Zstandard.
+    Zstd = 1
+};
+
 /// Stores a document when its version is higher than the stored one.
 struct StoreDocument {
     std::string submission;
     std::uint64_t version { 0 };
     std::string bytes;
+    Encoding encoding { Encoding::Plain };
 
     friend bool operator==(const StoreDocument&, const StoreDocument&) = default;
 };
@@ -48,6 +65,7 @@
     std::uint64_t version { 0 };
     std::string bytes;
     std::set<DataCentreId> outOfService;
+    Encoding encoding { Encoding::Plain };
 
     friend bool operator==(const Snapshot&, const Snapshot&) = default;
 };
--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -3,6 +3,7 @@
 #include <rosemarymill/core/base/hash.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace rosemarymill::dispatch {
 
@@ -34,6 +35,9 @@
 /// Part of the cold rate that is used, since the VMs' windows do not begin together.
 constexpr double coldSafety = 0.7;
 
+/// Time constant of the average of this VM's work: a VM that sends a request a second counts several of them.
+constexpr Duration workAverage = 5s;
+
 /// With many entry VMs only some send to a cold server, two requests a second at most. Their number varies by chance,
 /// so they are counted with half as much again.
 constexpr double delegateCost = 3;
@@ -63,13 +67,14 @@
         auto& entry = m_entries[target.id];
         if (entry.target.id.empty())
             entry.progressAt = now;
-        if (entry.withdrawn || entry.gone) {
+        if (entry.withdrawn || entry.gone || entry.misdirected) {
             entry.suspendedUntil = {};
             entry.suspension = {};
         }
         entry.target = target;
         entry.withdrawn = false;
         entry.gone = false;
+        entry.misdirected = false;
         if (target.coldLeft > Duration::zero()) {
             if (now >= entry.coldUntil) {
                 entry.coldTokens = 0;
@@ -145,6 +150,51 @@
         + waiting * seconds(query.work.slotWait);
 }
 
+void Balancer::countWork(const ModelName& model, const Work& work, Instant now)
+{
+    if (work.promptRate <= 0)
+        return;
+    auto& it = m_workRates[model];
+    it.rate *= std::exp(-seconds(now - it.at) / seconds(workAverage));
+    it.rate += (work.promptTokens / work.promptRate + seconds(work.eventCost)) / seconds(workAverage);
+    it.at = now;
+}
+
+double Balancer::unseenWork(const Query& query)
+{
+    const auto it = m_workRates.find(query.model);
+    if (it == m_workRates.end() || m_sumsAt == Instant {} || m_entryVms < 2)
+        return 0;
+    // The reports in a sum are half an interval old on average when it is sent.
+    const auto age = std::min(query.now - m_sumsAt + m_sumsInterval / 2, m_settings.reportLife);
+    const auto rate = it->second.rate * std::exp(-seconds(query.now - it->second.at) / seconds(workAverage));
+    return rate * (m_entryVms - 1) * seconds(age);
+}
+
+const Balancer::Candidate& Balancer::chooseSoonest(std::span<const Candidate> candidates, double unseen)
+{
+    std::vector<const Candidate*> sorted;
+    sorted.reserve(candidates.size());
+    for (const auto& it : candidates)
+        sorted.push_back(&it);
+    std::sort(sorted.begin(), sorted.end(), [](const auto* a, const auto* b) { return a->score < b->score; });
+    // Level that the soonest groups reach together once they have got the unseen work.
+    std::size_t n = 0;
+    double sum = 0;
+    double level = 0;
+    do {
+        sum += sorted[n++]->score;
+        level = (unseen + sum) / static_cast<double>(n);
+    } while (n < sorted.size() && sorted[n]->score < level);
+    auto point = std::uniform_real_distribution<double>(0, unseen)(m_random);
+    for (std::size_t i = 0; i < n; ++i) {
+        point -= level - sorted[i]->score;
+        if (point < 0)
+            return *sorted[i];
+    }
+    return *sorted.front();
+}
+
 Duration Balancer::returnTime(const Query& query, std::size_t groups)
 {
     auto& last = m_lastReturn[query.model];
@@ -163,8 +213,7 @@
     const auto groups = static_cast<std::size_t>(
         std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& it) { return serves(it.second); }));
     const auto preferred = groups * m_position / std::max(m_entryVms, 1U);
-    Entry* best = nullptr;
-    double bestScore = 0;
+    std::vector<Candidate> candidates;
     Choice choice;
     Refusal refusal { NoServer::Unknown, retryAfterUnknown };
     const auto limit = 1 + m_settings.queueShare;
@@ -196,20 +245,18 @@
         const auto score = query.work.promptRate > 0
             ? expectedDelay(entry, query) + preferenceStep * static_cast<double>(rank)
             : load + noise(m_random) + (target.dataCentre == m_settings.dataCentre ? 0 : m_settings.remotePenalty);
-        if (best && score >= bestScore)
-            continue;
-        best = &entry;
-        bestScore = score;
-        choice.load = load;
+        candidates.push_back({ &entry, score, load });
     }
-    if (!best) {
+    if (candidates.empty()) {
         if (refusal.reason == NoServer::Full && query.work.promptRate > 0)
             refusal.retryAfter = returnTime(query, groups);
         return refusal;
     }
-    if (isCold(*best, query))
-        best->coldTokens -= 1;
-    choice.target = &best->target;
+    const auto& best = chooseSoonest(candidates, unseenWork(query));
+    if (isCold(*best.entry, query))
+        best.entry->coldTokens -= 1;
+    choice.target = &best.entry->target;
+    choice.load = best.load;
     return choice;
 }
 
@@ -223,6 +270,7 @@
         entry.progressAt = now;
     readPrompts(entry, now);
     entry.ownPrompts += work.promptTokens;
+    countWork(entry.target.model, work, now);
 }
 
 void Balancer::ended(const ServerId& server)
@@ -251,12 +299,17 @@
 
 void Balancer::fleetLoads(std::span<const fleet::ServerLoad> loads, Instant now)
 {
+    m_sumsInterval = m_sumsAt == Instant {} ? Duration {} : std::min(now - m_sumsAt, m_settings.reportLife);
+    m_sumsAt = now;
+    // Half of the reports in the sums are older.
+    const auto reportsSince = now - m_sumsInterval / 2;
     for (auto& known : m_entries) {
         const auto& server = known.first;
         auto& entry = known.second;
         const auto it
             = std::find_if(loads.begin(), loads.end(), [&](const auto& load) { return load.server == server; });
-        loadReported(server, it == loads.end() ? 0 : it->requests, now);
+        if (entry.toldAt < reportsSince)
+            setReported(entry, it == loads.end() ? 0 : it->requests, now);
         readPrompts(entry, now);
         entry.otherPrompts = it == loads.end() ? 0 : std::max(it->promptTokens - entry.reportedPrompts, 0.0);
     }
@@ -267,9 +320,15 @@
     const auto it = m_entries.find(server);
     if (it == m_entries.end())
         return;
-    it->second.reported = requests;
-    it->second.outstandingAtReport = it->second.outstanding;
-    it->second.reportedAt = now;
+    it->second.toldAt = now;
+    setReported(it->second, requests, now);
+}
+
+void Balancer::setReported(Entry& entry, unsigned requests, Instant now)
+{
+    entry.reported = requests;
+    entry.outstandingAtReport = entry.outstanding;
+    entry.reportedAt = now;
 }
 
 void Balancer::succeeded(const ServerId& server, Instant now)
@@ -294,6 +353,15 @@
     entry.suspendedUntil = now + entry.suspension;
 }
 
+void Balancer::misdirected(const ServerId& server, Instant now)
+{
+    const auto it = m_entries.find(server);
+    if (it == m_entries.end())
+        return;
+    it->second.misdirected = true;
+    it->second.suspendedUntil = now + m_settings.maxSuspension;
+}
+
 void Balancer::full(const ServerId& server, Instant now)
 {
     const auto it = m_entries.find(server);
--- a/packages/core/src/dispatch/call.cpp
+++ b/packages/core/src/dispatch/call.cpp
@@ -1,5 +1,7 @@
 #include <rosemarymill/core/dispatch/call.hpp>
 
+#include <array>
+
 namespace rosemarymill::dispatch {
 
 namespace {
@@ -13,25 +15,21 @@
 
 } // namespace
 
+std::string_view nameOf(AttemptEnd end) noexcept
+{
+    constexpr std::array<std::string_view, attemptEnds> names { "not sent", "rejected", "server error", "broken",
+        "stalled" };
+    return names[static_cast<std::size_t>(end)];
+}
+
 Step nextStep(const CallState& state, AttemptEnd end, bool budgetLeft, Instant now) noexcept
 {
     const bool timeLeft = now + minTimeForRetry < state.deadline;
     const bool mayRunAgain = state.possibleRuns == 0 || (state.repeatable && state.runs < state.maxServers);
-    bool another = timeLeft && mayRunAgain;
-    switch (end) {
-    case AttemptEnd::NotSent:
-        another = another && state.unsent < maxUnsent;
-        break;
-    case AttemptEnd::Rejected:
-        another = another && budgetLeft && state.rejections < maxRejections;
-        break;
-    case AttemptEnd::ServerError:
-    case AttemptEnd::Broken:
-    case AttemptEnd::Stalled:
-        another = another && budgetLeft;
-        break;
-    }
-    if (another)
+    const bool repeats = state.arrivals > 0 || end != AttemptEnd::NotSent;
+    const bool tooMany = (end == AttemptEnd::NotSent && state.unsent >= maxUnsent)
+        || (end == AttemptEnd::Rejected && state.rejections >= maxRejections);
+    if (timeLeft && mayRunAgain && !tooMany && (budgetLeft || !repeats))
         return Step::TryNext;
     if (state.headSent)
         return Step::Abort;
--- a/packages/core/src/dispatch/retry_budget.cpp
+++ b/packages/core/src/dispatch/retry_budget.cpp
@@ -1,7 +1,5 @@
 #include <rosemarymill/core/dispatch/retry_budget.hpp>
 
-#include <algorithm>
-
 namespace rosemarymill::dispatch {
 
 namespace {
@@ -12,31 +10,43 @@
 /// Part of the limits that is used, since the VMs' windows do not begin together.
 constexpr double safety = 0.75;
 
+/// Part of its share of the slack that a process uses in its first window: what the process before it leaves.
+constexpr double firstWindowPart = 1 - safety;
+
 } // namespace
 
 void RetryBudget::count(Instant now, std::deque<Bucket>& buckets) const
 {
+    while (!buckets.empty() && now > buckets.front().begin + bucketWidth + m_limits.window)
+        buckets.pop_front();
     if (buckets.empty() || now >= buckets.back().begin + bucketWidth)
         buckets.push_back({ now, 0 });
     ++buckets.back().n;
 }
 
-std::uint64_t RetryBudget::total(Instant now, std::deque<Bucket>& buckets) const
+double RetryBudget::slackShare(Instant now, unsigned entryVms) const
 {
-    while (!buckets.empty() && now > buckets.front().begin + bucketWidth + m_limits.window)
-        buckets.pop_front();
-    std::uint64_t n = 0;
-    for (const auto& it : buckets)
-        n += it.n;
-    return n;
+    if (entryVms == 0)
+        return 0;
+    const bool first = now < m_startedAt + m_limits.window + bucketWidth;
+    return (first ? firstWindowPart : safety) * m_limits.slack / entryVms;
 }
 
-bool RetryBudget::available(Instant now, unsigned entryVms)
+double RetryBudget::left(Instant now, unsigned entryVms) const
 {
-    const auto requests = static_cast<double>(total(now, m_requests));
-    const auto repeats = static_cast<double>(total(now, m_repeats));
-    const auto slack = m_limits.slack / static_cast<double>(std::max(entryVms, 1U));
-    return repeats + 1 <= safety * (m_limits.ratio * requests + slack);
+    std::uint64_t requests = 0;
+    for (const auto& it : m_requests) {
+        // A bucket that lies in the window only in part could give for requests that are too old.
+        if (now < it.begin + m_limits.window)
+            requests += it.n;
+    }
+    std::uint64_t repeats = 0;
+    for (const auto& it : m_repeats) {
+        if (now <= it.begin + bucketWidth + m_limits.window)
+            repeats += it.n;
+    }
+    return safety * m_limits.ratio * static_cast<double>(requests) + slackShare(now, entryVms)
+        - static_cast<double>(repeats);
 }
 
 } // namespace rosemarymill::dispatch
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <rosemarymill/core/fleet/control.hpp>
+#include <rosemarymill/core/fleet/document_feed.hpp>
+#include <rosemarymill/core/fleet/entry_roster.hpp>
 #include <rosemarymill/core/fleet/load_table.hpp>
 #include <rosemarymill/core/fleet/machine.hpp>
 #include <rosemarymill/core/fleet/voters.hpp>
+#include <rosemarymill/runtime/metrics/summary.hpp>
 #include <rosemarymill/runtime/nodes/control_link.hpp>
 #include <rosemarymill/runtime/nodes/environment.hpp>
 #include <rosemarymill/runtime/nodes/server_client.hpp>
@@ -20,6 +23,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace rosemarymill::runtime::nodes {
@@ -44,8 +48,13 @@
 public:
     /// Told whether a command is committed; false means that nobody knows.
     using Committed = std::function<void(bool)>;
-    /// Receives the state of the log, or null when this VM cannot be sure that it is the latest.
-    using StateRead = std::function<void(const fleet::Snapshot*)>;
+    /// Document as it was submitted; version 0 when none is stored.
+    struct StoredDocument {
+        std::uint64_t version { 0 };
+        std::string text;
+    };
+    /// Receives the stored document, or null when this VM cannot be sure that it is the latest.
+    using DocumentRead = std::function<void(const StoredDocument*)>;
 
     /// Time after which a proposal that is not committed is answered as unknown: callers wait a second.
     static constexpr Duration proposalTimeout = 900ms;
@@ -67,11 +76,13 @@
     void heartbeat(fleet::ServerRecord record);
     void serverLeft(const ServerId& server);
 
-    /// Replicates a change of the document.
-    void storeDocument(std::uint64_t version, std::string bytes, Committed done);
+    /// Replicates a valid document and its text as it was submitted, which is compressed here once. `done` is not
+    /// called after an error: a text longer than fleet::maxDocumentBytes, or fleet::maxStoredDocumentBytes once it is
+    /// compressed, is refused with std::errc::message_size; the others are those of wire::compress.
+    [[nodiscard]] Result<void> storeDocument(routes::Document document, std::string_view text, Committed done);
     void setOutOfService(const DataCentreId& dataCentre, bool outOfService, Committed done);
-    /// Reads the latest state through the log.
-    void read(StateRead done);
+    /// Reads the latest document through the log.
+    void readDocument(DocumentRead done);
 
     void writeMetrics(std::ostream& out) const;
 
@@ -79,10 +90,19 @@
     using Replica = fleet::Replica;
 
     struct Proposal {
-        Instant deadline;
+        Instant proposedAt;
         Committed done;
     };
 
+    /// Decoded document of a proposal.
+    struct Submitted {
+        std::string submission;
+        routes::Document document;
+    };
+
+    /// Decoded documents that are kept until their proposals are applied: operators have up to eight calls in progress.
+    static constexpr std::size_t maxSubmitted = 8;
+
     /// Voters that founded the log; empty on a VM that came later or lost its disk.
     [[nodiscard]] std::vector<std::string> foundingVoters();
     void startReplica();
@@ -93,9 +113,22 @@
     void carryOut(fleet::ControlEffect& effect);
     void decide(const fleet::ControlEvent& event);
     void reviewLeadership();
-    void applied();
+    /// Takes over the state of the log after a change. `submission` names the command that made it; a restored snapshot
+    /// has none.
+    void applied(const std::string& submission = {});
+    /// Hands the routing table to the decisions and its document to the entry VMs.
+    void publishDocument();
+    /// Milliseconds since a proposal of this VM, or an empty text for one that it does not wait for.
+    [[nodiscard]] std::string ageOf(const std::string& submission) const;
+    [[nodiscard]] std::string nextSubmission();
+    /// The command carries its submission.
     void propose(fleet::Command command, Committed done);
     void finishProposal(const std::string& submission, bool committed);
+    /// Text of the stored document. The errors are those of wire::decompress.
+    [[nodiscard]] Result<std::string> documentText() const;
+    /// Sets the routing table of the stored document, from the decoded document of that submission when it is kept.
+    /// Only a leader needs the table. Returns false and keeps the table held when the stored document is not sound.
+    [[nodiscard]] bool loadTable(const std::string& submission = {});
     void failProposals(Instant now, bool all);
     void sendOrder(const fleet::effect::SendOrder& effect);
     void probe(const fleet::effect::ProbeServer& effect);
@@ -104,6 +137,9 @@
     void onSubscribed(Subscriber& subscriber);
     bool onLogFrame(const VmId& from, std::span<const std::byte> payload);
     void onReport(const Subscriber& from, const fleet::Report& report);
+    /// Sends a subscriber the changes of the document that it gets next, when there are any.
+    void feedDocument(Subscriber& subscriber);
+    [[nodiscard]] std::shared_ptr<const Frames> framesOf(const fleet::DocumentFeed::Push& push);
     void countEntryVms();
     void pushLoads(Instant now);
     void tick();
@@ -121,18 +157,28 @@
     fleet::Control::Effects m_decisions;
     bool m_leads { false };
     std::uint64_t m_documentVersion { 0 };
+    /// Table of the stored document while this VM leads.
     std::shared_ptr<const routes::Table> m_table;
+    fleet::DocumentFeed m_feed;
+    /// Encoded pushes to the newest version.
+    std::map<fleet::DocumentFeed::Push, std::shared_ptr<const Frames>> m_pushes;
+    std::deque<Submitted> m_submitted;
     std::set<DataCentreId> m_outOfService;
     std::map<std::string, Proposal> m_proposals;
     std::uint64_t m_submissions { 0 };
+    std::uint64_t m_unknownProposals { 0 };
+    /// Time from a proposal to its commit.
+    TimeSummary m_commitTimes;
+    /// Time that the decoding of a document took.
+    TimeSummary m_decodeTimes;
     ServerClient m_servers;
     VoterLinks m_voterLinks;
     SubscriberServer m_subscribers;
     std::vector<VmId> m_learners;
     /// Used while this VM does not vote or knows no leader.
     ControlLink m_link;
-    /// Entry VMs by the time when they were last connected.
-    std::map<VmId, Instant> m_entryVms;
+    fleet::EntryRoster m_entryVms;
+    /// Number of entry VMs that was last told to them.
     unsigned m_entryCount { 0 };
     fleet::LoadTable m_loads;
     Instant m_loadsSentAt;
--- a/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
@@ -1,13 +1,16 @@
 #pragma once
 
+#include <rosemarymill/core/fleet/document_parts.hpp>
+#include <rosemarymill/core/routes/document_table.hpp>
 #include <rosemarymill/runtime/nodes/control_link.hpp>
-#include <rosemarymill/runtime/nodes/environment.hpp>
 #include <rosemarymill/runtime/proxy/proxy.hpp>
 
 #include <functional>
 #include <iosfwd>
 #include <map>
+#include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -38,7 +41,7 @@
     /// Part of the grace that is kept for the end of the process.
     static constexpr Duration exitMargin = 400ms;
 
-    EntryNode(event_base* base, EntryNodeSettings settings, Environment environment);
+    EntryNode(event_base* base, EntryNodeSettings settings);
     EntryNode(const EntryNode&) = delete;
     EntryNode& operator=(const EntryNode&) = delete;
 
@@ -54,17 +57,23 @@
 
 private:
     void receive(const fleet::Message& message);
-    void receive(const fleet::DocumentPush& push);
+    void receive(const fleet::DocumentPart& part);
+    void putInForce(std::span<const std::byte> bytes);
     void receive(const fleet::Members& members);
     void reportStall(const ServerId& server);
+    /// Reports requests and progress, and servers at which requests are stuck. A report replaces the sender's earlier
+    /// requests, so each one names all of them.
     void report(Instant now);
     void tick();
 
     event_base* m_base;
     EntryNodeSettings m_settings;
-    Environment m_environment;
     proxy::Proxy m_proxy;
     ControlLink m_link;
+    routes::DocumentTable m_documents;
+    fleet::PartCollector m_parts;
+    /// When a version began to arrive that is not in force yet.
+    std::optional<Instant> m_behindSince;
     bool m_targetsKnown { false };
     bool m_trafficReported { false };
     bool m_loadsReported { false };
@@ -72,7 +81,10 @@
     std::map<ServerId, Instant> m_stalls;
     std::function<void()> m_finished;
     Instant m_drainSince;
+    /// Servers to name in the next report.
+    std::vector<ServerId> m_stalled;
     EventHandle m_tick;
+    EventHandle m_stallReport;
 };
 
 } // namespace rosemarymill::runtime::nodes
--- a/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
@@ -11,6 +11,7 @@
 #include <rosemarymill/runtime/proxy/names.hpp>
 #include <rosemarymill/runtime/proxy/upstream.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <iosfwd>
@@ -37,6 +38,10 @@
     std::uint64_t seed { 0 };
 };
 
+/// Memory in bytes that answers of servers may take together until they are passed on: a tenth of the 160 MB of an
+/// entry VM.
+inline constexpr std::size_t maxCollectedBytes = 16 * 1024 * 1024;
+
 /// Counters of the proxy since the start.
 struct ProxyCounters {
     std::uint64_t requests { 0 };
@@ -45,7 +50,8 @@
     std::uint64_t failed { 0 };
     std::uint64_t aborted { 0 };
     std::uint64_t abandoned { 0 };
-    std::uint64_t repeats { 0 };
+    /// Repeats by the end of the attempt before.
+    std::array<std::uint64_t, dispatch::attemptEnds> repeats {};
     std::uint64_t resumed { 0 };
     std::uint64_t events { 0 };
 };
@@ -98,11 +104,14 @@
     void remove(ClientConnection& client);
     void finish(std::unique_ptr<Call> call);
     void scheduleCleanUp();
+    /// Ends attempts until the answers of all calls keep within their bound.
+    void limitCollected();
     [[nodiscard]] dispatch::RetryBudget& budget(const ServiceName& service);
     [[nodiscard]] const routes::Limits& limits() const noexcept;
 
     event_base* m_base;
     ProxySettings m_settings;
+    Instant m_startedAt;
     std::shared_ptr<const routes::Table> m_table;
     dispatch::Balancer m_balancer;
     std::map<ServiceName, dispatch::RetryBudget> m_budgets;
@@ -112,9 +121,12 @@
     std::vector<std::unique_ptr<ClientConnection>> m_removed;
     std::vector<std::unique_ptr<Call>> m_finished;
     std::set<Call*> m_calls;
+    std::size_t m_collected { 0 };
     std::set<ServerId> m_progress;
     StallHandler m_stallHandler;
     ProxyCounters m_counters;
+    /// Requests for which no server was chosen, by reason.
+    std::array<std::uint64_t, 4> m_withoutServer {};
     TimeSummary m_firstByte;
     TimeSummary m_total;
     std::minstd_rand m_random;
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -1,8 +1,14 @@
 #include <rosemarymill/runtime/nodes/control_node.hpp>
 
+#include <rosemarymill/core/fleet/document_parts.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/wire/agreement/codec.hpp>
+#include <rosemarymill/wire/compress/compress.hpp>
+#include <rosemarymill/wire/fleet/codec.hpp>
+#include <rosemarymill/wire/routes/codec.hpp>
+
+#include <boost/outcome/try.hpp>
 
 #include <algorithm>
 #include <ostream>
@@ -23,9 +29,6 @@
 /// Ticks between two counts of the entry VMs: every second.
 constexpr unsigned countTicks = 20;
 
-/// An entry VM that was connected this recently still counts for the shares of limits.
-constexpr Duration entryMemory = 30s;
-
 /// Time for a server to answer an order.
 constexpr Duration orderTimeout = 600ms;
 
@@ -80,8 +83,12 @@
     , m_subscribers(base, m_settings.address, m_self,
           { [this](Subscriber& it) { onSubscribed(it); },
               [this](Subscriber& it, const core::Report& report) { onReport(it, report); },
+              [this](Subscriber& it, std::uint64_t version) {
+                  m_feed.inForce(it.id, version);
+                  feedDocument(it);
+              },
               [this](const VmId& from, std::span<const std::byte> payload) { return onLogFrame(from, payload); },
-              [](const Subscriber&) {} })
+              [this](const Subscriber& it) { m_feed.unsubscribed(it.id); } })
     , m_link(base, m_self,
           { [](const core::Message&) {},
               [this] {
@@ -183,7 +190,7 @@
                    [&](agreement::Persist<core::Command, core::Snapshot>& it) { m_storage->carryOut(it); },
                    [&](agreement::Applied<core::Command, core::Machine::Answer>& it) {
                        if (it.answer.changed)
-                           applied();
+                           applied(it.answer.submission);
                        finishProposal(it.answer.submission, true);
                    },
                    [&](agreement::Restored&) { applied(); },
@@ -221,16 +228,20 @@
     const bool leads = m_replica->role() == agreement::Role::Leader && m_replica->caughtUp();
     if (leads != m_leads) {
         m_leads = leads;
+        m_entryVms.setLeads(leads, readClock());
         m_learners.clear();
         decide(core::event::LeadershipChanged { readClock(), leads, m_replica->term() });
         if (leads) {
-            decide(core::event::DocumentChanged { readClock(), m_table });
+            if (m_documentVersion > 0 && loadTable())
+                publishDocument();
             decide(core::event::OutOfServiceChanged { readClock(), m_outOfService });
             for (auto& it : m_subscribers.subscribers()) {
                 if (it.subscribed)
                     onSubscribed(it);
             }
         } else {
+            m_submitted.clear();
+            m_table.reset();
             failProposals(readClock(), true);
         }
     }
@@ -240,17 +251,51 @@
     }
 }
 
-void ControlNode::applied()
+bool ControlNode::loadTable(const std::string& submission)
+{
+    const auto it = std::find_if(m_submitted.begin(), m_submitted.end(),
+        [&](const auto& kept) { return !submission.empty() && kept.submission == submission; });
+    if (it != m_submitted.end()) {
+        m_table = std::make_shared<routes::Table>(std::move(it->document));
+        m_submitted.erase(it);
+        return true;
+    }
+    const auto text = documentText();
+    if (!text)
+        return false;
+    const auto begin = readClock();
+    auto decoded = m_environment.decodeDocument(text.value());
+    m_decodeTimes.add(readClock() - begin);
+    if (!decoded.faults.empty()) {
+        writeLog(node::LogLevel::Error, "fleet",
+            "The stored document breaks a rule at " + decoded.faults.front().path + ": " + decoded.faults.front().rule
+                + ". It is not put in force.");
+        return false;
+    }
+    m_table = std::make_shared<routes::Table>(std::move(decoded.document));
+    return true;
+}
+
+std::string ControlNode::ageOf(const std::string& submission) const
+{
+    const auto it = m_proposals.find(submission);
+    if (it == m_proposals.end())
+        return {};
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(readClock() - it->second.proposedAt).count());
+}
+
+void ControlNode::applied(const std::string& submission)
 {
     const auto& state = m_replica->machine().state();
     if (state.version > m_documentVersion) {
         m_documentVersion = state.version;
-        auto decoded = m_environment.decodeDocument(state.bytes);
-        m_table = std::make_shared<routes::Table>(std::move(decoded.document));
-        writeDecision("fleet", "document applied", { { "version", std::to_string(state.version) } });
-        if (m_leads)
-            m_subscribers.broadcast(core::DocumentPush { state.version, state.bytes });
-        decide(core::event::DocumentChanged { readClock(), m_table });
+        writeDecision("fleet", "document applied",
+            { { "version", std::to_string(state.version) }, { "bytes", std::to_string(state.bytes.size()) },
+                { "age_ms", ageOf(submission) } });
+        if (m_leads && loadTable(submission))
+            publishDocument();
+        std::erase_if(m_submitted, [&](const auto& it) { return it.document.version <= state.version; });
     }
     if (state.outOfService != m_outOfService) {
         m_outOfService = state.outOfService;
@@ -258,6 +303,15 @@
     }
 }
 
+void ControlNode::publishDocument()
+{
+    m_feed.publish(m_table->document(), readClock());
+    m_pushes.clear();
+    for (auto& it : m_subscribers.subscribers())
+        feedDocument(it);
+    decide(core::event::DocumentChanged { readClock(), m_table });
+}
+
 void ControlNode::decide(const core::ControlEvent& event)
 {
     core::Control::Effects effects;
@@ -308,29 +362,69 @@
 
 void ControlNode::serverLeft(const ServerId& server) { decide(core::event::ServerLeft { readClock(), server }); }
 
+std::string ControlNode::nextSubmission()
+{
+    return m_settings.address + '/' + std::to_string(m_settings.seed) + '/' + std::to_string(++m_submissions);
+}
+
 void ControlNode::propose(core::Command command, Committed done)
 {
-    auto submission
-        = m_settings.address + '/' + std::to_string(m_settings.seed) + '/' + std::to_string(++m_submissions);
-    std::visit([&](auto& it) { it.submission = submission; }, command);
-    m_proposals.emplace(std::move(submission), Proposal { readClock() + proposalTimeout, std::move(done) });
+    m_proposals.emplace(core::submissionOf(command), Proposal { readClock(), std::move(done) });
     post(agreement::Proposed<core::Command> { readClock(), std::move(command) });
 }
 
-void ControlNode::storeDocument(std::uint64_t version, std::string bytes, Committed done)
+Result<void> ControlNode::storeDocument(routes::Document document, std::string_view text, Committed done)
 {
-    propose(core::StoreDocument { {}, version, std::move(bytes) }, std::move(done));
+    const auto version = document.version;
+    const auto refuse = [&](const char* form, std::size_t bytes, std::size_t limit) {
+        writeDecision("fleet", "document refused",
+            { { "version", std::to_string(version) }, { "form", form }, { "bytes", std::to_string(bytes) },
+                { "limit", std::to_string(limit) } });
+        return std::make_error_code(std::errc::message_size);
+    };
+    if (text.size() > core::maxDocumentBytes)
+        return refuse("submitted", text.size(), core::maxDocumentBytes);
+    BOOST_OUTCOME_TRY(bytes, wire::compress(text));
+    if (bytes.size() > core::maxStoredDocumentBytes)
+        return refuse("compressed", bytes.size(), core::maxStoredDocumentBytes);
+    auto submission = nextSubmission();
+    if (m_submitted.size() >= maxSubmitted)
+        m_submitted.pop_front();
+    m_submitted.push_back({ submission, std::move(document) });
+    propose(core::StoreDocument { std::move(submission), version, std::move(bytes), core::Encoding::Zstd },
+        std::move(done));
+    return outcome::success();
 }
 
 void ControlNode::setOutOfService(const DataCentreId& dataCentre, bool outOfService, Committed done)
 {
-    propose(core::SetOutOfService { {}, dataCentre, outOfService }, std::move(done));
+    propose(core::SetOutOfService { nextSubmission(), dataCentre, outOfService }, std::move(done));
+}
+
+void ControlNode::readDocument(DocumentRead done)
+{
+    propose(core::Barrier { nextSubmission() }, [this, done = std::move(done)](bool committed) {
+        if (!committed)
+            return done(nullptr);
+        auto text = documentText();
+        if (!text)
+            return done(nullptr);
+        const StoredDocument document { m_replica->machine().state().version, std::move(text.value()) };
+        done(&document);
+    });
 }
 
-void ControlNode::read(StateRead done)
+Result<std::string> ControlNode::documentText() const
 {
-    propose(core::Barrier {},
-        [this, done = std::move(done)](bool committed) { done(committed ? &m_replica->machine().state() : nullptr); });
+    const auto& state = m_replica->machine().state();
+    if (state.encoding == core::Encoding::Plain)
+        return state.bytes;
+    auto text = wire::decompress(state.bytes, core::maxDocumentBytes);
+    if (!text)
+        writeLog(node::LogLevel::Error, "fleet",
+            "The stored document " + std::to_string(state.version) + " cannot be read: " + text.error().message()
+                + '.');
+    return text;
 }
 
 void ControlNode::finishProposal(const std::string& submission, bool committed)
@@ -339,6 +433,10 @@
     if (it == m_proposals.end())
         return;
     const auto done = std::move(it->second.done);
+    if (committed)
+        m_commitTimes.add(readClock() - it->second.proposedAt);
+    else
+        ++m_unknownProposals;
     m_proposals.erase(it);
     done(committed);
 }
@@ -347,7 +445,7 @@
 {
     std::vector<std::string> failed;
     for (const auto& [submission, proposal] : m_proposals) {
-        if (all || now >= proposal.deadline)
+        if (all || now >= proposal.proposedAt + proposalTimeout)
             failed.push_back(submission);
     }
     for (const auto& it : failed)
@@ -364,21 +462,21 @@
     members.controls = members.voters;
     for (const auto& it : m_learners)
         members.controls.push_back(it.text());
-    for (const auto& [vm, heardAt] : m_entryVms)
-        members.entryVms.push_back(vm.text());
+    members.entryVms = m_entryVms.known(readClock());
     return members;
 }
 
 void ControlNode::onSubscribed(Subscriber& subscriber)
 {
-    m_subscribers.send(subscriber, members());
     if (!subscriber.subscription.control)
-        m_entryVms[subscriber.vm()] = readClock();
+        m_entryVms.heard(subscriber.vm(), readClock());
+    m_subscribers.send(subscriber, members());
     if (!m_leads)
         return;
-    const auto& state = m_replica->machine().state();
-    if (state.version > subscriber.subscription.documentVersion)
-        m_subscribers.send(subscriber, core::DocumentPush { state.version, state.bytes });
+    if (!subscriber.subscription.control) {
+        m_feed.subscribed(subscriber.id, subscriber.subscription.documentVersion, readClock());
+        feedDocument(subscriber);
+    }
     core::TargetsPush push;
     push.delta.full = m_control.settled();
     for (const auto& [id, target] : m_control.targets())
@@ -386,6 +484,35 @@
     m_subscribers.send(subscriber, push);
 }
 
+void ControlNode::feedDocument(Subscriber& subscriber)
+{
+    if (!m_leads)
+        return;
+    if (const auto push = m_feed.next(subscriber.id))
+        m_subscribers.sendPush(subscriber, framesOf(*push));
+}
+
+std::shared_ptr<const Frames> ControlNode::framesOf(const core::DocumentFeed::Push& push)
+{
+    auto& known = m_pushes[push];
+    if (known)
+        return known;
+    const auto changes = m_feed.changes(push);
+    wire::Buffer bytes;
+    wire::routes::encode(changes, bytes);
+    Frames frames;
+    for (const auto& part : core::splitPush(push.from, push.to, bytes)) {
+        wire::Buffer payload;
+        wire::fleet::encode(part, payload);
+        wire::appendFrame(wire::FrameKind::Fleet, payload, frames.emplace_back());
+    }
+    writeDecision("fleet", "document push",
+        { { "from", std::to_string(push.from) }, { "to", std::to_string(push.to) },
+            { "entries", std::to_string(changes.entries.size()) }, { "bytes", std::to_string(bytes.size()) },
+            { "parts", std::to_string(frames.size()) } });
+    return known = std::make_shared<const Frames>(std::move(frames));
+}
+
 bool ControlNode::onLogFrame(const VmId& from, std::span<const std::byte> payload)
 {
     const auto decoded = wire::agreement::decode(payload);
@@ -400,7 +527,7 @@
 
 void ControlNode::onReport(const Subscriber& from, const core::Report& report)
 {
-    m_entryVms[from.vm()] = readClock();
+    m_entryVms.heard(from.vm(), readClock());
     if (!m_leads)
         return;
     m_loads.report(from.vm(), report.loads, readClock());
@@ -466,10 +593,10 @@
     const auto now = readClock();
     for (const auto& it : m_subscribers.subscribers()) {
         if (it.subscribed && !it.subscription.control)
-            m_entryVms[it.vm()] = now;
+            m_entryVms.heard(it.vm(), now);
     }
-    std::erase_if(m_entryVms, [&](const auto& it) { return now >= it.second + entryMemory; });
-    const auto n = static_cast<unsigned>(m_entryVms.size());
+    m_entryVms.expire(now);
+    const auto n = static_cast<unsigned>(m_entryVms.known(now).size());
     if (n != std::exchange(m_entryCount, n) && m_leads)
         m_subscribers.broadcast(members());
 }
@@ -489,7 +616,7 @@
     ++m_ticks;
     if (m_leads && m_ticks % decisionTicks == 0)
         decide(core::event::Tick { now });
-    if (m_leads && now >= m_loadsSentAt + std::max(minLoadInterval, loadIntervalPerVm * m_entryCount))
+    if (m_leads && now >= m_loadsSentAt + std::max(minLoadInterval, loadIntervalPerVm * m_entryVms.size()))
         pushLoads(now);
     if (m_ticks % countTicks == 0) {
         countEntryVms();
@@ -504,8 +631,12 @@
             << '\n';
     };
     std::size_t open = 0;
-    for (const auto& [name, group] : m_control.groups())
-        open += group.phase == core::GroupPhase::Open ? 1 : 0;
+    std::map<ModelName, std::size_t> openByModel;
+    for (const auto& [name, group] : m_control.groups()) {
+        const bool isOpen = group.phase == core::GroupPhase::Open;
+        open += isOpen ? 1 : 0;
+        openByModel[group.model] += isOpen ? 1 : 0;
+    }
     gauge("leads", m_leads ? 1 : 0);
     gauge("term", m_replica->term());
     gauge("voters", m_replica->voters().size());
@@ -513,8 +644,33 @@
     gauge("servers", m_control.registry().servers().size());
     gauge("groups", m_control.groups().size());
     gauge("open_groups", open);
-    gauge("entry_vms", m_entryCount);
+    out << "# TYPE rosemarymill_control_open_model_groups gauge\n";
+    for (const auto& [model, n] : openByModel)
+        out << "rosemarymill_control_open_model_groups{model=\"" << model.text() << "\"} " << n << '\n';
+    gauge("entry_vms", m_entryVms.size());
     gauge("proposals", m_proposals.size());
+    const auto figures = m_feed.figures(readClock());
+    gauge("oldest_document_version", figures.oldestInForce);
+    gauge("oldest_document_age_ms", static_cast<std::uint64_t>(figures.age / 1ms));
+    gauge("subscribers_behind", figures.behind);
+    gauge("document_versions_skipped", figures.skipped);
+    gauge("document_pushes", figures.pushes);
+    gauge("document_pushes_whole", figures.whole);
+    const auto unsent = m_subscribers.unsent();
+    gauge("subscriber_unsent_bytes", unsent.sum);
+    gauge("subscriber_unsent_bytes_max", unsent.max);
+    gauge("document_bytes", m_replica->machine().state().bytes.size());
+    gauge("log_commit", m_replica->commit());
+    out << "# TYPE rosemarymill_control_log_waiting_bytes gauge\n";
+    m_voterLinks.eachWaiting([&](const VmId& vm, std::size_t bytes) {
+        out << "rosemarymill_control_log_waiting_bytes{vm=\"" << vm.text() << "\"} " << bytes << '\n';
+    });
+    out << "# TYPE rosemarymill_control_unknown_proposals_total counter\nrosemarymill_control_unknown_proposals_total "
+        << m_unknownProposals << '\n';
+    out << "# TYPE rosemarymill_control_commit_seconds summary\n";
+    m_commitTimes.write(out, "rosemarymill_control_commit_seconds", "");
+    out << "# TYPE rosemarymill_control_decode_seconds summary\n";
+    m_decodeTimes.write(out, "rosemarymill_control_decode_seconds", "");
 }
 
 } // namespace rosemarymill::runtime::nodes
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
+#include <rosemarymill/wire/routes/codec.hpp>
 
 #include <algorithm>
 #include <ostream>
@@ -20,19 +21,21 @@
 
 } // namespace
 
-EntryNode::EntryNode(event_base* base, EntryNodeSettings settings, Environment environment)
+EntryNode::EntryNode(event_base* base, EntryNodeSettings settings)
     : m_base(base)
     , m_settings(std::move(settings))
-    , m_environment(std::move(environment))
     , m_proxy(base, m_settings.proxy)
     , m_link(base, { m_settings.vm, m_settings.dataCentre, BootId { std::to_string(m_settings.seed) } },
           { [this](const core::Message& message) { receive(message); },
               [this] {
-                  return core::Subscribe { {}, false, m_proxy.table() ? m_proxy.table()->document().version : 0 };
+                  return core::Subscribe { {}, false, m_documents.version() };
               } })
     , m_tick(event_new(
           base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<EntryNode*>(self)->tick(); },
           this))
+    , m_stallReport(event_new(
+          base, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<EntryNode*>(self)->report(readClock()); },
+          this))
 {
     m_link.setSeeds(m_settings.seeds);
     m_proxy.onStall([this](const ServerId& server) { reportStall(server); });
@@ -43,8 +46,8 @@
 
 void EntryNode::receive(const core::Message& message)
 {
-    if (const auto* document = std::get_if<core::DocumentPush>(&message)) {
-        receive(*document);
+    if (const auto* part = std::get_if<core::DocumentPart>(&message)) {
+        receive(*part);
     } else if (const auto* targets = std::get_if<core::TargetsPush>(&message)) {
         m_targetsKnown = m_targetsKnown || targets->delta.full || !targets->delta.upserts.empty();
         m_proxy.applyTargets(targets->delta);
@@ -63,27 +66,64 @@
 
 void EntryNode::receive(const core::Members& members)
 {
-    // Only the leader knows them.
+    // Other control VMs have heard of a few only; shares of limits that are divided by these would be too large.
+    if (!m_link.connected())
+        return;
     const auto& all = members.entryVms;
     const auto self = std::find(all.begin(), all.end(), m_settings.vm.text());
-    if (!all.empty())
-        m_proxy.balancer().setEntryVms(static_cast<unsigned>(all.size()), static_cast<unsigned>(self - all.begin()));
+    if (all.empty())
+        return;
+    const auto n = static_cast<unsigned>(all.size());
+    if (n != m_proxy.balancer().entryVms())
+        writeDecision("fleet", "entry VMs counted",
+            { { "n", std::to_string(n) }, { "before", std::to_string(m_proxy.balancer().entryVms()) },
+                { "leader", members.leader }, { "connected", m_link.connected() ? "yes" : "no" } });
+    m_proxy.balancer().setEntryVms(n, static_cast<unsigned>(self - all.begin()));
 }
 
-void EntryNode::receive(const core::DocumentPush& push)
+void EntryNode::receive(const core::DocumentPart& part)
 {
-    const auto held = m_proxy.table() ? m_proxy.table()->document().version : 0;
-    // A document that was in force once is never replaced by an older one.
-    if (push.version <= held)
+    if (part.part == 0 && part.to > m_documents.version() && !m_behindSince)
+        m_behindSince = readClock();
+    switch (m_parts.add(part)) {
+    case core::PartCollector::State::Incomplete:
         return;
-    auto decoded = m_environment.decodeDocument(push.bytes);
-    if (!decoded.faults.empty()) {
+    case core::PartCollector::State::Complete:
+        putInForce(m_parts.take());
+        break;
+    case core::PartCollector::State::Broken:
+        writeLog(node::LogLevel::Error, "fleet", "The parts of a document do not belong together; they were dropped.");
+        break;
+    }
+    // The leader sends the whole document when its changes did not fit.
+    m_link.send(core::DocumentInForce { m_documents.version() });
+}
+
+void EntryNode::putInForce(std::span<const std::byte> bytes)
+{
+    const auto startedAt = readClock();
+    const auto before = m_documents.version();
+    const auto changes = wire::routes::decode(bytes);
+    if (!changes) {
         writeLog(node::LogLevel::Error, "fleet", "A document that cannot be read was not put in force.");
         return;
     }
-    m_proxy.setTable(std::make_shared<routes::Table>(std::move(decoded.document)));
+    // A document that was in force once is never replaced by an older one.
+    if (!m_documents.apply(changes.value())) {
+        writeDecision("fleet", "document not put in force",
+            { { "version", std::to_string(changes.value().to) }, { "from", std::to_string(changes.value().from) },
+                { "held", std::to_string(before) } });
+        return;
+    }
+    m_proxy.setTable(std::make_shared<routes::Table>(m_documents.document()));
+    const auto now = readClock();
+    const auto receivedFor = startedAt - m_behindSince.value_or(startedAt);
+    m_behindSince.reset();
     writeDecision("fleet", "document in force",
-        { { "version", std::to_string(push.version) }, { "before", std::to_string(held) } });
+        { { "version", std::to_string(m_documents.version()) }, { "before", std::to_string(before) },
+            { "entries", std::to_string(changes.value().entries.size()) }, { "bytes", std::to_string(bytes.size()) },
+            { "received_us", std::to_string(receivedFor.count()) },
+            { "applied_us", std::to_string((now - startedAt).count()) } });
 }
 
 void EntryNode::reportStall(const ServerId& server)
@@ -93,24 +133,26 @@
     if (reportedAt != Instant {} && now < reportedAt + stallInterval)
         return;
     reportedAt = now;
-    core::Report report;
-    report.stalled.push_back(server);
-    m_link.send(report);
+    // Servers that stall in one pass of the event loop go into one report.
+    m_stalled.push_back(server);
+    event_active(m_stallReport.get(), EV_TIMEOUT, 0);
 }
 
 void EntryNode::report(Instant now)
 {
     m_reportedAt = now;
     const auto progress = m_proxy.takeProgress();
+    auto stalled = std::exchange(m_stalled, {});
     const bool traffic = m_proxy.counters().requests > 0 && !m_trafficReported;
     core::Report report;
     report.loads = m_proxy.balancer().ownLoads(now);
     const bool hadLoads = std::exchange(m_loadsReported, !report.loads.empty());
-    if (!m_link.connected() || (progress.empty() && !traffic && report.loads.empty() && !hadLoads))
+    if (!m_link.connected() || (progress.empty() && stalled.empty() && !traffic && report.loads.empty() && !hadLoads))
         return;
     report.progressed.assign(progress.begin(), progress.end());
+    report.stalled = std::move(stalled);
     report.traffic = m_proxy.counters().requests > 0;
-    report.documentVersion = m_proxy.table() ? m_proxy.table()->document().version : 0;
+    report.documentVersion = m_documents.version();
     m_trafficReported = report.traffic;
     m_link.send(report);
 }
@@ -145,6 +187,8 @@
     m_proxy.writeMetrics(out);
     out << "# TYPE rosemarymill_control_connected gauge\nrosemarymill_control_connected "
         << (m_link.connected() ? 1 : 0) << '\n';
+    const auto behind = m_behindSince ? readClock() - *m_behindSince : Duration {};
+    out << "# TYPE rosemarymill_document_behind_ms gauge\nrosemarymill_document_behind_ms " << behind / 1ms << '\n';
 }
 
 } // namespace rosemarymill::runtime::nodes
--- a/packages/runtime/src/nodes/subscriber_server.cpp
+++ b/packages/runtime/src/nodes/subscriber_server.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -50,23 +51,23 @@
     }
     setFleetSocketOptions(socket);
     const auto place = m_subscribers.emplace(m_subscribers.end());
+    place->id = ++m_lastId;
     place->sentAt = readClock();
     LinkConnection::Handlers handlers;
     handlers.onHello = [](const wire::link::Hello&) { return true; };
     handlers.onFrame = [this, place](wire::FrameKind kind, std::span<const std::byte> payload) {
         return receive(*place, kind, payload);
     };
-    handlers.onClosed = [this, place](const std::string&) {
-        if (place->subscribed)
-            m_handlers.onClosed(*place);
-        m_closed.splice(m_closed.end(), m_subscribers, place);
-    };
+    handlers.onWritable = [this, place] { continuePush(*place); };
+    handlers.onClosed = [this, place](const std::string&) { retire(place); };
     auto* buf = bufferevent_socket_new(m_base, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     place->link = std::make_unique<LinkConnection>(buf, m_self, m_counters, std::move(handlers));
 }
 
 bool SubscriberServer::receive(Subscriber& from, wire::FrameKind kind, std::span<const std::byte> payload)
 {
+    if (from.closed)
+        return true;
     if (kind == wire::FrameKind::Agreement)
         return m_handlers.onLogFrame(from.vm(), payload);
     if (kind != wire::FrameKind::Fleet)
@@ -80,10 +81,21 @@
         m_handlers.onSubscribed(from);
     } else if (const auto* report = std::get_if<core::Report>(&message.value())) {
         m_handlers.onReport(from, *report);
+    } else if (const auto* inForce = std::get_if<core::DocumentInForce>(&message.value())) {
+        m_handlers.onInForce(from, inForce->version);
     }
     return true;
 }
 
+void SubscriberServer::retire(std::list<Subscriber>::iterator place)
+{
+    if (std::exchange(place->closed, true))
+        return;
+    if (place->subscribed)
+        m_handlers.onClosed(*place);
+    m_closed.splice(m_closed.end(), m_subscribers, place);
+}
+
 void SubscriberServer::send(Subscriber& to, const core::Message& message)
 {
     to.sentAt = readClock();
@@ -105,6 +117,34 @@
     }
 }
 
+void SubscriberServer::sendPush(Subscriber& to, std::shared_ptr<const Frames> push)
+{
+    to.push = std::move(push);
+    to.nextFrame = 0;
+    continuePush(to);
+}
+
+void SubscriberServer::continuePush(Subscriber& to)
+{
+    while (to.push && to.link->writable()) {
+        to.sentAt = readClock();
+        to.link->write(wire::FrameKind::Fleet, (*to.push)[to.nextFrame]);
+        if (++to.nextFrame == to.push->size())
+            to.push.reset();
+    }
+}
+
+UnsentBytes SubscriberServer::unsent() const
+{
+    UnsentBytes unsent;
+    for (const auto& it : m_subscribers) {
+        const auto n = it.link->unsentBytes();
+        unsent.sum += n;
+        unsent.max = std::max(unsent.max, n);
+    }
+    return unsent;
+}
+
 void SubscriberServer::tick(Instant now)
 {
     m_closed.clear();
@@ -112,9 +152,7 @@
         const auto next = std::next(it);
         // Connections of other voters carry log frames only, which come more often than this.
         if (now >= it->link->heardAt() + ControlLink::silenceLimit) {
-            if (it->subscribed)
-                m_handlers.onClosed(*it);
-            m_closed.splice(m_closed.end(), m_subscribers, it);
+            retire(it);
         } else if (it->subscribed && now >= it->sentAt + ControlLink::aliveInterval) {
             send(*it, core::Alive {});
         }
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -80,10 +80,11 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-const char* nameOf(AttemptEnd end) noexcept
+std::string formatNumber(double value)
 {
-    constexpr std::array<const char*, 5> names { "not sent", "rejected", "server error", "broken", "stalled" };
-    return names[static_cast<std::size_t>(end)];
+    std::array<char, 16> text {};
+    const auto n = std::snprintf(text.data(), text.size(), "%.2f", value);
+    return { text.data(), std::min(static_cast<std::size_t>(n), text.size() - 1) };
 }
 
 } // namespace
@@ -100,7 +101,11 @@
     ++m_proxy.m_counters.requests;
 }
 
-Call::~Call() { m_proxy.m_calls.erase(this); }
+Call::~Call()
+{
+    setCollected(0);
+    m_proxy.m_calls.erase(this);
+}
 
 bool Call::admit()
 {
@@ -163,6 +168,11 @@
 void Call::attempt()
 {
     const auto now = readClock();
+    auto& budget = m_proxy.budget(m_service->name);
+    const bool repeats = m_state.arrivals > 0;
+    // Streams that waited for a server were allowed to go on before others used the budget.
+    if (repeats && m_waitingSince && !budget.available(now, m_proxy.m_balancer.knownEntryVms()))
+        return waitForServer(now, "the retry budget is spent");
     const dispatch::Query query { m_service->name, m_model, m_tried, m_service->coldRate, now, m_work };
     const auto result = m_proxy.m_balancer.choose(query);
     if (const auto* refusal = std::get_if<dispatch::Refusal>(&result))
@@ -173,10 +183,11 @@
     m_candidates = choice.candidates;
     m_waitingSince.reset();
     m_headSeen = m_streaming = false;
+    m_nextProgress = bodyProgressBytes;
     m_attemptAt = m_lastBytesAt = now;
-    if (!m_tried.empty()) {
-        ++m_proxy.m_counters.repeats;
-        m_proxy.budget(m_service->name).countRepeat(now);
+    if (repeats) {
+        ++m_proxy.m_counters.repeats[static_cast<std::size_t>(m_lastEnd)];
+        budget.countRepeat(now);
     }
     m_tried.push_back(m_server);
     const auto target = *choice.target;
@@ -224,20 +235,57 @@
 
 void Call::onAnswer()
 {
-    const auto now = readClock();
-    m_lastBytesAt = now;
-    m_proxy.m_balancer.succeeded(m_server, now);
-    m_proxy.m_progress.insert(m_server);
     if (!m_headSeen) {
         m_headSeen = true;
+        m_lastBytesAt = readClock();
+        m_upstream->expect(maxAnswerBytes);
         onHead();
         if (m_done || !m_upstream || !m_headSeen)
             return;
+        // A rejection is no progress: a head whose group is gone still rejects.
+        progressed(m_lastBytesAt);
     }
     if (m_streaming)
         onStreamBytes();
     else if (m_upstream->parser().complete())
         onPlainComplete();
+    else
+        onPlainBytes();
+}
+
+void Call::progressed(Instant now)
+{
+    m_lastBytesAt = now;
+    m_proxy.m_balancer.succeeded(m_server, now);
+    m_proxy.m_progress.insert(m_server);
+}
+
+void Call::onPlainBytes()
+{
+    const auto& body = m_upstream->parser().body();
+    if (m_upstream->parser().head().length.value_or(0) > maxAnswerBytes)
+        return onUpstreamEnd(Upstream::End::TooLong);
+    // Only the call's own patience: the server makes progress when the answer is whole.
+    if (body.size() >= m_nextProgress) {
+        m_nextProgress = body.size() + bodyProgressBytes;
+        m_lastBytesAt = readClock();
+    }
+    setCollected(body.capacity());
+}
+
+void Call::setCollected(std::size_t bytes)
+{
+    m_proxy.m_collected = m_proxy.m_collected - m_collected + bytes;
+    const bool grew = bytes > m_collected;
+    m_collected = bytes;
+    if (grew)
+        m_proxy.limitCollected();
+}
+
+void Call::dropCollected()
+{
+    m_proxy.m_balancer.failed(m_server, readClock());
+    endAttempt(AttemptEnd::Broken, "answers take too much memory");
 }
 
 void Call::onHead()
@@ -255,7 +303,10 @@
     if (head.status == 421 || head.has(names.notExecuted)) {
         const auto faulty = head.find(names.faultyServer);
         if (head.status == 421 || (!faulty.empty() && m_model != ModelName {})) {
-            m_proxy.m_balancer.failed(m_server, now);
+            if (head.status == 421)
+                m_proxy.m_balancer.misdirected(m_server, now);
+            else
+                m_proxy.m_balancer.failed(m_server, now);
             if (m_proxy.m_stallHandler)
                 m_proxy.m_stallHandler(m_server);
         } else {
@@ -270,6 +321,7 @@
         return endAttempt(AttemptEnd::Broken, "answer is not the server's");
     if (success && m_state.streaming && head.find("Content-Type").starts_with("text/event-stream")) {
         m_streaming = true;
+        m_upstream->expect(maxEventBytes);
         if (!m_state.headSent)
             beginStream(head);
     }
@@ -277,6 +329,7 @@
 
 void Call::onPlainComplete()
 {
+    progressed(readClock());
     auto& parser = m_upstream->parser();
     const auto status = parser.head().status;
     // A status that promises "not run" must be a promise of the server.
@@ -302,9 +355,13 @@
     std::string whole;
     const auto n = m_events.feed(parser.body(), whole);
     parser.body().clear();
-    if (n > 0) {
-        if (m_eventCount == 0)
-            m_firstEventAt = readClock();
+    if (n > 0 || parser.complete()) {
+        progressed(readClock());
+        m_upstream->expect(maxEventBytes);
+    }
+    if (n > 0 && m_eventCount == 0)
+        m_firstEventAt = readClock();
+    if (!whole.empty()) {
         m_eventCount += n;
         m_proxy.m_counters.events += n;
         m_client.writeChunk(whole);
@@ -314,7 +371,7 @@
         }
     }
     if (!parser.complete())
-        return;
+        return setCollected(m_events.partial() ? m_events.heldBytes() : 0);
     if (m_events.partial())
         return endAttempt(AttemptEnd::Broken, "the stream ended within an event");
     finishStream();
@@ -350,7 +407,10 @@
             m_proxy.m_balancer.failed(m_server, now);
         return endAttempt(AttemptEnd::Broken, end == Upstream::End::Closed ? "connection closed" : "connection reset");
     case Upstream::End::Invalid:
-        return endAttempt(AttemptEnd::Broken, "bytes that are no answer");
+    case Upstream::End::TooLong:
+        m_proxy.m_balancer.failed(m_server, now);
+        return endAttempt(AttemptEnd::Broken,
+            end == Upstream::End::Invalid ? "bytes that are no answer" : "too many bytes without an answer");
     }
 }
 
@@ -372,8 +432,8 @@
     const auto now = readClock();
     // Work of a model server begins with its first token. A head that sent nothing to anybody since the request came to
     // it has not begun; whether one that did is still alive cannot be known here.
-    const bool mayHaveBegun
-        = !m_service->engine || m_lastBytesAt > m_attemptAt || m_proxy.m_balancer.lastProgress(m_server) > m_attemptAt;
+    const bool mayHaveBegun = !m_service->engine || m_lastBytesAt > m_attemptAt
+        || (m_upstream && m_upstream->hasReceived()) || m_proxy.m_balancer.lastProgress(m_server) > m_attemptAt;
     const auto server = m_server;
     // The answer to a rejection is complete most of the time, and its connection can be used again.
     if (end == AttemptEnd::Rejected && m_upstream && m_upstream->parser().complete())
@@ -382,6 +442,8 @@
     finishAttempt();
     m_headSeen = m_streaming = m_readingPaused = false;
     m_events.dropPartial();
+    setCollected(0);
+    m_state.arrivals += end == AttemptEnd::NotSent ? 0 : 1;
     switch (end) {
     case AttemptEnd::NotSent:
         ++m_state.unsent;
@@ -396,12 +458,17 @@
         m_state.runs += mayHaveBegun ? 1 : 0;
         break;
     }
-    const bool budgetLeft = m_proxy.budget(m_service->name).available(now, m_proxy.m_balancer.entryVms());
+    m_lastEnd = end;
+    const auto entryVms = m_proxy.m_balancer.knownEntryVms();
+    const auto budget = m_proxy.budget(m_service->name).left(now, entryVms);
+    const bool budgetLeft = budget >= 1;
     const auto step = dispatch::nextStep(m_state, end, budgetLeft, now);
     writeDecision("call", "attempt ended",
-        { { "request", m_attemptId }, { "server", server.text() }, { "end", nameOf(end) }, { "why", std::string(why) },
-            { "attempt", std::to_string(m_tried.size()) }, { "age_ms", std::to_string((now - m_attemptAt) / 1ms) },
-            { "budget", budgetLeft ? "left" : "spent" }, { "next", step == Step::TryNext ? "try next" : "end" } });
+        { { "request", m_attemptId }, { "server", server.text() }, { "end", std::string(nameOf(end)) },
+            { "why", std::string(why) }, { "attempt", std::to_string(m_tried.size()) },
+            { "age_ms", std::to_string((now - m_attemptAt) / 1ms) }, { "budget", budgetLeft ? "left" : "spent" },
+            { "budget_left", formatNumber(budget) }, { "entry_vms", std::to_string(entryVms) },
+            { "next", step == Step::TryNext ? "try next" : "end" } });
     if (step != Step::TryNext)
         return giveUp(step, why);
     if (m_state.headSent)
@@ -435,21 +502,26 @@
     constexpr std::array<const char*, 4> reasons { "no server serves it", "all servers fail", "all servers are full",
         "all servers with room are cold" };
     const auto* why = reasons[static_cast<std::size_t>(refusal.reason)];
+    ++m_proxy.m_withoutServer[static_cast<std::size_t>(refusal.reason)];
     const auto now = readClock();
-    if (m_state.headSent) {
-        if (!m_waitingSince)
-            m_waitingSince = now;
-        if (now < *m_waitingSince + resumeWait && now < m_state.deadline)
-            return;
-        return giveUp(Step::Abort, why);
-    }
+    if (m_state.headSent)
+        return waitForServer(now, why);
     if (m_state.possibleRuns > 0)
         return m_held.head.status ? giveUp(Step::PassOn, why) : refuse(502, why, {});
     refuse(503, why, refusal.retryAfter);
 }
 
+void Call::waitForServer(Instant now, std::string_view why)
+{
+    if (!m_waitingSince)
+        m_waitingSince = now;
+    if (now >= *m_waitingSince + resumeWait || now >= m_state.deadline)
+        giveUp(Step::Abort, why);
+}
+
 void Call::passOn(const MessageHead& head, std::string_view body)
 {
+    setCollected(0);
     m_done = true;
     ++m_proxy.m_counters.answered;
     log("answered", head.status, {});
@@ -470,6 +542,7 @@
 void Call::finishStream()
 {
     m_done = true;
+    setCollected(0);
     m_proxy.m_pool.release(*std::exchange(m_upstream, nullptr), readClock());
     finishAttempt();
     ++m_proxy.m_counters.answered;
@@ -486,10 +559,7 @@
     if (!m_attemptId.empty())
         appendHeader(headers, m_proxy.m_settings.names.attemptId, m_attemptId);
     if (retryAfter > Duration::zero()) {
-        std::array<char, 16> seconds {};
-        const auto n
-            = std::snprintf(seconds.data(), seconds.size(), "%.2f", std::chrono::duration<double>(retryAfter).count());
-        appendHeader(headers, "Retry-After", { seconds.data(), static_cast<std::size_t>(n) });
+        appendHeader(headers, "Retry-After", formatNumber(std::chrono::duration<double>(retryAfter).count()));
     }
     m_client.answer(status, status == 503 ? "Service Unavailable" : "Failed", headers, {}, m_client.closing());
 }
@@ -548,7 +618,7 @@
     m_proxy.m_balancer.failed(m_server, now);
     // Without another server to go on with, waiting is better than giving up.
     if (dispatch::nextStep(m_state, AttemptEnd::Stalled,
-            m_proxy.budget(m_service->name).available(now, m_proxy.m_balancer.entryVms()), now)
+            m_proxy.budget(m_service->name).available(now, m_proxy.m_balancer.knownEntryVms()), now)
         == Step::TryNext)
         endAttempt(AttemptEnd::Stalled, "silent for " + std::to_string(silent / 1ms) + " ms");
 }
@@ -560,14 +630,12 @@
     if (m_eventCount > 0)
         m_proxy.m_firstByte.add(m_firstEventAt - m_startedAt);
     const auto age = [&](Instant it) { return std::to_string((it - m_startedAt) / 1ms); };
-    std::array<char, 16> load {};
-    std::snprintf(load.data(), load.size(), "%.2f", m_chosenLoad);
     writeDecision("call", outcome,
         { { "request", m_attemptId }, { "route", m_route ? m_route->name : std::string {} },
             { "account", m_account ? m_account->id.text() : std::string {} }, { "model", m_model.text() },
             { "status", std::to_string(status) }, { "why", std::string(why) },
             { "server", m_tried.empty() ? std::string {} : m_tried.back().text() },
-            { "attempts", std::to_string(m_tried.size()) }, { "load", load.data() },
+            { "attempts", std::to_string(m_tried.size()) }, { "load", formatNumber(m_chosenLoad) },
             { "candidates", std::to_string(m_candidates) },
             { "document", std::to_string(m_table ? m_table->document().version : 0) },
             { "first_event_ms", m_eventCount > 0 ? age(m_firstEventAt) : std::string {} }, { "ms", age(now) } });
--- a/packages/runtime/src/proxy/proxy.cpp
+++ b/packages/runtime/src/proxy/proxy.cpp
@@ -2,6 +2,8 @@
 
 #include <rosemarymill/runtime/base/clock.hpp>
 
+#include <algorithm>
+#include <array>
 #include <ostream>
 #include <stdexcept>
 
@@ -27,6 +29,7 @@
 Proxy::Proxy(event_base* base, ProxySettings settings)
     : m_base(base)
     , m_settings(std::move(settings))
+    , m_startedAt(readClock())
     , m_balancer(m_settings.balancer, m_settings.seed)
     , m_pool(base)
     , m_random(static_cast<std::minstd_rand::result_type>(m_settings.seed))
@@ -85,7 +88,18 @@
 
 dispatch::RetryBudget& Proxy::budget(const ServiceName& service)
 {
-    return m_budgets.try_emplace(service, m_settings.retryLimits).first->second;
+    return m_budgets.try_emplace(service, m_settings.retryLimits, m_startedAt).first->second;
+}
+
+void Proxy::limitCollected()
+{
+    while (m_collected > maxCollectedBytes) {
+        const auto largest = std::max_element(m_calls.begin(), m_calls.end(),
+            [](const auto* a, const auto* b) { return a->collectedBytes() < b->collectedBytes(); });
+        if (largest == m_calls.end() || (*largest)->collectedBytes() == 0)
+            return;
+        (*largest)->dropCollected();
+    }
 }
 
 void Proxy::scheduleCleanUp() { event_active(m_cleanUp.get(), EV_TIMEOUT, 0); }
@@ -156,14 +170,31 @@
     counter("failed", m_counters.failed);
     counter("aborted", m_counters.aborted);
     counter("abandoned", m_counters.abandoned);
-    counter("repeats", m_counters.repeats);
     counter("resumed", m_counters.resumed);
     counter("events", m_counters.events);
     gauge("calls", m_calls.size());
     gauge("clients", m_clients.size());
     gauge("server_connections", m_pool.connections());
+    gauge("collected_bytes", m_collected);
     gauge("targets", m_balancer.size());
     gauge("document_version", m_table ? m_table->document().version : 0);
+    constexpr std::array<const char*, 4> reasons { "unknown", "failing", "full", "cold" };
+    out << "# TYPE rosemarymill_proxy_without_server_total counter\n";
+    for (std::size_t i = 0; i < reasons.size(); ++i)
+        out << "rosemarymill_proxy_without_server_total{reason=\"" << reasons[i] << "\"} " << m_withoutServer[i]
+            << '\n';
+    if (const auto at = m_balancer.fleetLoadsAt())
+        out << "# TYPE rosemarymill_proxy_fleet_loads_age_seconds gauge\nrosemarymill_proxy_fleet_loads_age_seconds "
+            << std::chrono::duration<double>(readClock() - *at).count() << '\n';
+    gauge("entry_vms", m_balancer.knownEntryVms());
+    out << "# TYPE rosemarymill_proxy_repeats_total counter\n";
+    for (std::size_t i = 0; i < m_counters.repeats.size(); ++i)
+        out << "rosemarymill_proxy_repeats_total{cause=\"" << nameOf(static_cast<dispatch::AttemptEnd>(i)) << "\"} "
+            << m_counters.repeats[i] << '\n';
+    out << "# TYPE rosemarymill_proxy_retry_budget_left gauge\n";
+    for (const auto& [service, budget] : m_budgets)
+        out << "rosemarymill_proxy_retry_budget_left{service=\"" << service.text() << "\"} "
+            << budget.left(readClock(), m_balancer.knownEntryVms()) << '\n';
     m_firstByte.write(out, "rosemarymill_proxy_first_event_seconds", {});
     m_total.write(out, "rosemarymill_proxy_call_seconds", {});
 }
--- a/packages/wire/src/fleet/codec.cpp
+++ b/packages/wire/src/fleet/codec.cpp
@@ -1,7 +1,12 @@
 #include <rosemarymill/wire/fleet/codec.hpp>
 
+#include <rosemarymill/wire/compress/compress.hpp>
+#include <rosemarymill/wire/frame/frame.hpp>
 #include <rosemarymill/wire/generated/fleet_generated.hpp>
 
+#include <algorithm>
+#include <cstddef>
+
 #include <boost/outcome/try.hpp>
 
 namespace rosemarymill::wire::fleet {
@@ -11,6 +16,14 @@
 namespace core = rosemarymill::fleet;
 namespace fb = generated::fleet;
 
+/// Bytes of a frame for the fields of a message beside the document, such as data centres and voters.
+constexpr std::size_t messageFieldsBytes = 48 * 1024;
+
+static_assert(core::maxStoredDocumentBytes + messageFieldsBytes <= maxFramePayloadBytes);
+static_assert(static_cast<core::Encoding>(fb::Encoding::Zstd) == core::Encoding::Zstd);
+
+bool isKnown(fb::Encoding encoding) noexcept { return encoding >= fb::Encoding::MIN && encoding <= fb::Encoding::MAX; }
+
 std::vector<std::uint8_t> bytesOf(const std::string& text) { return { text.begin(), text.end() }; }
 
 std::string textOf(const std::vector<std::uint8_t>& bytes) { return { bytes.begin(), bytes.end() }; }
@@ -39,6 +52,7 @@
     packed.submission = it.submission;
     packed.version = it.version;
     packed.bytes = bytesOf(it.bytes);
+    packed.encoding = static_cast<fb::Encoding>(it.encoding);
     return asUnion<fb::AnyCommandUnion>(std::move(packed));
 }
 
@@ -78,14 +92,26 @@
     return asUnion<fb::AnyMessageUnion>(std::move(packed));
 }
 
-fb::AnyMessageUnion pack(const core::DocumentPush& it)
+fb::AnyMessageUnion pack(const core::DocumentPart& it)
 {
-    fb::DocumentT packed;
-    packed.version = it.version;
-    packed.bytes = bytesOf(it.bytes);
+    fb::DocumentPartT packed;
+    packed.from = it.from;
+    packed.to = it.to;
+    packed.part = it.part;
+    packed.parts = it.parts;
+    packed.bytes.resize(it.bytes.size());
+    std::transform(it.bytes.begin(), it.bytes.end(), packed.bytes.begin(),
+        [](std::byte byte) { return std::to_integer<std::uint8_t>(byte); });
     return asUnion<fb::AnyMessageUnion>(std::move(packed));
 }
 
+fb::AnyMessageUnion pack(const core::DocumentInForce& it)
+{
+    fb::DocumentInForceT packed;
+    packed.version = it.version;
+    return asUnion<fb::AnyMessageUnion>(packed);
+}
+
 fb::TargetT packTarget(const core::Target& it)
 {
     fb::TargetT packed;
@@ -152,6 +178,14 @@
 
 fb::AnyMessageUnion pack(const core::Alive&) { return asUnion<fb::AnyMessageUnion>(fb::AliveT {}); }
 
+core::DocumentPart unpack(const fb::DocumentPartT& it)
+{
+    core::DocumentPart part { it.from, it.to, it.part, it.parts, {} };
+    const auto bytes = std::as_bytes(std::span { it.bytes });
+    part.bytes.assign(bytes.begin(), bytes.end());
+    return part;
+}
+
 core::Target unpack(const fb::TargetT& it)
 {
     return { ServerId { it.id }, it.address, ServiceName { it.service }, DataCentreId { it.data_centre },
@@ -186,8 +220,10 @@
         return core::Subscribe { it->address, it->control, it->document_version };
     if (const auto* it = any.AsMembers())
         return core::Members { it->leader, it->term, it->controls, it->voters, it->entry_vms };
-    if (const auto* it = any.AsDocument())
-        return core::DocumentPush { it->version, textOf(it->bytes) };
+    if (const auto* it = any.AsDocumentPart())
+        return unpack(*it);
+    if (const auto* it = any.AsDocumentInForce())
+        return core::DocumentInForce { it->version };
     if (const auto* it = any.AsTargets())
         return unpack(*it);
     if (const auto* it = any.AsReport())
@@ -213,6 +249,7 @@
     packed.document = std::make_unique<fb::DocumentT>();
     packed.document->version = snapshot.version;
     packed.document->bytes = bytesOf(snapshot.bytes);
+    packed.encoding = static_cast<fb::Encoding>(snapshot.encoding);
     packed.out_of_service.reserve(snapshot.outOfService.size());
     for (const auto& it : snapshot.outOfService)
         packed.out_of_service.emplace_back(std::make_unique<fb::OutOfServiceT>())->data_centre = it.text();
@@ -223,8 +260,12 @@
 {
     BOOST_OUTCOME_TRY(packed, unpackTable<fb::CommandT>(payload));
     const auto& any = packed.command;
-    if (const auto* it = any.AsStoreDocument())
-        return core::StoreDocument { it->submission, it->version, textOf(it->bytes) };
+    if (const auto* it = any.AsStoreDocument()) {
+        if (!isKnown(it->encoding))
+            return DecodeError::UnexpectedKind;
+        return core::StoreDocument { it->submission, it->version, textOf(it->bytes),
+            static_cast<core::Encoding>(it->encoding) };
+    }
     if (const auto* it = any.AsSetOutOfService())
         return core::SetOutOfService { it->submission, DataCentreId { it->data_centre }, it->out_of_service };
     if (const auto* it = any.AsBarrier())
@@ -235,7 +276,10 @@
 Result<Codec::Snapshot> Codec::decodeSnapshot(std::span<const std::byte> payload)
 {
     BOOST_OUTCOME_TRY(packed, unpackTable<fb::SnapshotT>(payload));
-    core::Snapshot snapshot { packed.document->version, textOf(packed.document->bytes), {} };
+    if (!isKnown(packed.encoding))
+        return DecodeError::UnexpectedKind;
+    core::Snapshot snapshot { packed.document->version, textOf(packed.document->bytes), {},
+        static_cast<core::Encoding>(packed.encoding) };
     for (const auto& it : packed.out_of_service)
         snapshot.outOfService.insert(DataCentreId { it->data_centre });
     return snapshot;
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -38,7 +38,7 @@
 
 /// A proxy between a client and two servers, with a route for each kind of request.
 struct World {
-    World()
+    explicit World(double retrySlack = 100)
         : base(event_base_new())
         , a(base.get())
         , b(base.get())
@@ -47,7 +47,7 @@
         runtime::proxy::ProxySettings settings;
         settings.address = runtime::parseAddress("127.0.0.1:0").value();
         settings.dataCentre = DataCentreId { "mixco" };
-        settings.retryLimits = { 0.2, 100, 10s };
+        settings.retryLimits = { 0.2, retrySlack, 10s };
         settings.balancer.dataCentre = settings.dataCentre;
         settings.seed = 1;
         auto& names = settings.names;
@@ -199,6 +199,50 @@
     world.waitFor([&] { return client.has("done"); });
 }
 
+TEST_CASE("a server that does not know its requests gets no more of them", "[proxy]")
+{
+    World world;
+    auto& client = world.client("/order/1");
+    auto& wrong = world.nextRequest();
+    wrong.send(answer("421 Misdirected Request", ""));
+    world.nextRequest().send(answer("200 OK", "done"));
+    world.waitFor([&] { return client.has("done"); });
+    const auto name = wrong.has("X-Expect: a\r\n") ? "X-Expect: a\r\n" : "X-Expect: b\r\n";
+    test::runFor(world.base.get(), std::chrono::milliseconds { 400 });
+    for (int i = 0; i < 8; ++i) {
+        auto& later = world.client("/order/1");
+        auto& server = world.nextRequest();
+        CHECK_FALSE(server.has(name));
+        // Without Connection: close the next request would follow on the same connection.
+        server.send(answer("200 OK", "done", "X-Seal: s\r\nConnection: close\r\n"));
+        world.waitFor([&] { return later.has("done"); });
+    }
+}
+
+TEST_CASE("a head that rejects again and again rests for longer each time", "[proxy]")
+{
+    World world;
+    auto head = World::target("one", world.a);
+    head.service = ServiceName { "llm" };
+    head.model = ModelName { "large" };
+    fleet::TargetDelta delta;
+    delta.upserts = { head };
+    world.proxy->applyTargets(delta);
+    const auto send = [&]() -> Peer& {
+        return world.client("/model/1", "POST", "body", "X-Model: large\r\nX-Tokens: 1460,80\r\n");
+    };
+    for (int i = 0; i < 2; ++i) {
+        auto& client = send();
+        world.nextRequest().send(
+            answer("503 Service Unavailable", "", "X-Not-Run: 1\r\nAt: two\r\nConnection: close\r\n"));
+        world.waitFor([&] { return client.has("HTTP/1.1 503 "); });
+        test::runFor(world.base.get(), std::chrono::milliseconds { 300 });
+    }
+    auto& client = send();
+    world.waitFor([&] { return client.has("HTTP/1.1 503 "); });
+    CHECK(world.requests().size() == 2);
+}
+
 TEST_CASE("a refusal of a server that promises nothing is not passed on as a promise", "[proxy]")
 {
     World world;
@@ -227,6 +271,21 @@
     CHECK_FALSE(client.has("failed"));
 }
 
+TEST_CASE("repeats are counted by the end of the attempt before", "[proxy]")
+{
+    World world;
+    auto& client = world.client("/lookup/1", "GET", "");
+    world.nextRequest().send(answer("500 Internal Server Error", "failed"));
+    world.nextRequest().send(answer("200 OK", "found"));
+    world.waitFor([&] { return client.has("found"); });
+    std::ostringstream metrics;
+    world.proxy->writeMetrics(metrics);
+    CHECK_THAT(metrics.str(), Catch::Contains("rosemarymill_proxy_repeats_total{cause=\"server error\"} 1\n"));
+    CHECK_THAT(metrics.str(), Catch::Contains("rosemarymill_proxy_repeats_total{cause=\"rejected\"} 0\n"));
+    CHECK_THAT(metrics.str(), Catch::Contains("rosemarymill_proxy_retry_budget_left{service=\"desk\"} "));
+    CHECK_THAT(metrics.str(), Catch::Contains("rosemarymill_proxy_entry_vms 1\n"));
+}
+
 TEST_CASE("a lookup goes to a second server after silence", "[proxy]")
 {
     World world;
@@ -337,6 +396,29 @@
     CHECK(world.requests().size() == 2);
 }
 
+TEST_CASE("streams that wait for a server together repeat no more than the budget allows", "[proxy]")
+{
+    // A new process takes a quarter of the slack: one repeat, and the ratio gives less than another.
+    World world(4);
+    constexpr int streams = 3;
+    std::vector<Peer*> callers;
+    for (int i = 0; i < streams; ++i) {
+        callers.push_back(&world.client("/stream/1"));
+        world.nextRequest().send(streamHead + eventChunk(1));
+        world.waitFor([&] { return callers.back()->has("id: 1"); });
+    }
+    fleet::TargetDelta lost;
+    lost.lost = { ServerId { "a" }, ServerId { "b" } };
+    world.proxy->applyTargets(lost);
+    fleet::TargetDelta announced;
+    announced.upserts = { World::target("c", world.a) };
+    world.proxy->applyTargets(announced);
+    world.waitFor([&] {
+        return std::count_if(callers.begin(), callers.end(), [](auto* it) { return it->closed; }) == streams - 1;
+    });
+    CHECK(world.requests().size() == streams + 1);
+}
+
 TEST_CASE("a stream that cannot continue is cut, not ended", "[proxy]")
 {
     World world;
