Put the newest of versions in force that are committed together

Cause: the log applies all commands of a batch before the first effect is carried out, so the state was already at the last version while the effect of the first one named its submission. The document kept for that submission was published as if it were the newest, and the last one never was.

Change: a kept document is used only when its version is the stored one. Otherwise the stored document is decoded.

Test: three versions are proposed in one turn of the loop, and an entry VM has to hold the last.

--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -253,8 +253,10 @@
 
 bool ControlNode::loadTable(const std::string& submission)
 {
-    const auto it = std::find_if(m_submitted.begin(), m_submitted.end(),
-        [&](const auto& kept) { return !submission.empty() && kept.submission == submission; });
+    // The log may have applied further commands after this one.
+    const auto it = std::find_if(m_submitted.begin(), m_submitted.end(), [&](const auto& kept) {
+        return !submission.empty() && kept.submission == submission && kept.document.version == m_documentVersion;
+    });
     if (it != m_submitted.end()) {
         m_table = std::make_shared<routes::Table>(std::move(it->document));
         m_submitted.erase(it);
--- a/tests/runtime/nodes/document_feed.cpp
+++ b/tests/runtime/nodes/document_feed.cpp
@@ -243,6 +243,24 @@
     CHECK(valueOf(*entry, "rosemarymill_document_behind_ms") == 0);
 }
 
+TEST_CASE("The newest of versions that are committed together is put in force", "[nodes]")
+{
+    World world;
+    world.store(1);
+    const auto entry = world.startEntry();
+    const auto held = [&] { return valueOf(*entry, "rosemarymill_proxy_document_version"); };
+    REQUIRE(world.runUntil([&] { return held() == 1; }));
+    unsigned committed = 0;
+    for (std::uint64_t version = 2; version <= 4; ++version) {
+        const auto text = textOf(version);
+        const auto proposed
+            = world.control->storeDocument(decode(text).document, text, [&](bool it) { committed += it ? 1 : 0; });
+        REQUIRE(proposed);
+    }
+    REQUIRE(world.runUntil([&] { return committed == 3; }));
+    CHECK(world.runUntil([&] { return held() == 4; }));
+}
+
 // A frame holds 1 MiB; a document of 4 MiB has about 13,000 routes.
 TEST_CASE("A document of 4 MiB reaches an entry VM", "[nodes]")
 {
