Judge by servers with recent heartbeats whether probes can be believed

Cause: unanswered probes of a server that is silent itself counted as a sign that the leader cannot be reached. With one silent server in each of three of six domains no probe was believed, and none of them counted as dead before it was forgotten after 30 s.

Change: only probes of servers that are alive count.

--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -120,9 +120,12 @@
         return;
     while (!m_probeResults.empty() && m_now > m_probeResults.front().at + m_settings.controlWindow)
         m_probeResults.pop_front();
-    m_probeResults.push_back({ m_now, server->record.domain, event.result == event::ProbeResult::Alive });
-    if (event.result == event::ProbeResult::Alive) {
+    if (event.result == event::ProbeResult::Alive)
         server->probedAliveAt = m_now;
+    // A server that is silent itself tells nothing about the leader.
+    if (isAlive(*server))
+        m_probeResults.push_back({ m_now, server->record.domain, event.result == event::ProbeResult::Alive });
+    if (event.result == event::ProbeResult::Alive) {
         server->failedProbes = 0;
         return;
     }
