Send nothing to cold servers while the number of entry VMs is unknown

Cause: a process that has just started assumed 16 entry VMs for its share of a cold server's rate, and a new leader tells the number only after 5 s. With 33 restarts in that time 86 requests a second were possible where 59 are allowed (calculated by the review).

Change: a VM that does not know the number has no share, as in the retry budget.

--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -108,6 +108,9 @@
 
 bool Balancer::coldTokenReady(Entry& entry, double rate, Instant now) const
 {
+    // Without the number of entry VMs there is no share of the rate.
+    if (!m_entryVmsKnown)
+        return false;
     const auto all = (rate * m_settings.coldOvershoot + m_settings.coldSlack) * coldSafety;
     const auto share = all / static_cast<double>(std::max(m_entryVms, 1U));
     const auto seconds = std::chrono::duration<double>(now - entry.coldTokensAt).count();
