Send reference probes to servers with recent heartbeats only

Cause: a domain was left out of the reference probes when one of its servers had been probed lately, also when that was the silent server under suspicion, so its healthy servers were never asked.

Change: reference probes go to servers that are alive. The settings and functions are named after them, since "control" names the control VMs; comments no longer tell how values were chosen.

Test: one silent server in each of three of six domains is out of the targets within 6 s.

--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -41,13 +41,12 @@
     /// Unanswered probes after which a server counts as dead.
     unsigned deadProbes { 2 };
     /// Answers to probes of other fabric domains are this old at most when they show that the leader itself can be
-    /// reached: longer than a probe and its repetition take.
-    Duration controlWindow { 500ms };
+    /// reached.
+    Duration referenceWindow { 500ms };
     /// Servers of each other domain that are probed for that.
-    unsigned controlProbes { 3 };
-    /// Part of the probes of other domains that has to be answered, each domain counting alike. Two domains of a data
-    /// centre that is cut leave more than this part of six domains.
-    double controlShare { 0.75 };
+    unsigned referenceProbes { 3 };
+    /// Part of the probes of other domains that has to be answered, each domain counting alike.
+    double referenceShare { 0.75 };
     /// Servers that are silent for this long are forgotten.
     Duration forgetAfter { 30s };
     /// A new leader waits this long for the servers' memberships before it judges groups: two heartbeat intervals.
@@ -236,10 +235,10 @@
     void probeSilentServers(Effects& effects);
     void probeSuspectGroups(Effects& effects);
     /// Probes some servers of each other domain whose last results are old.
-    void probeControls(const FabricDomainId& domain, Effects& effects);
+    void probeReferences(const FabricDomainId& domain, Effects& effects);
     /// Whether most probes of the other domains were answered. If they were not, a server that does not answer may be
     /// alive and the leader's own connection congested.
-    [[nodiscard]] bool controlsAnswer(const FabricDomainId& domain) const;
+    [[nodiscard]] bool referencesAnswer(const FabricDomainId& domain) const;
 
     // Groups
     void adopt(const ServerRecord& record, Effects& effects);
@@ -314,7 +313,7 @@
     std::set<DataCentreId> m_outOfService;
     std::map<ServerId, Target> m_published;
     std::set<ServerId> m_lost;
-    /// Results of probes within the control window.
+    /// Results of probes within the reference window.
     struct ProbeResult {
         Instant at;
         FabricDomainId domain;
@@ -322,7 +321,7 @@
     };
     std::deque<ProbeResult> m_probeResults;
     /// Last time that unanswered probes were logged as the leader's own fault.
-    Instant m_distrustLoggedAt;
+    Instant m_ignoredLoggedAt;
     /// Starts of loads within the last window.
     std::deque<Instant> m_loadStarts;
 };
--- a/packages/core/include/rosemarymill/core/fleet/document_parts.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/document_parts.hpp
@@ -11,10 +11,10 @@
 /// Changes of the document are sent in parts, so that they never hold up other messages for long.
 namespace rosemarymill::fleet {
 
-/// Bytes of one part: 26 ms of an entry VM's link of 20 Mbit/s.
+/// Most bytes of one part.
 inline constexpr std::size_t maxPartBytes = std::size_t { 64 } * 1024;
 
-/// Most bytes of one push: a document of 4 MiB as submitted, whose entries grow by less than eight times when encoded.
+/// Most bytes of the encoded changes of one push.
 inline constexpr std::size_t maxPushBytes = std::size_t { 32 } * 1024 * 1024;
 
 /// Splits the encoded changes between two versions into parts. There is always one.
--- a/packages/core/include/rosemarymill/core/fleet/entry_roster.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/entry_roster.hpp
@@ -17,8 +17,7 @@
     /// An entry VM that was connected this recently still counts.
     static constexpr Duration memory = 30s;
 
-    /// Time in which the entry VMs find a new leader: they notice the silence of the old one, and may try two control
-    /// VMs in vain.
+    /// Time in which the entry VMs find a new leader.
     static constexpr Duration settleTime = 5s;
 
     /// The entry VM is connected.
--- a/packages/core/include/rosemarymill/core/routes/document_table.hpp
+++ b/packages/core/include/rosemarymill/core/routes/document_table.hpp
@@ -50,13 +50,12 @@
     friend bool operator==(const DocumentChanges&, const DocumentChanges&) = default;
 };
 
-/// Document by entries. Equal documents make equal entries whatever came before them, so that changes lead on from a
-/// version that another process distributed.
+/// Document by entries, with the version that changed each of them last.
 class DocumentTable {
 public:
-    /// Removed entries that are kept; a tenth of a document of 40,000 routes, the most that fit into 4 MiB.
+    /// Most removed entries that are kept.
     static constexpr std::size_t maxRemoved = 4096;
-    /// Versions from which changes are known: those of four minutes at one every 60 ms.
+    /// Most versions from which changes are known.
     static constexpr std::size_t maxVersions = 4096;
 
     /// Version held; 0 means none.
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint64_t newbornSequence = 2;
 
 /// Unanswered probes that are not believed are logged at most this often.
-constexpr Duration distrustLogInterval = 1s;
+constexpr Duration ignoredLogInterval = 1s;
 
 /// Whether entry VMs have to hear of the difference. The rest of a cold start only shrinks on its own.
 bool differs(const Target& a, const Target& b)
@@ -118,7 +118,7 @@
     auto* server = m_registry.find(event.server);
     if (!m_leads || !server)
         return;
-    while (!m_probeResults.empty() && m_now > m_probeResults.front().at + m_settings.controlWindow)
+    while (!m_probeResults.empty() && m_now > m_probeResults.front().at + m_settings.referenceWindow)
         m_probeResults.pop_front();
     if (event.result == event::ProbeResult::Alive)
         server->probedAliveAt = m_now;
@@ -133,14 +133,14 @@
     server->gone = event.result == event::ProbeResult::Gone;
     if (!server->gone) {
         const auto& domain = server->record.domain;
-        if (server->failedProbes >= m_settings.deadProbes && !controlsAnswer(domain)) {
+        if (server->failedProbes >= m_settings.deadProbes && !referencesAnswer(domain)) {
             server->failedProbes = m_settings.deadProbes - 1;
-            if (m_now >= m_distrustLoggedAt + distrustLogInterval) {
-                m_distrustLoggedAt = m_now;
-                log("distrust probes", event.server.text(), "other domains do not answer either", effects);
+            if (m_now >= m_ignoredLoggedAt + ignoredLogInterval) {
+                m_ignoredLoggedAt = m_now;
+                log("ignore probes", event.server.text(), "other domains do not answer either", effects);
             }
         }
-        probeControls(domain, effects);
+        probeReferences(domain, effects);
     }
     if (server->gone || server->failedProbes == m_settings.deadProbes)
         log("suspect server", event.server.text(),
@@ -151,18 +151,18 @@
     publish(false, effects);
 }
 
-void Control::probeControls(const FabricDomainId& domain, Effects& effects)
+void Control::probeReferences(const FabricDomainId& domain, Effects& effects)
 {
     std::map<FabricDomainId, std::vector<KnownServer*>> others;
     for (auto& [id, server] : m_registry.servers()) {
-        if (server.record.domain != domain && !isDead(server))
+        if (server.record.domain != domain && isAlive(server))
             others[server.record.domain].push_back(&server);
     }
     for (auto& [other, servers] : others) {
         if (std::any_of(servers.begin(), servers.end(),
-                [&](const auto* it) { return m_now < it->probeSentAt + m_settings.controlWindow; }))
+                [&](const auto* it) { return m_now < it->probeSentAt + m_settings.referenceWindow; }))
             continue;
-        const auto n = std::min<std::size_t>(servers.size(), m_settings.controlProbes);
+        const auto n = std::min<std::size_t>(servers.size(), m_settings.referenceProbes);
         std::partial_sort(servers.begin(), servers.begin() + static_cast<std::ptrdiff_t>(n), servers.end(),
             [](const auto* a, const auto* b) { return a->probeSentAt < b->probeSentAt; });
         for (std::size_t i = 0; i < n; ++i)
@@ -170,7 +170,7 @@
     }
 }
 
-bool Control::controlsAnswer(const FabricDomainId& domain) const
+bool Control::referencesAnswer(const FabricDomainId& domain) const
 {
     struct Results {
         double answered { 0 };
@@ -183,7 +183,7 @@
     }
     for (const auto& it : m_probeResults) {
         const auto results = others.find(it.domain);
-        if (results == others.end() || m_now > it.at + m_settings.controlWindow)
+        if (results == others.end() || m_now > it.at + m_settings.referenceWindow)
             continue;
         results->second.answered += it.answered ? 1 : 0;
         ++results->second.all;
@@ -191,7 +191,7 @@
     double answering = 0;
     for (const auto& [other, it] : others)
         answering += it.all > 0 ? it.answered / it.all : 0;
-    return answering >= m_settings.controlShare * static_cast<double>(others.size());
+    return answering >= m_settings.referenceShare * static_cast<double>(others.size());
 }
 
 void Control::handle(const event::ProgressReported& event, Effects&)
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -100,7 +100,7 @@
         routes::Document document;
     };
 
-    /// Decoded documents that are kept until their proposals are applied: operators have up to eight calls in progress.
+    /// Decoded documents that are kept until their proposals are applied.
     static constexpr std::size_t maxSubmitted = 8;
 
     /// Voters that founded the log; empty on a VM that came later or lost its disk.
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -514,3 +514,21 @@
     for (const auto& [id, target] : fleet.control.targets())
         CHECK(fleet.servers.at(id).alive);
 }
+
+TEST_CASE("silent servers in half of the domains do not keep each other from counting as dead", "[fleet]")
+{
+    FleetOptions options;
+    options.domains = 6;
+    FakeFleet fleet(options);
+    fleet.lead(1);
+    fleet.run(90s);
+    std::set<FabricDomainId> domains;
+    for (const auto& id : fleet.openHeads()) {
+        if (domains.size() < 3 && domains.insert(fleet.servers.at(id).record.domain).second)
+            fleet.kill(id);
+    }
+    REQUIRE(domains.size() == 3);
+    fleet.run(6s);
+    for (const auto& [id, target] : fleet.control.targets())
+        CHECK(fleet.servers.at(id).alive);
+}
