--- a/packages/runtime/include/rosemarymill/runtime/http/server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/http/server.hpp
@@ -17,7 +17,8 @@
 /// HTTP/1.1 server by libevhtp with limits on size and arrival time.
 namespace rosemarymill::runtime::http {
 
-/// Largest request body in bytes. A longer one is read to its end, discarded and refused with 413.
+/// Largest request body in bytes, unless a server is given another limit. A longer one is read to its end, discarded
+/// and refused with 413.
 inline constexpr std::size_t maxBodyBytes = 1024 * 1024;
 
 /// Body length in bytes beyond which the connection is closed without an answer.
@@ -99,8 +100,9 @@
 public:
     using Handler = std::function<void(Exchange&)>;
 
-    /// Binds the listener. Throws std::runtime_error when the address cannot be bound.
-    Server(event_base* base, const SocketAddress& address);
+    /// Binds the listener. Request bodies have at most `maxBody` bytes. Throws std::runtime_error when the address
+    /// cannot be bound.
+    Server(event_base* base, const SocketAddress& address, std::size_t maxBody = maxBodyBytes);
     ~Server();
 
     Server(const Server&) = delete;
@@ -128,6 +130,7 @@
     static evhtp_res onAccept(evhtp_connection_t* connection, void* server);
 
     event_base* m_base;
+    std::size_t m_maxBody;
     SocketAddress m_address;
     evhtp_t* m_htp;
     std::vector<Route> m_routes;
--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -122,7 +122,7 @@
 {
     const auto size = evbuffer_get_length(buf);
     bodyBytes += size;
-    if (exchange && exchange->m_body.size() + size <= maxBodyBytes) {
+    if (exchange && exchange->m_body.size() + size <= server.m_maxBody) {
         const auto begin = exchange->m_body.size();
         exchange->m_body.resize(begin + size);
         evbuffer_copyout(buf, exchange->m_body.data() + begin, size);
@@ -256,8 +256,9 @@
 
 } // namespace
 
-Server::Server(event_base* base, const SocketAddress& address)
+Server::Server(event_base* base, const SocketAddress& address, std::size_t maxBody)
     : m_base(base)
+    , m_maxBody(maxBody)
     , m_htp(evhtp_new(base, this))
 {
     constexpr int backlog = 1024;
--- a/tests/runtime/http/server.cpp
+++ b/tests/runtime/http/server.cpp
@@ -75,3 +75,22 @@
         CHECK(answered > 0);
     }
 }
+
+TEST_CASE("A document longer than a usual body is taken by a server with a larger limit", "[http]")
+{
+    const std::string body(2 * mebibyte, 'a');
+    const auto request
+        = "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const auto answerOf = [&](std::size_t maxBody) {
+        const test::EventBase base(event_base_new());
+        Server server(base.get(), runtime::parseAddress("127.0.0.1:0").value(), maxBody);
+        server.route("POST", "/echo",
+            [&](Exchange& exchange) { exchange.reply(exchange.body() == body ? 200 : 500, "text/plain", "echoed"); });
+        Peer client(base.get(), server.address());
+        client.send(request);
+        test::runUntil(base.get(), [&] { return client.has("\r\n\r\n"); });
+        return client.received.substr(0, client.received.find('\r'));
+    };
+    CHECK(answerOf(4 * mebibyte) == "HTTP/1.1 200 OK");
+    CHECK(answerOf(runtime::http::maxBodyBytes).starts_with("HTTP/1.1 413"));
+}
