--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -1,17 +1,11 @@
 #include <rosemarymill/runtime/nodes/control_node.hpp>
 
-#include <rosemarymill/core/fleet/document_parts.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/wire/agreement/codec.hpp>
-#include <rosemarymill/wire/compress/compress.hpp>
 #include <rosemarymill/wire/fleet/codec.hpp>
-#include <rosemarymill/wire/routes/codec.hpp>
-
-#include <boost/outcome/try.hpp>
 
 #include <algorithm>
-#include <ostream>
 #include <stdexcept>
 
 namespace rosemarymill::runtime::nodes {
@@ -251,33 +245,6 @@
     }
 }
 
-bool ControlNode::loadTable(const std::string& submission)
-{
-    // The log may have applied further commands after this one.
-    const auto it = std::find_if(m_submitted.begin(), m_submitted.end(), [&](const auto& kept) {
-        return !submission.empty() && kept.submission == submission && kept.document.version == m_documentVersion;
-    });
-    if (it != m_submitted.end()) {
-        m_table = std::make_shared<routes::Table>(std::move(it->document));
-        m_submitted.erase(it);
-        return true;
-    }
-    const auto text = documentText();
-    if (!text)
-        return false;
-    const auto begin = readClock();
-    auto decoded = m_environment.decodeDocument(text.value());
-    m_decodeTimes.add(readClock() - begin);
-    if (!decoded.faults.empty()) {
-        writeLog(node::LogLevel::Error, "fleet",
-            "The stored document breaks a rule at " + decoded.faults.front().path + ": " + decoded.faults.front().rule
-                + ". It is not put in force.");
-        return false;
-    }
-    m_table = std::make_shared<routes::Table>(std::move(decoded.document));
-    return true;
-}
-
 std::string ControlNode::ageOf(const std::string& submission) const
 {
     const auto it = m_proposals.find(submission);
@@ -305,15 +272,6 @@
     }
 }
 
-void ControlNode::publishDocument()
-{
-    m_feed.publish(m_table->document(), readClock());
-    m_pushes.clear();
-    for (auto& it : m_subscribers.subscribers())
-        feedDocument(it);
-    decide(core::event::DocumentChanged { readClock(), m_table });
-}
-
 void ControlNode::decide(const core::ControlEvent& event)
 {
     core::Control::Effects effects;
@@ -375,60 +333,11 @@
     post(agreement::Proposed<core::Command> { readClock(), std::move(command) });
 }
 
-Result<void> ControlNode::storeDocument(routes::Document document, std::string_view text, Committed done)
-{
-    const auto version = document.version;
-    const auto refuse = [&](const char* form, std::size_t bytes, std::size_t limit) {
-        writeDecision("fleet", "document refused",
-            { { "version", std::to_string(version) }, { "form", form }, { "bytes", std::to_string(bytes) },
-                { "limit", std::to_string(limit) } });
-        return std::make_error_code(std::errc::message_size);
-    };
-    if (text.size() > core::maxDocumentBytes)
-        return refuse("submitted", text.size(), core::maxDocumentBytes);
-    BOOST_OUTCOME_TRY(bytes, wire::compress(text));
-    if (bytes.size() > core::maxStoredDocumentBytes)
-        return refuse("compressed", bytes.size(), core::maxStoredDocumentBytes);
-    auto submission = nextSubmission();
-    if (m_submitted.size() >= maxSubmitted)
-        m_submitted.pop_front();
-    m_submitted.push_back({ submission, std::move(document) });
-    propose(core::StoreDocument { std::move(submission), version, std::move(bytes), core::Encoding::Zstd },
-        std::move(done));
-    return outcome::success();
-}
-
 void ControlNode::setOutOfService(const DataCentreId& dataCentre, bool outOfService, Committed done)
 {
     propose(core::SetOutOfService { nextSubmission(), dataCentre, outOfService }, std::move(done));
 }
 
-void ControlNode::readDocument(DocumentRead done)
-{
-    propose(core::Barrier { nextSubmission() }, [this, done = std::move(done)](bool committed) {
-        if (!committed)
-            return done(nullptr);
-        auto text = documentText();
-        if (!text)
-            return done(nullptr);
-        const StoredDocument document { m_replica->machine().state().version, std::move(text.value()) };
-        done(&document);
-    });
-}
-
-Result<std::string> ControlNode::documentText() const
-{
-    const auto& state = m_replica->machine().state();
-    if (state.encoding == core::Encoding::Plain)
-        return state.bytes;
-    auto text = wire::decompress(state.bytes, core::maxDocumentBytes);
-    if (!text)
-        writeLog(node::LogLevel::Error, "fleet",
-            "The stored document " + std::to_string(state.version) + " cannot be read: " + text.error().message()
-                + '.');
-    return text;
-}
-
 void ControlNode::finishProposal(const std::string& submission, bool committed)
 {
     const auto it = m_proposals.find(submission);
@@ -486,43 +395,6 @@
     m_subscribers.send(subscriber, push);
 }
 
-void ControlNode::feedDocument(Subscriber& subscriber)
-{
-    if (!m_leads)
-        return;
-    const auto push = m_feed.next(subscriber.id);
-    if (!push)
-        return;
-    if (auto frames = framesOf(*push))
-        m_subscribers.sendPush(subscriber, std::move(frames));
-}
-
-std::shared_ptr<const Frames> ControlNode::framesOf(const core::DocumentFeed::Push& push)
-{
-    auto& known = m_pushes[push];
-    if (known)
-        return known;
-    const auto changes = m_feed.changes(push);
-    const auto packed = wire::routes::pack(changes);
-    if (!packed) {
-        writeLog(node::LogLevel::Error, "fleet",
-            "The changes of the document cannot be compressed: " + packed.error().message() + '.');
-        return nullptr;
-    }
-    const auto bytes = std::as_bytes(std::span { packed.value() });
-    Frames frames;
-    for (const auto& part : core::splitPush(push.from, push.to, bytes)) {
-        wire::Buffer payload;
-        wire::fleet::encode(part, payload);
-        wire::appendFrame(wire::FrameKind::Fleet, payload, frames.emplace_back());
-    }
-    writeDecision("fleet", "document push",
-        { { "from", std::to_string(push.from) }, { "to", std::to_string(push.to) },
-            { "entries", std::to_string(changes.entries.size()) }, { "bytes", std::to_string(bytes.size()) },
-            { "parts", std::to_string(frames.size()) } });
-    return known = std::make_shared<const Frames>(std::move(frames));
-}
-
 bool ControlNode::onLogFrame(const VmId& from, std::span<const std::byte> payload)
 {
     const auto decoded = wire::agreement::decode(payload);
@@ -634,53 +506,4 @@
     }
 }
 
-void ControlNode::writeMetrics(std::ostream& out) const
-{
-    const auto gauge = [&](const char* name, std::uint64_t value) {
-        out << "# TYPE rosemarymill_control_" << name << " gauge\nrosemarymill_control_" << name << ' ' << value
-            << '\n';
-    };
-    std::size_t open = 0;
-    std::map<ModelName, std::size_t> openByModel;
-    for (const auto& [name, group] : m_control.groups()) {
-        const bool isOpen = group.phase == core::GroupPhase::Open;
-        open += isOpen ? 1 : 0;
-        openByModel[group.model] += isOpen ? 1 : 0;
-    }
-    gauge("leads", m_leads ? 1 : 0);
-    gauge("term", m_replica->term());
-    gauge("voters", m_replica->voters().size());
-    gauge("document_version", m_documentVersion);
-    gauge("servers", m_control.registry().servers().size());
-    gauge("groups", m_control.groups().size());
-    gauge("open_groups", open);
-    out << "# TYPE rosemarymill_control_open_model_groups gauge\n";
-    for (const auto& [model, n] : openByModel)
-        out << "rosemarymill_control_open_model_groups{model=\"" << model.text() << "\"} " << n << '\n';
-    gauge("entry_vms", m_entryVms.size());
-    gauge("proposals", m_proposals.size());
-    const auto figures = m_feed.figures(readClock());
-    gauge("oldest_document_version", figures.oldestInForce);
-    gauge("oldest_document_age_ms", static_cast<std::uint64_t>(figures.age / 1ms));
-    gauge("subscribers_behind", figures.behind);
-    gauge("document_versions_skipped", figures.skipped);
-    gauge("document_pushes", figures.pushes);
-    gauge("document_pushes_whole", figures.whole);
-    const auto unsent = m_subscribers.unsent();
-    gauge("subscriber_unsent_bytes", unsent.sum);
-    gauge("subscriber_unsent_bytes_max", unsent.max);
-    gauge("document_bytes", m_replica->machine().state().bytes.size());
-    gauge("log_commit", m_replica->commit());
-    out << "# TYPE rosemarymill_control_log_waiting_bytes gauge\n";
-    m_voterLinks.eachWaiting([&](const VmId& vm, std::size_t bytes) {
-        out << "rosemarymill_control_log_waiting_bytes{vm=\"" << vm.text() << "\"} " << bytes << '\n';
-    });
-    out << "# TYPE rosemarymill_control_unknown_proposals_total counter\nrosemarymill_control_unknown_proposals_total "
-        << m_unknownProposals << '\n';
-    out << "# TYPE rosemarymill_control_commit_seconds summary\n";
-    m_commitTimes.write(out, "rosemarymill_control_commit_seconds", "");
-    out << "# TYPE rosemarymill_control_decode_seconds summary\n";
-    m_decodeTimes.write(out, "rosemarymill_control_decode_seconds", "");
-}
-
 } // namespace rosemarymill::runtime::nodes
--- /dev/null
+++ b/packages/runtime/src/nodes/control_node_metrics.cpp
@@ -0,0 +1,61 @@
+#include <rosemarymill/runtime/nodes/control_node.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+
+#include <map>
+#include <ostream>
+
+namespace rosemarymill::runtime::nodes {
+
+namespace core = rosemarymill::fleet;
+
+void ControlNode::writeMetrics(std::ostream& out) const
+{
+    const auto gauge = [&](const char* name, std::uint64_t value) {
+        out << "# TYPE rosemarymill_control_" << name << " gauge\nrosemarymill_control_" << name << ' ' << value
+            << '\n';
+    };
+    std::size_t open = 0;
+    std::map<ModelName, std::size_t> openByModel;
+    for (const auto& [name, group] : m_control.groups()) {
+        const bool isOpen = group.phase == core::GroupPhase::Open;
+        open += isOpen ? 1 : 0;
+        openByModel[group.model] += isOpen ? 1 : 0;
+    }
+    gauge("leads", m_leads ? 1 : 0);
+    gauge("term", m_replica->term());
+    gauge("voters", m_replica->voters().size());
+    gauge("document_version", m_documentVersion);
+    gauge("servers", m_control.registry().servers().size());
+    gauge("groups", m_control.groups().size());
+    gauge("open_groups", open);
+    out << "# TYPE rosemarymill_control_open_model_groups gauge\n";
+    for (const auto& [model, n] : openByModel)
+        out << "rosemarymill_control_open_model_groups{model=\"" << model.text() << "\"} " << n << '\n';
+    gauge("entry_vms", m_entryVms.size());
+    gauge("proposals", m_proposals.size());
+    const auto figures = m_feed.figures(readClock());
+    gauge("oldest_document_version", figures.oldestInForce);
+    gauge("oldest_document_age_ms", static_cast<std::uint64_t>(figures.age / 1ms));
+    gauge("subscribers_behind", figures.behind);
+    gauge("document_versions_skipped", figures.skipped);
+    gauge("document_pushes", figures.pushes);
+    gauge("document_pushes_whole", figures.whole);
+    const auto unsent = m_subscribers.unsent();
+    gauge("subscriber_unsent_bytes", unsent.sum);
+    gauge("subscriber_unsent_bytes_max", unsent.max);
+    gauge("document_bytes", m_replica->machine().state().bytes.size());
+    gauge("log_commit", m_replica->commit());
+    out << "# TYPE rosemarymill_control_log_waiting_bytes gauge\n";
+    m_voterLinks.eachWaiting([&](const VmId& vm, std::size_t bytes) {
+        out << "rosemarymill_control_log_waiting_bytes{vm=\"" << vm.text() << "\"} " << bytes << '\n';
+    });
+    out << "# TYPE rosemarymill_control_unknown_proposals_total counter\nrosemarymill_control_unknown_proposals_total "
+        << m_unknownProposals << '\n';
+    out << "# TYPE rosemarymill_control_commit_seconds summary\n";
+    m_commitTimes.write(out, "rosemarymill_control_commit_seconds", "");
+    out << "# TYPE rosemarymill_control_decode_seconds summary\n";
+    m_decodeTimes.write(out, "rosemarymill_control_decode_seconds", "");
+}
+
+} // namespace rosemarymill::runtime::nodes
