--- a/packages/core/include/rosemarymill/core/fleet/voters.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/voters.hpp
@@ -4,8 +4,9 @@
 #include <rosemarymill/core/base/time.hpp>
 
 #include <cstddef>
-#include <optional>
+#include <cstdint>
 #include <span>
+#include <string_view>
 #include <vector>
 
 /// Choice of the control VMs that vote in the control log.
@@ -32,11 +33,34 @@
     Duration replaceAfter { 7s };
     /// A VM that answered this recently is working.
     Duration working { 1s };
+    /// Time between two reviews of the voters.
+    Duration reviewInterval { 1s };
 };
 
-/// Voters after the next change by one VM, or nothing when the present ones are to stay. A working VM is added before
-/// a silent one is removed; data centres with few voters come first. `self` is never removed.
-[[nodiscard]] std::optional<std::vector<VmId>> nextVoters(
-    const VmId& self, std::span<const VoterCandidate> candidates, const VoterSettings& settings, Instant now);
+/// What a review of the voters has decided.
+enum class VoterDecision : std::uint8_t { Keep, PutOff, Add, Remove };
+
+/// Decision of one review.
+struct VoterReview {
+    VoterDecision decision { VoterDecision::Keep };
+    /// VM that is added, removed or kept although it is silent; empty when the voters are to stay as they are.
+    VmId subject;
+    /// Why, for the log. It stays the same while the decision does.
+    std::string_view reason;
+    /// Voters after the change; empty when there is none now.
+    std::vector<VmId> voters;
+
+    friend bool operator==(const VoterReview&, const VoterReview&) = default;
+};
+
+/// Decides on the next change of the voters by one VM. A working VM is added before a silent one is removed; data
+/// centres with few voters come first. `self` is never removed. Nothing is changed while an earlier change of the
+/// voters is not committed (`changing`).
+[[nodiscard]] VoterReview reviewVoters(const VmId& self, std::span<const VoterCandidate> candidates, bool changing,
+    const VoterSettings& settings, Instant now);
+
+/// Voters that have answered the leader recently, itself included.
+[[nodiscard]] std::size_t workingVoters(
+    std::span<const VoterCandidate> candidates, const VoterSettings& settings, Instant now);
 
 } // namespace rosemarymill::fleet
--- a/packages/core/src/fleet/voters.cpp
+++ b/packages/core/src/fleet/voters.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+bool isWorking(const VoterCandidate& it, const VoterSettings& settings, Instant now)
+{
+    return now < it.heardAt + settings.working;
+}
+
 std::vector<VmId> votersOf(std::span<const VoterCandidate> candidates)
 {
     std::vector<VmId> voters;
@@ -20,9 +25,8 @@
 std::size_t workingIn(const DataCentreId& dataCentre, std::span<const VoterCandidate> candidates,
     const VoterSettings& settings, Instant now)
 {
-    return static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), [&](const auto& it) {
-        return it.votes && it.dataCentre == dataCentre && now < it.heardAt + settings.working;
-    }));
+    return static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(),
+        [&](const auto& it) { return it.votes && it.dataCentre == dataCentre && isWorking(it, settings, now); }));
 }
 
 const VoterCandidate* bestNewcomer(
@@ -31,7 +35,7 @@
     const VoterCandidate* best = nullptr;
     std::size_t fewest = 0;
     for (const auto& it : candidates) {
-        if (it.votes || !it.caughtUp || now >= it.heardAt + settings.working)
+        if (it.votes || !it.caughtUp || !isWorking(it, settings, now))
             continue;
         const auto neighbours = workingIn(it.dataCentre, candidates, settings, now);
         if (!best || neighbours < fewest) {
@@ -42,29 +46,58 @@
     return best;
 }
 
-} // namespace
+/// Why no VM can become a voter.
+std::string_view whyNoNewcomer(std::span<const VoterCandidate> candidates, const VoterSettings& settings, Instant now)
+{
+    bool working = false;
+    for (const auto& it : candidates)
+        working = working || (!it.votes && isWorking(it, settings, now));
+    return working ? "no other VM holds the whole log" : "no other VM works";
+}
 
-std::optional<std::vector<VmId>> nextVoters(
-    const VmId& self, std::span<const VoterCandidate> candidates, const VoterSettings& settings, Instant now)
+/// Voter that has been silent for the longest time, or null when all have answered within `limit`.
+const VoterCandidate* longestSilent(
+    const VmId& self, std::span<const VoterCandidate> candidates, Duration limit, Instant now)
 {
-    auto voters = votersOf(candidates);
     const VoterCandidate* silent = nullptr;
     for (const auto& it : candidates) {
-        if (it.votes && it.vm != self && now >= it.heardAt + settings.replaceAfter
-            && (!silent || it.heardAt < silent->heardAt))
+        if (it.votes && it.vm != self && now >= it.heardAt + limit && (!silent || it.heardAt < silent->heardAt))
             silent = &it;
     }
+    return silent;
+}
+
+} // namespace
+
+VoterReview reviewVoters(const VmId& self, std::span<const VoterCandidate> candidates, bool changing,
+    const VoterSettings& settings, Instant now)
+{
+    if (changing)
+        return { VoterDecision::PutOff, {}, "an earlier change is not committed", {} };
+    auto voters = votersOf(candidates);
+    const auto* silent = longestSilent(self, candidates, settings.replaceAfter, now);
     if (voters.size() > settings.wanted && silent) {
         std::erase(voters, silent->vm);
-        return voters;
+        return { VoterDecision::Remove, silent->vm, "it is silent and there are more voters than wanted",
+            std::move(voters) };
     }
     if (voters.size() < settings.wanted || (voters.size() == settings.wanted && silent)) {
         if (const auto* newcomer = bestNewcomer(candidates, settings, now)) {
             voters.push_back(newcomer->vm);
-            return voters;
+            return { VoterDecision::Add, newcomer->vm, silent ? "a voter is silent" : "fewer voters than wanted",
+                std::move(voters) };
         }
+        return { VoterDecision::PutOff, silent ? silent->vm : VmId {}, whyNoNewcomer(candidates, settings, now), {} };
     }
-    return std::nullopt;
+    if (const auto* late = longestSilent(self, candidates, settings.working, now))
+        return { VoterDecision::PutOff, late->vm, "it has not been silent for long enough", {} };
+    return { VoterDecision::Keep, {}, "all voters answer", {} };
+}
+
+std::size_t workingVoters(std::span<const VoterCandidate> candidates, const VoterSettings& settings, Instant now)
+{
+    return static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(),
+        [&](const auto& it) { return it.votes && isWorking(it, settings, now); }));
 }
 
 } // namespace rosemarymill::fleet
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -106,6 +106,7 @@
     /// Voters that founded the log; empty on a VM that came later or lost its disk.
     [[nodiscard]] std::vector<std::string> foundingVoters();
     void startReplica();
+    /// Follows which control VMs could vote and changes the voters when the review asks for it.
     void reviewVoters(Instant now);
     [[nodiscard]] std::vector<fleet::VoterCandidate> voterCandidates() const;
     void post(Replica::Event&& event);
@@ -167,6 +168,9 @@
     std::map<std::string, Proposal> m_proposals;
     std::uint64_t m_submissions { 0 };
     std::uint64_t m_unknownProposals { 0 };
+    /// Last index that was seen committed, and when it was.
+    agreement::Index m_commit { 0 };
+    Instant m_committedAt;
     /// Time from a proposal to its commit.
     TimeSummary m_commitTimes;
     /// Time that the decoding of a document took.
@@ -175,6 +179,8 @@
     VoterLinks m_voterLinks;
     SubscriberServer m_subscribers;
     std::vector<VmId> m_learners;
+    fleet::VoterReview m_review;
+    Instant m_reviewedAt;
     /// Used while this VM does not vote or knows no leader.
     ControlLink m_link;
     fleet::EntryRoster m_entryVms;
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -42,6 +42,21 @@
 
 constexpr const char* votersName = "voters";
 
+const char* textOf(core::VoterDecision decision) noexcept
+{
+    switch (decision) {
+    case core::VoterDecision::PutOff:
+        return "put off";
+    case core::VoterDecision::Add:
+        return "add";
+    case core::VoterDecision::Remove:
+        return "remove";
+    case core::VoterDecision::Keep:
+        break;
+    }
+    return "keep";
+}
+
 template <typename T> T opened(const std::string& folder, Result<T>&& result)
 {
     if (!result)
@@ -153,6 +168,7 @@
     m_replica = std::make_unique<Replica>(settings, m_storage->takeImage());
     if (m_replica->damaged())
         writeLog(node::LogLevel::Error, "fleet", "The control log is damaged; this VM does not vote.");
+    m_committedAt = readClock();
     post(agreement::Started { readClock() });
     applied();
 }
@@ -172,6 +188,10 @@
             carryOut(it);
     }
     m_reducing = false;
+    if (const auto commit = m_replica->commit(); commit != m_commit) {
+        m_commit = commit;
+        m_committedAt = readClock();
+    }
     reviewLeadership();
 }
 
@@ -224,6 +244,7 @@
         m_leads = leads;
         m_entryVms.setLeads(leads, readClock());
         m_learners.clear();
+        m_review = {};
         decide(core::event::LeadershipChanged { readClock(), leads, m_replica->term() });
         if (leads) {
             if (m_documentVersion > 0 && loadTable())
@@ -346,8 +367,13 @@
     const auto done = std::move(it->second.done);
     if (committed)
         m_commitTimes.add(readClock() - it->second.proposedAt);
-    else
+    else {
         ++m_unknownProposals;
+        writeDecision("fleet", "proposal unknown",
+            { { "submission", submission }, { "age_ms", ageOf(submission) }, { "leads", m_leads ? "true" : "false" },
+                { "commit", std::to_string(m_replica->commit()) },
+                { "last", std::to_string(m_replica->log().lastIndex()) } });
+    }
     m_proposals.erase(it);
     done(committed);
 }
@@ -458,10 +484,17 @@
         post(agreement::SetLearners { now, m_learners });
         m_subscribers.broadcast(members());
     }
-    if (m_replica->changingVoters())
-        return;
-    if (const auto voters = core::nextVoters(m_self.vm, voterCandidates(), m_settings.voters, now))
-        post(agreement::ChangeVoters { now, *voters });
+    const auto candidates = voterCandidates();
+    auto review = core::reviewVoters(m_self.vm, candidates, m_replica->changingVoters(), m_settings.voters, now);
+    if (review != m_review) {
+        writeDecision("fleet", "voters reviewed",
+            { { "decision", textOf(review.decision) }, { "vm", review.subject.text() },
+                { "reason", std::string(review.reason) }, { "voters", std::to_string(m_replica->voters().size()) },
+                { "answering", std::to_string(core::workingVoters(candidates, m_settings.voters, now)) } });
+        m_review = review;
+    }
+    if (!review.voters.empty())
+        post(agreement::ChangeVoters { now, std::move(review.voters) });
 }
 
 void ControlNode::pushLoads(Instant now)
@@ -500,8 +533,10 @@
         decide(core::event::Tick { now });
     if (m_leads && now >= m_loadsSentAt + std::max(minLoadInterval, loadIntervalPerVm * m_entryVms.size()))
         pushLoads(now);
-    if (m_ticks % countTicks == 0) {
+    if (m_ticks % countTicks == 0)
         countEntryVms();
+    if (now >= m_reviewedAt + m_settings.voters.reviewInterval) {
+        m_reviewedAt = now;
         reviewVoters(now);
     }
 }
--- a/packages/runtime/src/nodes/control_node_metrics.cpp
+++ b/packages/runtime/src/nodes/control_node_metrics.cpp
@@ -2,8 +2,10 @@
 
 #include <rosemarymill/runtime/base/clock.hpp>
 
+#include <algorithm>
 #include <map>
 #include <ostream>
+#include <vector>
 
 namespace rosemarymill::runtime::nodes {
 
@@ -24,7 +26,16 @@
     }
     gauge("leads", m_leads ? 1 : 0);
     gauge("term", m_replica->term());
+    const auto now = readClock();
     gauge("voters", m_replica->voters().size());
+    const auto candidates = m_leads ? voterCandidates() : std::vector<core::VoterCandidate> {};
+    gauge("voters_answering", core::workingVoters(candidates, m_settings.voters, now));
+    gauge("voters_caught_up",
+        static_cast<std::uint64_t>(std::count_if(
+            candidates.begin(), candidates.end(), [](const auto& it) { return it.votes && it.caughtUp; })));
+    gauge("standbys", m_learners.size());
+    gauge("leader_known", leader().empty() ? 0 : 1);
+    gauge("last_commit_age_ms", static_cast<std::uint64_t>((now - m_committedAt) / 1ms));
     gauge("document_version", m_documentVersion);
     gauge("servers", m_control.registry().servers().size());
     gauge("groups", m_control.groups().size());
@@ -34,7 +45,7 @@
         out << "rosemarymill_control_open_model_groups{model=\"" << model.text() << "\"} " << n << '\n';
     gauge("entry_vms", m_entryVms.size());
     gauge("proposals", m_proposals.size());
-    const auto figures = m_feed.figures(readClock());
+    const auto figures = m_feed.figures(now);
     gauge("oldest_document_version", figures.oldestInForce);
     gauge("oldest_document_age_ms", static_cast<std::uint64_t>(figures.age / 1ms));
     gauge("subscribers_behind", figures.behind);
--- a/tests/core/fleet/voters.cpp
+++ b/tests/core/fleet/voters.cpp
@@ -3,8 +3,9 @@
 #include <catch2/catch.hpp>
 
 using namespace rosemarymill;
-using fleet::nextVoters;
+using fleet::reviewVoters;
 using fleet::VoterCandidate;
+using fleet::VoterDecision;
 
 namespace {
 
@@ -21,13 +22,17 @@
     return { VmId { vm }, DataCentreId { dataCentre }, false, caughtUp, now - silent };
 }
 
-std::string next(const std::vector<VoterCandidate>& candidates, std::size_t wanted = 3)
+fleet::VoterReview review(const std::vector<VoterCandidate>& candidates, std::size_t wanted = 3, bool changing = false)
 {
     fleet::VoterSettings settings;
     settings.wanted = wanted;
-    const auto voters = nextVoters(self, candidates, settings, now);
+    return reviewVoters(self, candidates, changing, settings, now);
+}
+
+std::string next(const std::vector<VoterCandidate>& candidates, std::size_t wanted = 3)
+{
     std::string text;
-    for (const auto& it : voters.value_or(std::vector<VmId> {}))
+    for (const auto& it : review(candidates, wanted).voters)
         text += it.text();
     return text;
 }
@@ -62,3 +67,32 @@
     CHECK(next(candidates, 5) == "abce");
     CHECK(next(candidates, 3).empty());
 }
+
+TEST_CASE("a review of the voters says what it decided about which VM, and why", "[fleet]")
+{
+    const auto check = [](const fleet::VoterReview& it, VoterDecision decision, const char* vm, const char* reason) {
+        CHECK(it.decision == decision);
+        CHECK(it.subject == VmId { vm });
+        CHECK(it.reason == reason);
+        const bool changes = decision == VoterDecision::Add || decision == VoterDecision::Remove;
+        CHECK(it.voters.empty() != changes);
+    };
+    const auto gone = voter("c", "z", 8s);
+    const std::vector<VoterCandidate> two { voter("a", "x"), voter("b", "y") };
+    const auto with = [&](std::initializer_list<VoterCandidate> others) {
+        auto all = two;
+        all.insert(all.end(), others);
+        return all;
+    };
+    check(review(with({ voter("c", "z") })), VoterDecision::Keep, "", "all voters answer");
+    check(review(with({ voter("c", "z", 2s) })), VoterDecision::PutOff, "c", "it has not been silent for long enough");
+    check(review(with({ gone })), VoterDecision::PutOff, "c", "no other VM works");
+    check(review(with({ gone, standby("d", "z", false) })), VoterDecision::PutOff, "c",
+        "no other VM holds the whole log");
+    check(review(with({ gone, standby("d", "z") })), VoterDecision::Add, "d", "a voter is silent");
+    check(review(with({ gone, standby("d", "z") }), 3, true), VoterDecision::PutOff, "",
+        "an earlier change is not committed");
+    check(review(with({ gone, voter("d", "z") })), VoterDecision::Remove, "c",
+        "it is silent and there are more voters than wanted");
+    check(review(with({ standby("d", "z") })), VoterDecision::Add, "d", "fewer voters than wanted");
+}
--- a/tests/runtime/nodes/control_node.cpp
+++ b/tests/runtime/nodes/control_node.cpp
@@ -220,6 +220,11 @@
     CHECK(World::metric(leader, "rosemarymill_control_log_commit") > 1);
     CHECK(World::metric(leader, "rosemarymill_control_commit_seconds_count{}") == 1);
     CHECK(World::metric(leader, "rosemarymill_control_unknown_proposals_total") == 0);
+    CHECK(World::metric(leader, "rosemarymill_control_voters_answering") == 3);
+    CHECK(World::metric(leader, "rosemarymill_control_voters_caught_up") == 3);
+    CHECK(World::metric(leader, "rosemarymill_control_standbys") == 0);
+    CHECK(World::metric(leader, "rosemarymill_control_leader_known") == 1);
+    CHECK(World::metric(leader, "rosemarymill_control_last_commit_age_ms") < 1000);
     CHECK(World::metric(leader, "rosemarymill_control_decode_seconds_count{}") == 0);
     for (const auto& it : world.vms) {
         if (&it != &leader)
