Test that changes are committed however closely losses of control VMs follow

A voter that is gone keeps its vote for 7 s and longer, so that the next loss that the platform allows leaves the control log without a majority. The list of candidates of a review moved to core/fleet so that both use the same.

--- a/packages/core/include/rosemarymill/core/fleet/voters.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/voters.hpp
@@ -59,6 +59,25 @@
 [[nodiscard]] VoterReview reviewVoters(const VmId& self, std::span<const VoterCandidate> candidates, bool changing,
     const VoterSettings& settings, Instant now);
 
+/// Voters and learners as the leader `self` sees them. `dataCentreOf` tells where a VM is, as far as that is known.
+template <typename Replica, typename DataCentreOf>
+[[nodiscard]] std::vector<VoterCandidate> voterCandidates(
+    const VmId& self, const Replica& replica, std::span<const VmId> learners, DataCentreOf&& dataCentreOf, Instant now)
+{
+    std::vector<VoterCandidate> candidates;
+    const auto add = [&](const VmId& vm, bool votes) {
+        if (vm == self)
+            candidates.push_back({ vm, dataCentreOf(vm), votes, true, now });
+        else
+            candidates.push_back({ vm, dataCentreOf(vm), votes, replica.holdsCommitted(vm), replica.heardAt(vm) });
+    };
+    for (const auto& it : replica.voters())
+        add(it, true);
+    for (const auto& it : learners)
+        add(it, false);
+    return candidates;
+}
+
 /// Voters that have answered the leader recently, itself included.
 [[nodiscard]] std::size_t workingVoters(
     std::span<const VoterCandidate> candidates, const VoterSettings& settings, Instant now);
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -454,18 +454,8 @@
         if (const auto& remote = it.link->remote())
             dataCentres[remote->vm] = remote->dataCentre;
     }
-    std::vector<core::VoterCandidate> candidates;
-    const auto now = readClock();
-    const auto add = [&](const VmId& vm, bool votes) {
-        const bool self = vm == m_self.vm;
-        candidates.push_back(
-            { vm, dataCentres[vm], votes, self || m_replica->holdsCommitted(vm), self ? now : m_replica->heardAt(vm) });
-    };
-    for (const auto& it : m_replica->voters())
-        add(it, true);
-    for (const auto& it : m_learners)
-        add(it, false);
-    return candidates;
+    return core::voterCandidates(
+        m_self.vm, *m_replica, m_learners, [&](const VmId& vm) { return dataCentres[vm]; }, readClock());
 }
 
 void ControlNode::reviewVoters(Instant now)
--- a/tests/core/agreement/cluster.hpp
+++ b/tests/core/agreement/cluster.hpp
@@ -45,6 +45,8 @@
         std::vector<std::pair<std::uint64_t, Record>> unsynced;
         bool paused { false };
         bool writable { true };
+        /// The process knows the founding voters. They are lost with its disk.
+        bool knowsFounders { true };
         agreement::Index shown { 0 };
     };
 
@@ -66,7 +68,7 @@
     {
         agreement::Settings settings;
         settings.self = node.vm;
-        if (std::find(m_voters.begin(), m_voters.end(), node.vm) != m_voters.end())
+        if (node.knowsFounders && std::find(m_voters.begin(), m_voters.end(), node.vm) != m_voters.end())
             settings.voters = m_voters;
         settings.seed = m_seed;
         settings.bootNonce = ++m_starts;
--- a/tests/runtime/nodes/control_node.cpp
+++ b/tests/runtime/nodes/control_node.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <charconv>
 #include <cstdlib>
+#include <deque>
 #include <filesystem>
 #include <functional>
 #include <memory>
@@ -74,18 +75,18 @@
 };
 
 struct World {
+    static constexpr std::size_t founders = 3;
+
     /// `prepare` is called with each data folder before the VMs start.
     explicit World(const std::function<void(const std::filesystem::path&)>& prepare = {})
         : base(event_base_new())
     {
         std::string name = (std::filesystem::temp_directory_path() / "rosemarymill-XXXXXX").string();
         root = mkdtemp(name.data());
-        for (std::size_t i = 0; i < vms.size(); ++i) {
-            vms[i].address = freeAddress(base.get());
-            vms[i].folder = (root / std::to_string(i)).string();
-            std::filesystem::create_directory(vms[i].folder);
+        for (std::size_t i = 0; i < founders; ++i) {
+            const auto& vm = add();
             if (prepare)
-                prepare(vms[i].folder);
+                prepare(vm.folder);
         }
         for (auto& it : vms)
             start(it);
@@ -102,16 +103,33 @@
     World(const World&) = delete;
     World& operator=(const World&) = delete;
 
-    void start(Vm& vm)
+    /// Control VM with an empty disk that is not started yet.
+    Vm& add()
+    {
+        auto& vm = vms.emplace_back();
+        vm.address = freeAddress(base.get());
+        vm.folder = (root / std::to_string(vms.size())).string();
+        std::filesystem::create_directory(vm.folder);
+        return vm;
+    }
+
+    void loseDisk(Vm& vm)
+    {
+        vm.node.reset();
+        std::filesystem::remove_all(vm.folder);
+        std::filesystem::create_directory(vm.folder);
+    }
+
+    void start(Vm& vm, bool bootstrap = true)
     {
         runtime::nodes::ControlNodeSettings settings;
         settings.address = vm.address;
         settings.dataCentre = DataCentreId { "mixco" };
         for (const auto& it : vms)
             settings.seeds.push_back(it.address);
-        settings.bootstrap = true;
+        settings.bootstrap = bootstrap;
         settings.dataFolder = vm.folder;
-        settings.voters.wanted = vms.size();
+        settings.voters.wanted = founders;
         settings.seed = ++starts;
         runtime::nodes::Environment environment;
         environment.decodeDocument = [&vm](std::string_view text) {
@@ -188,7 +206,7 @@
     test::EventBase base;
     std::filesystem::path root;
     std::uint64_t starts { 0 };
-    std::array<Vm, 3> vms;
+    std::deque<Vm> vms;
 };
 
 } // namespace
@@ -317,3 +335,22 @@
     CHECK(world.allHold(12));
     CHECK(world.read() == documentText(12, 1000));
 }
+
+TEST_CASE("a change is committed after a lost leader was replaced and the next one loses its disk", "[voter-losses]")
+{
+    // Bounds of a deployment, see docs/platform.md.
+    constexpr Duration catchUp = 4s;
+    constexpr Duration contact = 3s;
+    constexpr Duration ack = 4s;
+    World world;
+    REQUIRE(world.store(1, documentText(1, 1000)));
+    world.needLeader().node.reset();
+    world.start(world.add(), false);
+    test::runFor(world.base.get(), std::chrono::duration_cast<std::chrono::milliseconds>(catchUp));
+    auto& wiped = world.needLeader();
+    world.loseDisk(wiped);
+    world.start(wiped, false);
+    const auto begin = runtime::readClock();
+    CHECK(world.store(2, documentText(2, 1000)));
+    CHECK(runtime::readClock() < begin + contact + ack);
+}
