Test that a lost leader is followed by another within the contact time

Cause: candidates that refuse each other's votes wait for a whole election timeout of 1 s to 2 s before they try again, once for each split vote. A calm stretch begins 3 s after the last loss, and the log may still have no leader then.

--- a/tests/core/agreement/voters.cpp
+++ b/tests/core/agreement/voters.cpp
@@ -168,3 +168,22 @@
     cluster.start(restarted);
     CHECK(restarted.replica->voters() == voters);
 }
+
+TEST_CASE("A lost leader is followed by another within the contact time, also after split votes", "[agreement][split-votes]")
+{
+    constexpr Duration contact = 3s;
+    std::vector<std::uint64_t> late;
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        tests::Cluster<Register, StandardRules> cluster(founders, seed);
+        cluster.run(5s);
+        auto* leader = cluster.leader();
+        REQUIRE(leader);
+        cluster.crash(*leader);
+        for (const auto end = cluster.now + contact; cluster.now < end && !cluster.leader();)
+            cluster.step();
+        if (!cluster.leader())
+            late.push_back(seed);
+    }
+    INFO("seeds without a leader: " << Catch::Detail::stringify(late));
+    CHECK(late.size() == 0);
+}
