Repeat a refused vote after a part of the election timeout

Callers saw: operators' changes without an acknowledgement although most control VMs work, while the log has no leader. Cause: a candidate whose vote was refused waited for a whole election timeout of 1 s to 2 s before it tried again. Change: after a refusal the next attempt comes within 0.25 s to 1 s. Rounds that nobody refuses keep their time, so a slow disk does not end them early. Pre-votes change no state, so voters that hear their leader are not disturbed.

--- a/packages/core/include/rosemarymill/core/agreement/event.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/event.hpp
@@ -47,6 +47,9 @@
     /// no majority for the lower limit steps down.
     Duration electionMin { 1s };
     Duration electionMax { 2s };
+    /// Shortest time after which a candidate whose vote was refused tries again; the longest is `electionMin`. A split
+    /// vote must not cost a whole election timeout.
+    Duration retryMin { 250ms };
     /// Longest time from a start to the first election. A voter that starts while a leader works is denied its
     /// preliminary votes, so this may be shorter than the election timeout. Zero means the election timeout.
     Duration firstElectionMax {};
--- a/packages/core/include/rosemarymill/core/agreement/replica.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/replica.hpp
@@ -118,11 +118,8 @@
         m_hard.incarnation = nextIncarnation(m_hard.incarnation, m_settings.bootNonce);
         m_hardChanged = true;
         resetElectionTimer();
-        if (m_settings.firstElectionMax > Duration::zero()) {
-            std::uniform_int_distribution<Duration::rep> range(
-                m_settings.firstElectionMax.count() / 3, m_settings.firstElectionMax.count());
-            m_electionAt = m_now + Duration { range(m_random) };
-        }
+        if (m_settings.firstElectionMax > Duration::zero())
+            m_electionAt = m_now + randomIn(m_settings.firstElectionMax / 3, m_settings.firstElectionMax);
         if (m_settings.foundingDelay > Duration::zero() && m_log.lastIndex() == 0)
             m_electionAt = m_now + m_settings.foundingDelay;
     }
@@ -317,6 +314,8 @@
     void handleBody(const VmId& from, const VoteReply& reply)
     {
         if (!reply.granted) {
+            if (m_electing && reply.preliminary == m_preliminary && isVoter(from))
+                m_electionAt = std::min(m_electionAt, m_now + randomIn(m_settings.retryMin, m_settings.electionMin));
             if (reply.term > m_hard.term)
                 follow(reply.term, {});
             return;
@@ -632,13 +631,14 @@
 
     // Helpers
 
-    void resetElectionTimer()
+    [[nodiscard]] Duration randomIn(Duration shortest, Duration longest)
     {
-        std::uniform_int_distribution<Duration::rep> range(
-            m_settings.electionMin.count(), m_settings.electionMax.count());
-        m_electionAt = m_now + Duration { range(m_random) };
+        std::uniform_int_distribution<Duration::rep> range(shortest.count(), longest.count());
+        return Duration { range(m_random) };
     }
 
+    void resetElectionTimer() { m_electionAt = m_now + randomIn(m_settings.electionMin, m_settings.electionMax); }
+
     [[nodiscard]] auto view() const { return std::make_tuple(m_role, m_hard.term, m_leader); }
 
     Settings m_settings;
--- a/tests/core/agreement/replica.cpp
+++ b/tests/core/agreement/replica.cpp
@@ -177,8 +177,10 @@
     CHECK_FALSE(firstFailure<ForgetsToSync>(false, 500).empty());
     CHECK_FALSE(firstFailure<AppliesUnsynced>(false, 500).empty());
     CHECK_FALSE(firstFailure<TrustsLostDisks>(true, 500).empty());
-    // Rare: 1 of the first 857 schedules shows it.
-    constexpr std::uint64_t revealingSeed = 857;
-    CHECK(runLeaderCrashes<CommitsEarlierTerms>(revealingSeed).failure.has_value());
-    CHECK_FALSE(runLeaderCrashes<StandardRules>(revealingSeed).failure.has_value());
+    // Rare: 7 of the first 3500 schedules show it.
+    for (const std::uint64_t revealingSeed : { 258, 1428, 2533 }) {
+        INFO("seed " << revealingSeed);
+        CHECK(runLeaderCrashes<CommitsEarlierTerms>(revealingSeed).failure.has_value());
+        CHECK_FALSE(runLeaderCrashes<StandardRules>(revealingSeed).failure.has_value());
+    }
 }
--- a/tests/core/agreement/voters.cpp
+++ b/tests/core/agreement/voters.cpp
@@ -169,7 +169,7 @@
     CHECK(restarted.replica->voters() == voters);
 }
 
-TEST_CASE("A lost leader is followed by another within the contact time, also after split votes", "[agreement][split-votes]")
+TEST_CASE("A lost leader is followed by another within the contact time, also after split votes", "[agreement]")
 {
     constexpr Duration contact = 3s;
     std::vector<std::uint64_t> late;
