Replace silent voters within the time after which the next loss may come

Cause: a voter that was gone kept its vote for 7 s and longer: 7 s of silence counted anew from each election, a review once a second, and two changes, the newcomer first. The platform allows the next loss catch_up_s (4 s) after the successor has started. Between the changes four voters need three, of which one is gone; a voter that then loses its disk is trusted only if every voter grants its vote, which one that is gone never does. Class of fault: a repair that is bounded by a constant of its own instead of the time that the environment grants. Change: a voter counts as gone after a quarter of catch_up_s, read from the platform's settings, reviews come every 100 ms, and the silent voter is removed before the newcomer that holds the log is added: those that remain then elect a leader even after one of them has lost its disk. Nothing is removed while no VM can take the place, so a pause without a standby changes nothing. The case that silent voters are kept for 5 s and newcomers come first stated the old decision; its replacements state the new one as exactly, at the bound itself. A case needs a patient setting for "put off", since the limits of working and silent coincide at 4 s.

--- a/packages/core/include/rosemarymill/core/fleet/voters.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/voters.hpp
@@ -28,15 +28,21 @@
 struct VoterSettings {
     /// Voters wanted: twice the losses to be borne at once and one more.
     std::size_t wanted { 3 };
-    /// A voter that is silent for this long is replaced when another VM can take its place. Restarts, freezes and cuts
-    /// that pass are shorter.
-    Duration replaceAfter { 7s };
+    /// A voter that is silent for this long is replaced when another VM can take its place.
+    Duration replaceAfter { 1s };
     /// A VM that answered this recently is working.
     Duration working { 1s };
     /// Time between two reviews of the voters.
-    Duration reviewInterval { 1s };
+    Duration reviewInterval { 100ms };
 };
 
+/// Bounds for a number of losses to be borne at once. A VM that has come back, or a successor that has started, has to
+/// vote within `catchUp`, since the next VM may be lost then. A new leader may take half of that time to be elected.
+[[nodiscard]] constexpr VoterSettings voterSettings(std::size_t losses, Duration catchUp) noexcept
+{
+    return { 2 * losses + 1, catchUp / 4, 1s, 100ms };
+}
+
 /// What a review of the voters has decided.
 enum class VoterDecision : std::uint8_t { Keep, PutOff, Add, Remove };
 
@@ -53,9 +59,10 @@
     friend bool operator==(const VoterReview&, const VoterReview&) = default;
 };
 
-/// Decides on the next change of the voters by one VM. A working VM is added before a silent one is removed; data
-/// centres with few voters come first. `self` is never removed. Nothing is changed while an earlier change of the
-/// voters is not committed (`changing`).
+/// Decides on the next change of the voters by one VM. When another VM can take the place of a silent voter, the silent
+/// one is removed first: those that remain can then still elect a leader after one of them has lost its disk. VMs are
+/// added in data centres with few voters first. `self` is never removed. Nothing is changed while an earlier change of
+/// the voters is not committed (`changing`).
 [[nodiscard]] VoterReview reviewVoters(const VmId& self, std::span<const VoterCandidate> candidates, bool changing,
     const VoterSettings& settings, Instant now);
 
--- a/packages/core/src/fleet/voters.cpp
+++ b/packages/core/src/fleet/voters.cpp
@@ -76,19 +76,17 @@
         return { VoterDecision::PutOff, {}, "an earlier change is not committed", {} };
     auto voters = votersOf(candidates);
     const auto* silent = longestSilent(self, candidates, settings.replaceAfter, now);
-    if (voters.size() > settings.wanted && silent) {
+    const auto* newcomer = bestNewcomer(candidates, settings, now);
+    if (silent && (voters.size() > settings.wanted || newcomer)) {
         std::erase(voters, silent->vm);
-        return { VoterDecision::Remove, silent->vm, "it is silent and there are more voters than wanted",
-            std::move(voters) };
+        return { VoterDecision::Remove, silent->vm, "it is silent", std::move(voters) };
     }
-    if (voters.size() < settings.wanted || (voters.size() == settings.wanted && silent)) {
-        if (const auto* newcomer = bestNewcomer(candidates, settings, now)) {
-            voters.push_back(newcomer->vm);
-            return { VoterDecision::Add, newcomer->vm, silent ? "a voter is silent" : "fewer voters than wanted",
-                std::move(voters) };
-        }
-        return { VoterDecision::PutOff, silent ? silent->vm : VmId {}, whyNoNewcomer(candidates, settings, now), {} };
+    if (newcomer && voters.size() < settings.wanted) {
+        voters.push_back(newcomer->vm);
+        return { VoterDecision::Add, newcomer->vm, "fewer voters than wanted", std::move(voters) };
     }
+    if (silent || voters.size() < settings.wanted)
+        return { VoterDecision::PutOff, silent ? silent->vm : VmId {}, whyNoNewcomer(candidates, settings, now), {} };
     if (const auto* late = longestSilent(self, candidates, settings.working, now))
         return { VoterDecision::PutOff, late->vm, "it has not been silent for long enough", {} };
     return { VoterDecision::Keep, {}, "all voters answer", {} };
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -39,7 +39,11 @@
     bool bootstrap { false };
     std::string dataFolder;
     fleet::ControlSettings decisions;
-    fleet::VoterSettings voters;
+    /// Control VMs whose loss is to be borne at once.
+    unsigned toleratedLosses { 1 };
+    /// Time after which a control VM that has come back, or a successor that has started, no longer counts as lost, so
+    /// that the next one may be lost.
+    Duration catchUp { 4s };
     std::uint64_t seed { 0 };
 };
 
@@ -147,6 +151,7 @@
 
     event_base* m_base;
     ControlNodeSettings m_settings;
+    fleet::VoterSettings m_voterSettings;
     Environment m_environment;
     wire::link::Hello m_self;
     std::unique_ptr<storage::DataFolder> m_folder;
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -84,6 +84,7 @@
 ControlNode::ControlNode(event_base* base, ControlNodeSettings settings, Environment environment)
     : m_base(base)
     , m_settings(std::move(settings))
+    , m_voterSettings(core::voterSettings(m_settings.toleratedLosses, m_settings.catchUp))
     , m_environment(std::move(environment))
     , m_self { VmId { m_settings.address }, m_settings.dataCentre, BootId { std::to_string(m_settings.seed) } }
     , m_control(m_settings.decisions)
@@ -475,12 +476,12 @@
         m_subscribers.broadcast(members());
     }
     const auto candidates = voterCandidates();
-    auto review = core::reviewVoters(m_self.vm, candidates, m_replica->changingVoters(), m_settings.voters, now);
+    auto review = core::reviewVoters(m_self.vm, candidates, m_replica->changingVoters(), m_voterSettings, now);
     if (review != m_review) {
         writeDecision("fleet", "voters reviewed",
             { { "decision", textOf(review.decision) }, { "vm", review.subject.text() },
                 { "reason", std::string(review.reason) }, { "voters", std::to_string(m_replica->voters().size()) },
-                { "answering", std::to_string(core::workingVoters(candidates, m_settings.voters, now)) } });
+                { "answering", std::to_string(core::workingVoters(candidates, m_voterSettings, now)) } });
         m_review = review;
     }
     if (!review.voters.empty())
@@ -525,7 +526,7 @@
         pushLoads(now);
     if (m_ticks % countTicks == 0)
         countEntryVms();
-    if (now >= m_reviewedAt + m_settings.voters.reviewInterval) {
+    if (now >= m_reviewedAt + m_voterSettings.reviewInterval) {
         m_reviewedAt = now;
         reviewVoters(now);
     }
--- a/packages/runtime/src/nodes/control_node_metrics.cpp
+++ b/packages/runtime/src/nodes/control_node_metrics.cpp
@@ -29,7 +29,7 @@
     const auto now = readClock();
     gauge("voters", m_replica->voters().size());
     const auto candidates = m_leads ? voterCandidates() : std::vector<core::VoterCandidate> {};
-    gauge("voters_answering", core::workingVoters(candidates, m_settings.voters, now));
+    gauge("voters_answering", core::workingVoters(candidates, m_voterSettings, now));
     gauge("voters_caught_up",
         static_cast<std::uint64_t>(std::count_if(
             candidates.begin(), candidates.end(), [](const auto& it) { return it.votes && it.caughtUp; })));
--- a/tests/core/fleet/voter_losses.cpp
+++ b/tests/core/fleet/voter_losses.cpp
@@ -41,11 +41,11 @@
 public:
     Losses(std::uint64_t seed, Bounds bounds)
         : m_bounds(bounds)
+        , m_settings(fleet::voterSettings(bounds.losses, bounds.catchUp))
         , m_cluster(bounds.controlVms + successors, seed, founders)
         , m_states(m_cluster.nodes.size())
         , m_free(bounds.losses)
     {
-        m_settings.wanted = 2 * bounds.losses + 1;
         for (std::size_t i = bounds.controlVms; i < m_cluster.nodes.size(); ++i) {
             m_cluster.loseDisk(m_cluster.nodes[i]);
             m_states[i].started = false;
--- a/tests/core/fleet/voters.cpp
+++ b/tests/core/fleet/voters.cpp
@@ -42,17 +42,35 @@
 TEST_CASE("working voters stay", "[fleet]")
 {
     CHECK(next({ voter("a", "x"), voter("b", "y"), voter("c", "z"), standby("d", "x") }).empty());
-    CHECK(next({ voter("a", "x"), voter("b", "y"), voter("c", "z", 5s), standby("d", "x") }).empty());
+    CHECK(next({ voter("a", "x"), voter("b", "y"), voter("c", "z", 999ms), standby("d", "x") }).empty());
 }
 
-TEST_CASE("a silent voter is replaced by a working VM, which is added first", "[fleet]")
+TEST_CASE("a silent voter is replaced by a working VM, and removed first", "[fleet]")
 {
-    const std::vector<VoterCandidate> before { voter("a", "x"), voter("b", "y"), voter("c", "z", 8s),
-        standby("d", "z") };
-    CHECK(next(before) == "abcd");
+    CHECK(next({ voter("a", "x"), voter("b", "y"), voter("c", "z", 1s), standby("d", "z") }) == "ab");
+    CHECK(next({ voter("a", "x"), voter("b", "y"), standby("d", "z") }) == "abd");
+    // Four voters are left by a version that added first.
     CHECK(next({ voter("a", "x"), voter("b", "y"), voter("c", "z", 9s), voter("d", "z") }) == "abd");
 }
 
+TEST_CASE("the longest silent voter is replaced first, and the leader never removes itself", "[fleet]")
+{
+    CHECK(next({ voter("a", "x", 9s), voter("b", "y"), voter("c", "z", 2s), voter("d", "x", 3s), voter("e", "y"),
+                   standby("f", "z") },
+              5)
+        == "abce");
+}
+
+TEST_CASE("a VM that came back has to vote before the next one may be lost", "[fleet]")
+{
+    for (const Duration catchUp : { 2s, 4s, 6s }) {
+        const auto settings = fleet::voterSettings(2, catchUp);
+        CHECK(settings.wanted == 5);
+        // The other half is for the election of a new leader, which counts the silence anew.
+        CHECK(settings.replaceAfter + 2 * settings.reviewInterval < catchUp / 2);
+    }
+}
+
 TEST_CASE("a VM that does not work or is not caught up is not added", "[fleet]")
 {
     CHECK(next({ voter("a", "x"), voter("b", "y"), voter("c", "z", 8s) }).empty());
@@ -85,14 +103,16 @@
         return all;
     };
     check(review(with({ voter("c", "z") })), VoterDecision::Keep, "", "all voters answer");
-    check(review(with({ voter("c", "z", 2s) })), VoterDecision::PutOff, "c", "it has not been silent for long enough");
+    fleet::VoterSettings patient;
+    patient.replaceAfter = 3s;
+    check(reviewVoters(self, with({ voter("c", "z", 2s), standby("d", "z") }), false, patient, now),
+        VoterDecision::PutOff, "c", "it has not been silent for long enough");
     check(review(with({ gone })), VoterDecision::PutOff, "c", "no other VM works");
     check(review(with({ gone, standby("d", "z", false) })), VoterDecision::PutOff, "c",
         "no other VM holds the whole log");
-    check(review(with({ gone, standby("d", "z") })), VoterDecision::Add, "d", "a voter is silent");
+    check(review(with({ gone, standby("d", "z") })), VoterDecision::Remove, "c", "it is silent");
     check(review(with({ gone, standby("d", "z") }), 3, true), VoterDecision::PutOff, "",
         "an earlier change is not committed");
-    check(review(with({ gone, voter("d", "z") })), VoterDecision::Remove, "c",
-        "it is silent and there are more voters than wanted");
+    check(review(with({ gone, voter("d", "z") })), VoterDecision::Remove, "c", "it is silent");
     check(review(with({ standby("d", "z") })), VoterDecision::Add, "d", "fewer voters than wanted");
 }
--- a/tests/platform/decode.cpp
+++ b/tests/platform/decode.cpp
@@ -185,12 +185,13 @@
     const auto write = [&](const std::string& text) { std::ofstream(path) << text; };
     write(R"({"node":"core-1","serves":["control"],"ip":"10.0.0.4","zone":"z","internal_ports":[7340,7355],
         "seeds":["10.0.0.4:80","10.0.0.5:80"],"bootstrap":true,"data_dir":"/data","heartbeat_ms":1200,
-        "listen":{"control_plane":"10.0.0.4:80"},"bounds":{"grace_s":8,"stall_ms":5000,"retry_slack":132,"new":1}})");
+        "listen":{"control_plane":"10.0.0.4:80"},"bounds":{"grace_s":8,"catch_up_s":6,"stall_ms":5000,"retry_slack":132,"new":1}})");
     const auto it = platform::readSettings(path);
     CHECK(it.control);
     CHECK_FALSE(it.entry);
     CHECK(it.seeds == std::vector<std::string> { "10.0.0.4:7340", "10.0.0.5:7340" });
     CHECK(it.stallTime == 5s);
+    CHECK(it.catchUp == 6s);
     CHECK(it.retrySlack == 132);
     write(R"({"node":"x","serves":["control"],"ip":"1","zone":"z","internal_ports":[1,2],"listen":{}})");
     CHECK_THROWS_AS(platform::readSettings(path), platform::DecodeError);
--- a/tests/runtime/nodes/control_node.cpp
+++ b/tests/runtime/nodes/control_node.cpp
@@ -129,7 +129,6 @@
             settings.seeds.push_back(it.address);
         settings.bootstrap = bootstrap;
         settings.dataFolder = vm.folder;
-        settings.voters.wanted = founders;
         settings.seed = ++starts;
         runtime::nodes::Environment environment;
         environment.decodeDocument = [&vm](std::string_view text) {
--- a/tests/runtime/nodes/document_feed.cpp
+++ b/tests/runtime/nodes/document_feed.cpp
@@ -150,7 +150,7 @@
         settings.seeds = { address };
         settings.bootstrap = true;
         settings.dataFolder = folder.path;
-        settings.voters.wanted = 1;
+        settings.toleratedLosses = 0;
         settings.seed = 1;
         runtime::nodes::Environment environment;
         environment.decodeDocument = decode;
