Test that a voter which holds the log again keeps its vote

Cause: a voter that lost its disk is told by another voter, which remembers an earlier start of it, that its data folder is an old copy, and is distrusted again although a leader has filled and confirmed it since. That happens in elections, when followers talk to each other for the first time: with one voter gone and one more disk lost, nobody leads.

--- a/tests/core/agreement/recovery.cpp
+++ b/tests/core/agreement/recovery.cpp
@@ -142,3 +142,72 @@
     cluster.run(5s);
     CHECK(cluster.leader());
 }
+
+TEST_CASE("A voter that holds the log again after losing its disk keeps its vote when others remember an earlier start",
+    "[agreement][earlier-start]")
+{
+    using Replica = Replica<tests::Register>;
+    const VmId leader { "leader" };
+    const VmId other { "other" };
+    const VmId self { "self" };
+    Settings settings;
+    settings.self = self;
+    settings.bootNonce = 2;
+    Replica replica(settings, {});
+    Instant now { 1s };
+    const auto deliver = [&](const Replica::Event& event) {
+        Replica::Effects effects;
+        replica.reduce(event, effects);
+        for (auto& it : effects) {
+            if (const auto* persist = std::get_if<Persist<std::uint64_t, std::vector<std::uint64_t>>>(&it)) {
+                Replica::Effects later;
+                replica.reduce(Persisted { now, persist->sequence }, later);
+            }
+        }
+    };
+    const auto hear = [&](const VmId& from, auto body) {
+        deliver(Received<std::uint64_t, std::vector<std::uint64_t>> { now, from, { 1 << 16, std::move(body) } });
+    };
+    deliver(Started { now });
+    const auto incarnation = nextIncarnation(0, settings.bootNonce);
+    Append<std::uint64_t> append { 3, 0, 0, 1, incarnation, {} };
+    append.entries.push_back({ 1, 3, std::nullopt, { leader, other, self } });
+    hear(leader, append);
+    REQUIRE(replica.joined());
+    // The other voter has not heard of this start, since followers do not talk to each other.
+    const auto earlier = nextIncarnation(nextIncarnation(0, 1), 1);
+    hear(other, OutdatedIncarnation { earlier });
+    CHECK(replica.joined());
+    // The leader hears of the new number with the next answer and goes on.
+    append.previousIndex = 1;
+    append.previousTerm = 3;
+    append.receiverIncarnation = nextIncarnation(earlier, settings.bootNonce);
+    append.entries.clear();
+    hear(leader, append);
+    CHECK(replica.joined());
+}
+
+TEST_CASE("A voter with an old copy of its folder loses its vote until a leader that knows its start has filled it",
+    "[agreement]")
+{
+    using Replica = Replica<tests::Register>;
+    Settings settings;
+    settings.self = VmId { "self" };
+    Replica::Image image;
+    image.hard.term = 3;
+    image.hard.incarnation = 1 << 16;
+    image.hard.joined = true;
+    Replica replica(settings, image);
+    Replica::Effects effects;
+    replica.reduce(Started { Instant { 1s } }, effects);
+    // A leader that knows a later start does not confirm this one.
+    Append<std::uint64_t> append { 3, 0, 0, 0, 5 << 16, {} };
+    replica.reduce(
+        Received<std::uint64_t, std::vector<std::uint64_t>> { Instant { 1s }, VmId { "leader" }, { 1 << 16, append } },
+        effects);
+    CHECK(replica.joined());
+    replica.reduce(Received<std::uint64_t, std::vector<std::uint64_t>> { Instant { 1s }, VmId { "leader" },
+                       { 1 << 16, OutdatedIncarnation { 5 << 16 } } },
+        effects);
+    CHECK_FALSE(replica.joined());
+}
