Keep groups that serve while their servers have not found a new leader

Callers saw: streams cut and closed without an answer or a refusal (LOST), 3 s to 4 s after a control VM that led was lost for good. Cause: a new leader judged groups two heartbeat intervals after its election, and took a server that had not called by then for lost. Servers go on calling the VM that is gone, which their lists name for 3 s, a second each time. Ruled out: waiting for longer in all cases, since a group that lost a member before the election has to be repaired within 5 s (its test stays as it is). Change: a server that was not heard of makes its group incomplete only while no entry VM receives bytes of the group. Progress of a head that is unknown itself cannot be assigned to a group, so while unknown servers move bytes a group without a known head is kept as well.

--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -320,6 +320,9 @@
         bool answered { false };
     };
     std::deque<ProbeResult> m_probeResults;
+    /// Last time that an entry VM received bytes of a server that this leader has not heard of, such as the head of a
+    /// group whose other members have called already.
+    Instant m_unheardProgressAt;
     /// Last time that unanswered probes were logged as the leader's own fault.
     Instant m_ignoredLoggedAt;
     /// Starts of loads within the last window.
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -198,6 +198,8 @@
 {
     if (auto* group = groupOf(event.server))
         group->progressAt = m_now;
+    else if (!m_registry.find(event.server))
+        m_unheardProgressAt = m_now;
 }
 
 void Control::handle(const event::StallReported& event, Effects& effects)
--- a/packages/core/src/fleet/groups.cpp
+++ b/packages/core/src/fleet/groups.cpp
@@ -64,7 +64,9 @@
     for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
         const auto& id = group.members[rank];
         if (id.empty()) {
-            if (m_settled && m_now >= group.since + m_settings.settle)
+            // Servers may call a lost leader for longer than this one settles.
+            const bool serves = moving || (rank == 0 && m_now < m_unheardProgressAt + m_settings.progressWindow);
+            if (m_settled && !serves && m_now >= group.since + m_settings.settle)
                 return "member " + std::to_string(rank) + " is unknown";
             continue;
         }
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -307,7 +307,7 @@
     CHECK(fleet.violations.empty());
 }
 
-TEST_CASE("a new leader closes no group whose streams move because servers have not found it yet", "[unheard]")
+TEST_CASE("a new leader closes no group whose streams move because servers have not found it yet", "[fleet]")
 {
     FakeFleet fleet({});
     fleet.lead(1);
