Test that voters that lost their disks elect a leader without the last founder

The voters that founded the log stand in a file that is lost with the disk. No entry of the log names them until a voter is replaced, so a voter that was filled again does not know that it votes and never seeks a vote.

--- a/tests/core/agreement/recovery.cpp
+++ b/tests/core/agreement/recovery.cpp
@@ -211,3 +211,28 @@
         effects);
     CHECK_FALSE(replica.joined());
 }
+
+TEST_CASE("Voters that lost their disks one after the other elect a leader when the last founder is gone",
+    "[agreement][last-founder]")
+{
+    RegisterCluster cluster(3, 12);
+    cluster.run(4s);
+    commit(cluster, 1, 5);
+    auto& last = *cluster.leader();
+    for (auto& it : cluster.nodes) {
+        if (&it == &last)
+            continue;
+        cluster.loseDisk(it);
+        it.knowsFounders = false;
+        cluster.start(it);
+        cluster.run(4s);
+        CHECK(it.replica->joined());
+    }
+    REQUIRE(cluster.leader() == &last);
+    cluster.crash(last);
+    cluster.run(3s);
+    REQUIRE(cluster.leader());
+    CHECK(cluster.propose(99));
+    cluster.run(1s);
+    CHECK(cluster.leader()->replica->machine().values.back() == 99);
+}
