Name the voters in the entry that opens a term

Callers saw: no acknowledgement, no configuration to read and nothing served after a final fault, long after two control VMs had lost their disks one after the other, when the third was lost. A voter that was filled again knew neither the founding voters nor, without any entry that names voters, that it votes, and never sought a vote. Change: the opening entry of each term names the voters in force. It is the same set, so no majority changes; further changes of voters wait for that entry as they did before. The series of losses did not show the fault, since its schedules leave few stretches between such losses and a replacement long enough to be judged; the new case plays it.

--- a/packages/core/include/rosemarymill/core/agreement/record.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/record.hpp
@@ -23,7 +23,7 @@
 /// Period with at most one leader.
 using Term = std::uint64_t;
 
-/// Entry of the log. A new leader opens its term with an entry without a command.
+/// Entry of the log. A new leader opens its term with an entry without a command that names the voters.
 template <typename Command> struct Entry {
     Index index { 0 };
     Term term { 0 };
--- a/packages/core/include/rosemarymill/core/agreement/replica.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/replica.hpp
@@ -189,9 +189,7 @@
             return;
         if (Rules::changesOneVoterAtOnce && (changingVoters() || m_voters.differences(event.voters) != 1))
             return;
-        Entry<Command> entry { m_log.lastIndex() + 1, m_hard.term, std::nullopt, event.voters };
-        m_record.entries.push_back(entry);
-        m_log.append(std::move(entry));
+        appendOwn(std::nullopt, event.voters);
         useVoters();
         broadcast();
     }
@@ -269,7 +267,9 @@
         m_learners.clear();
         for (const auto& voter : voters())
             m_peers.try_emplace(voter, Peer { m_log.lastIndex() + 1 }).first->second.heardAt = m_now;
-        appendOwn(std::nullopt);
+        // Names the voters, so that one that lost its disk learns them with the log.
+        appendOwn(std::nullopt, voters());
+        useVoters();
         broadcast();
     }
 
@@ -329,9 +329,9 @@
 
     // Replication at the leader
 
-    void appendOwn(std::optional<Command> command)
+    void appendOwn(std::optional<Command> command, std::vector<VmId> voters = {})
     {
-        Entry<Command> entry { m_log.lastIndex() + 1, m_hard.term, std::move(command), {} };
+        Entry<Command> entry { m_log.lastIndex() + 1, m_hard.term, std::move(command), std::move(voters) };
         m_record.entries.push_back(entry);
         m_log.append(std::move(entry));
     }
--- a/tests/core/agreement/recovery.cpp
+++ b/tests/core/agreement/recovery.cpp
@@ -212,8 +212,8 @@
     CHECK_FALSE(replica.joined());
 }
 
-TEST_CASE("Voters that lost their disks one after the other elect a leader when the last founder is gone",
-    "[agreement][last-founder]")
+TEST_CASE(
+    "Voters that lost their disks one after the other elect a leader when the last founder is gone", "[agreement]")
 {
     RegisterCluster cluster(3, 12);
     cluster.run(4s);
