Keep working voters when the platform grants no time for a replacement

With 0, or a value far below a second, every voter would count as silent at once. Found by reading the diff. Change: a floor of 1 s for the time that they are parts of.

--- a/packages/core/include/rosemarymill/core/fleet/voters.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/voters.hpp
@@ -3,6 +3,7 @@
 #include <rosemarymill/core/base/id.hpp>
 #include <rosemarymill/core/base/time.hpp>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -36,11 +37,14 @@
     Duration reviewInterval { 100ms };
 };
 
+/// Shortest time between losses that elections and changes of the voters can keep up with.
+constexpr Duration minCatchUp { 1s };
+
 /// Bounds for a number of losses to be borne at once. A VM that has come back, or a successor that has started, has to
 /// vote within `catchUp`, since the next VM may be lost then. A new leader may take half of that time to be elected.
 [[nodiscard]] constexpr VoterSettings voterSettings(std::size_t losses, Duration catchUp) noexcept
 {
-    return { 2 * losses + 1, catchUp / 4, 1s, 100ms };
+    return { 2 * losses + 1, std::max(catchUp, minCatchUp) / 4, 1s, 100ms };
 }
 
 /// What a review of the voters has decided.
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -162,10 +162,11 @@
         settings.voters.emplace_back(it);
     settings.seed = m_settings.seed;
     settings.bootNonce = m_settings.seed;
-    settings.heartbeat = std::min(logHeartbeat, m_settings.catchUp / 20);
     // A new leader and both changes of the voters have to fit into the time after which the next VM may be lost.
-    settings.electionMin = std::min(settings.electionMin, m_settings.catchUp / 4);
-    settings.electionMax = std::min(settings.electionMax, m_settings.catchUp / 2);
+    const auto catchUp = std::max(m_settings.catchUp, core::minCatchUp);
+    settings.heartbeat = std::min(logHeartbeat, catchUp / 20);
+    settings.electionMin = std::min(settings.electionMin, catchUp / 4);
+    settings.electionMax = std::min(settings.electionMax, catchUp / 2);
     settings.retryMin = std::min(settings.retryMin, settings.electionMin / 4);
     settings.firstElectionMax = firstElectionMax;
     if (m_settings.bootstrap && !voters.empty() && voters.front() == m_settings.address)
--- a/tests/core/fleet/voters.cpp
+++ b/tests/core/fleet/voters.cpp
@@ -69,6 +69,8 @@
         // The other half is for the election of a new leader, which counts the silence anew.
         CHECK(settings.replaceAfter + 2 * settings.reviewInterval < catchUp / 2);
     }
+    // Without such a bound, working voters must not count as silent.
+    CHECK(fleet::voterSettings(2, 0s).replaceAfter == fleet::minCatchUp / 4);
 }
 
 TEST_CASE("a VM that does not work or is not caught up is not added", "[fleet]")
