Test that an order is acknowledged in time while a control VM stands still

Callers saw: a valid document, sent in a calm stretch, has no acknowledgement within 4 s while a control VM is frozen and acknowledgements are lost. Each attempt that meets the frozen VM costs its caller a second and a longer pause; three meetings in one order, of which a lost acknowledgement brings at least one, add up to more than 4 s. Ruled out by the lines of operators' calls: redirects to the frozen VM or "no leader is known" in calm, slow commits.

--- /dev/null
+++ b/tests/process/control_vms.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "support/child.hpp"
+
+#include <platform/names.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include <unistd.h>
+
+/// Control VMs of the users' platform as real processes. Each has a loopback address of its own; ports are the same.
+namespace rosemarymill::test {
+
+class ControlVms {
+public:
+    static constexpr std::uint16_t port = 8229;
+
+    /// Starts VMs that vote in the control log, and others without a data folder that only take orders.
+    explicit ControlVms(std::size_t voters, std::size_t others = 0)
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "rosemarymill-XXXXXX").string();
+        m_folder = mkdtemp(name.data());
+        const auto pid = static_cast<unsigned>(getpid());
+        const auto network = "127." + std::to_string(1 + pid / 250 % 250) + '.' + std::to_string(pid % 250) + '.';
+        for (std::size_t i = 0; i < voters + others; ++i)
+            m_ips.push_back(network + std::to_string(i + 1));
+        for (std::size_t i = 0; i < m_ips.size(); ++i)
+            start(i, voters);
+    }
+
+    ~ControlVms()
+    {
+        m_processes.clear();
+        std::error_code ec;
+        std::filesystem::remove_all(m_folder, ec);
+    }
+
+    ControlVms(const ControlVms&) = delete;
+    ControlVms& operator=(const ControlVms&) = delete;
+
+    /// Addresses of the VMs that take orders, in the order of their numbers.
+    [[nodiscard]] const std::vector<std::string>& ips() const noexcept { return m_ips; }
+
+    /// Number of the VM that last logged that it leads. There has to be one.
+    [[nodiscard]] std::size_t leader() const
+    {
+        constexpr std::string_view roleChanged = R"("text":"log role changed","role":")";
+        for (std::size_t i = 0; i < m_processes.size(); ++i) {
+            const auto log = m_processes[i].output();
+            const auto at = log.rfind(roleChanged);
+            if (at != std::string::npos && log.substr(at + roleChanged.size()).starts_with("2\""))
+                return i;
+        }
+        throw std::runtime_error("no control VM leads");
+    }
+
+    void signal(std::size_t i, int number) const { m_processes[i].signal(number); }
+
+    /// Lines of all VMs about elections.
+    [[nodiscard]] std::string elections() const
+    {
+        std::string lines;
+        for (std::size_t i = 0; i < m_processes.size(); ++i) {
+            std::istringstream log(m_processes[i].output());
+            for (std::string line; std::getline(log, line);) {
+                if (line.find("log role changed") != std::string::npos)
+                    lines += "VM " + std::to_string(i) + ": " + line + '\n';
+            }
+        }
+        return lines;
+    }
+
+private:
+    void start(std::size_t i, std::size_t voters)
+    {
+        using nlohmann::json;
+        const auto name = "control-" + std::to_string(i + 1);
+        auto seeds = json::array();
+        for (std::size_t seed = 0; seed < voters; ++seed)
+            seeds.push_back(m_ips[seed] + ':' + std::to_string(port));
+        json settings { { "node", name }, { "zone", "zone-" + std::to_string(i % 3) }, { "ip", m_ips[i] },
+            { "serves", { "control" } }, { "listen", { { "control_plane", m_ips[i] + ':' + std::to_string(port) } } },
+            { "internal_ports", { 7340, 7355 } }, { "seeds", seeds }, { "bootstrap", true }, { "heartbeat_ms", 1200 },
+            { "fault_tolerance", { { "machine_count", (voters - 1) / 2 } } },
+            { "bounds", { { "catch_up_s", 4 }, { "contact_ms", 3000 }, { "ack_ms", 4000 } } } };
+        if (i < voters) {
+            const auto data = m_folder / name;
+            std::filesystem::create_directories(data);
+            settings["data_dir"] = data.string();
+        }
+        const auto path = m_folder / (name + ".json");
+        std::ofstream(path) << settings.dump();
+        m_processes.emplace_back("/usr/bin/env",
+            std::vector<std::string> { std::string(platform::settingsVariable) + '=' + path.string(),
+                std::string(ROSEMARYMILL_BINARY_DIR) + "/packages/daemon/rosemarymilld", "platform" });
+    }
+
+    std::filesystem::path m_folder;
+    std::vector<std::string> m_ips;
+    std::deque<Child> m_processes;
+};
+
+} // namespace rosemarymill::test
--- a/tests/support/http.hpp
+++ b/tests/support/http.hpp
@@ -24,6 +24,8 @@
     /// 0 when no response arrived.
     int status { 0 };
     std::string body;
+    /// Value of the header of a redirect.
+    std::string location;
     bool done { false };
 };
 
@@ -45,21 +47,23 @@
     auto* buf = evhttp_request_get_input_buffer(request);
     response.body.resize(evbuffer_get_length(buf));
     evbuffer_copyout(buf, response.body.data(), response.body.size());
+    if (const auto* it = evhttp_find_header(evhttp_request_get_input_headers(request), "Location"))
+        response.location = it;
 }
 
 } // namespace detail
 
-/// Sends one request to 127.0.0.1 and waits for the response, at most 10 s.
-inline HttpResponse request(event_base& base, std::uint16_t port, evhttp_cmd_type method, const std::string& path,
-    const std::string& body = {}, const Headers& headers = {})
+/// Sends one request to an IP address and waits for the response, as long as bytes arrive within the timeout.
+inline HttpResponse request(event_base& base, const std::string& ip, std::uint16_t port, timeval timeout,
+    evhttp_cmd_type method, const std::string& path, const std::string& body = {}, const Headers& headers = {})
 {
     const std::unique_ptr<evhttp_connection, detail::FreeConnection> connection(
-        evhttp_connection_base_new(&base, nullptr, "127.0.0.1", port));
-    evhttp_connection_set_timeout(connection.get(), 10);
+        evhttp_connection_base_new(&base, nullptr, ip.c_str(), port));
+    evhttp_connection_set_timeout_tv(connection.get(), &timeout);
     HttpResponse response;
     auto* it = evhttp_request_new(&detail::onResponse, &response);
     auto* out = evhttp_request_get_output_headers(it);
-    evhttp_add_header(out, "Host", "127.0.0.1");
+    evhttp_add_header(out, "Host", ip.c_str());
     for (const auto& [key, value] : headers)
         evhttp_add_header(out, key.c_str(), value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(it), body.data(), body.size());
@@ -69,4 +73,11 @@
     return response;
 }
 
+/// Sends one request to 127.0.0.1 and waits for the response, at most 10 s.
+inline HttpResponse request(event_base& base, std::uint16_t port, evhttp_cmd_type method, const std::string& path,
+    const std::string& body = {}, const Headers& headers = {})
+{
+    return request(base, "127.0.0.1", port, { 10, 0 }, method, path, body, headers);
+}
+
 } // namespace rosemarymill::test
