--- a/packages/core/include/rosemarymill/core/fleet/message.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <rosemarymill/core/fleet/carried_call.hpp>
 #include <rosemarymill/core/fleet/server.hpp>
 
 #include <cstddef>
@@ -18,6 +19,10 @@
     bool control { false };
     /// Version of the document that the sender holds.
     std::uint64_t documentVersion { 0 };
+    /// The sender takes calls of operators, but no requests of clients.
+    bool gateway { false };
+    /// The sender starts for the first time and may found the control log.
+    bool mayFound { false };
 };
 
 /// Who leads, which control VMs are known, and which entry VMs share limits.
@@ -76,9 +81,13 @@
     std::uint64_t documentVersion { 0 };
 };
 
+/// Tells a control VM to found the control log. Sent by the first seed, to one VM only.
+struct Found { };
+
 /// Keeps a quiet connection known to be working.
 struct Alive { };
 
-using Message = std::variant<Subscribe, Members, DocumentPart, TargetsPush, Report, Alive, LoadsPush, DocumentInForce>;
+using Message = std::variant<Subscribe, Members, DocumentPart, TargetsPush, Report, Alive, LoadsPush, DocumentInForce,
+    CallOffer, CallTicket, CarriedCall, CarriedAnswer, Found>;
 
 } // namespace rosemarymill::fleet
--- a/packages/wire/src/fleet/codec.cpp
+++ b/packages/wire/src/fleet/codec.cpp
@@ -78,6 +78,8 @@
     packed.address = it.address;
     packed.control = it.control;
     packed.document_version = it.documentVersion;
+    packed.gateway = it.gateway;
+    packed.may_found = it.mayFound;
     return asUnion<fb::AnyMessageUnion>(std::move(packed));
 }
 
@@ -176,8 +178,44 @@
     return asUnion<fb::AnyMessageUnion>(std::move(packed));
 }
 
+fb::AnyMessageUnion pack(const core::Found&) { return asUnion<fb::AnyMessageUnion>(fb::FoundT {}); }
+
 fb::AnyMessageUnion pack(const core::Alive&) { return asUnion<fb::AnyMessageUnion>(fb::AliveT {}); }
 
+fb::AnyMessageUnion pack(const core::CallOffer& it)
+{
+    fb::CallOfferT packed;
+    packed.id = it.id;
+    packed.bytes = it.bytes;
+    return asUnion<fb::AnyMessageUnion>(packed);
+}
+
+fb::AnyMessageUnion pack(const core::CallTicket& it)
+{
+    fb::CallTicketT packed;
+    packed.id = it.id;
+    return asUnion<fb::AnyMessageUnion>(packed);
+}
+
+fb::AnyMessageUnion pack(const core::CarriedCall& it)
+{
+    fb::CarriedCallT packed;
+    packed.id = it.id;
+    packed.method = it.call.method;
+    packed.path = it.call.path;
+    packed.body = bytesOf(it.call.body);
+    return asUnion<fb::AnyMessageUnion>(std::move(packed));
+}
+
+fb::AnyMessageUnion pack(const core::CarriedAnswer& it)
+{
+    fb::CarriedAnswerT packed;
+    packed.id = it.id;
+    packed.status = it.answer.status;
+    packed.body = bytesOf(it.answer.body);
+    return asUnion<fb::AnyMessageUnion>(std::move(packed));
+}
+
 core::DocumentPart unpack(const fb::DocumentPartT& it)
 {
     core::DocumentPart part { it.from, it.to, it.part, it.parts, {} };
@@ -217,7 +255,7 @@
     BOOST_OUTCOME_TRY(packed, unpackTable<fb::MessageT>(payload));
     const auto& any = packed.message;
     if (const auto* it = any.AsSubscribe())
-        return core::Subscribe { it->address, it->control, it->document_version };
+        return core::Subscribe { it->address, it->control, it->document_version, it->gateway, it->may_found };
     if (const auto* it = any.AsMembers())
         return core::Members { it->leader, it->term, it->controls, it->voters, it->entry_vms };
     if (const auto* it = any.AsDocumentPart())
@@ -231,6 +269,16 @@
             it->document_version };
     if (const auto* it = any.AsLoads())
         return core::LoadsPush { unpackLoads(it->loads) };
+    if (const auto* it = any.AsCallOffer())
+        return core::CallOffer { it->id, it->bytes };
+    if (const auto* it = any.AsCallTicket())
+        return core::CallTicket { it->id };
+    if (const auto* it = any.AsCarriedCall())
+        return core::CarriedCall { it->id, { it->method, it->path, textOf(it->body) } };
+    if (const auto* it = any.AsCarriedAnswer())
+        return core::CarriedAnswer { it->id, { it->status, textOf(it->body) } };
+    if (any.AsFound())
+        return core::Found {};
     if (any.AsAlive())
         return core::Alive {};
     return DecodeError::UnexpectedKind;
--- a/tests/wire/fleet/codec.cpp
+++ b/tests/wire/fleet/codec.cpp
@@ -78,9 +78,25 @@
     REQUIRE(loads.size() == 1);
     CHECK(loads.front().promptTokens == 1460);
     CHECK(roundTrip(fleet::Subscribe { "a", true, 4 }).control);
+    const auto subscribe = roundTrip(fleet::Subscribe { "a", false, 4, true, true });
+    CHECK_FALSE(subscribe.control);
+    CHECK(subscribe.gateway);
+    CHECK(subscribe.mayFound);
+    roundTrip(fleet::Found {});
     roundTrip(fleet::Alive {});
 }
 
+TEST_CASE("carried calls and their answers survive the wire", "[fleet]")
+{
+    const fleet::CallOffer offer { 7, 900 };
+    CHECK(roundTrip(offer) == offer);
+    CHECK(roundTrip(fleet::CallTicket { 7 }).id == 7);
+    const fleet::CarriedCall call { 7, { "PUT", "/a", std::string("\0\xff", 2) } };
+    CHECK(roundTrip(call) == call);
+    const fleet::CarriedAnswer answer { 7, { 200, "{}" } };
+    CHECK(roundTrip(answer) == answer);
+}
+
 TEST_CASE("commands and snapshots of the control log survive the disk", "[fleet]")
 {
     const fleet::StoreDocument store { "s1", 7, "{}" };
