Take operators' calls on all control VMs and on gateways and carry them to the leader

Cause: followers sent callers on to the leader that they knew, which stood still for up to two seconds more than the election, and answered 503 meanwhile, which lengthens the callers' pauses. With three VMs that take orders, every third attempt meets the one that stands still and costs a second; with lost acknowledgements that sum passes the bound however fast the log commits.

Change: any control VM takes a call and carries it through CallCarrier. Control VMs stay connected to the leader for it. Since seeds may now be gateways, control VMs introduce themselves to such seeds, and one VM founds the log, naming all control VMs that it knows as voters: the first seed, or the one that it chooses when it is a gateway. Calls that waited while a VM stood still are dropped. Lines: call taken, call answered, caller gone, carried call dropped, with the order's fingerprint; metrics control_calls_waiting, _failed_total, control_call_seconds.

A test's folder of an earlier version now holds the file of founding voters that such a version wrote; it was missing.

Conclusion: the sum is bounded by the number of VMs that take calls; the first seconds after a freeze remain.

--- a/packages/runtime/include/rosemarymill/runtime/http/server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/http/server.hpp
@@ -74,6 +74,9 @@
     /// Closes the connection without finishing the response.
     void abort();
 
+    /// Whether the client has not closed its end. A request may have waited in the socket for longer than its client.
+    [[nodiscard]] bool clientPresent() const noexcept;
+
     /// Bytes of the response that the kernel has not taken.
     [[nodiscard]] std::size_t unsentBytes() const noexcept;
 
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_link.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_link.hpp
@@ -42,6 +42,8 @@
         std::function<void(const fleet::Message&)> onMessage;
         /// Supplies the first message of each connection.
         std::function<fleet::Subscribe()> subscription;
+        /// The leader is connected from now on, or no longer is. May be empty.
+        std::function<void(bool)> onConnected;
     };
 
     ControlLink(event_base* base, wire::link::Hello self, Handlers handlers);
@@ -58,6 +60,14 @@
     /// Closes the connection, which is not needed at present.
     void disconnect();
 
+    /// Another source tells who leads: moves on to that VM at the next tick when it is not the one connected.
+    void follow(const std::string& leader);
+
+    /// A control VM, as another source tells.
+    void learn(const std::string& control) { m_learned.insert(control); }
+    /// Control VMs that were learned from members or otherwise.
+    [[nodiscard]] const std::set<std::string>& learned() const noexcept { return m_learned; }
+
     /// Whether the leader is connected.
     [[nodiscard]] bool connected() const noexcept { return m_leader != nullptr; }
     [[nodiscard]] const fleet::Members& members() const noexcept { return m_members; }
@@ -94,6 +104,8 @@
     Attempt* m_leader { nullptr };
     /// Leader to connect to next.
     std::string m_redirect;
+    /// Leader that another source told last.
+    std::string m_followed;
     Instant m_sentAt;
     Instant m_retryAt;
 };
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <rosemarymill/core/fleet/call_desk.hpp>
 #include <rosemarymill/core/fleet/control.hpp>
 #include <rosemarymill/core/fleet/document_feed.hpp>
 #include <rosemarymill/core/fleet/entry_roster.hpp>
@@ -7,8 +8,10 @@
 #include <rosemarymill/core/fleet/machine.hpp>
 #include <rosemarymill/core/fleet/voters.hpp>
 #include <rosemarymill/runtime/metrics/summary.hpp>
+#include <rosemarymill/runtime/nodes/control_calls.hpp>
 #include <rosemarymill/runtime/nodes/control_link.hpp>
 #include <rosemarymill/runtime/nodes/environment.hpp>
+#include <rosemarymill/runtime/nodes/seed_links.hpp>
 #include <rosemarymill/runtime/nodes/server_client.hpp>
 #include <rosemarymill/runtime/nodes/subscriber_server.hpp>
 #include <rosemarymill/runtime/nodes/voter_links.hpp>
@@ -22,6 +25,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -76,6 +80,10 @@
     /// Address of the leader as far as this VM knows, or an empty text.
     [[nodiscard]] std::string leader() const;
 
+    /// Calls of operators, which any control VM takes. What carries them out on the leader is to be set before the loop
+    /// runs.
+    [[nodiscard]] ControlCalls& calls() noexcept { return m_calls; }
+
     /// A server announced itself. Only for the leader.
     void heartbeat(fleet::ServerRecord record);
     void serverLeft(const ServerId& server);
@@ -109,6 +117,13 @@
 
     /// Voters that founded the log; empty on a VM that came later or lost its disk.
     [[nodiscard]] std::vector<std::string> foundingVoters();
+    /// Whether this VM starts with the whole system for the first time and has heard of no log.
+    [[nodiscard]] bool mayFound() const;
+    /// Founds the log once enough control VMs are known. One VM does so: the first seed, or the one that the first seed
+    /// has chosen when it is no control VM.
+    void reviewFounding(Instant now);
+    /// Addresses that are known to be control VMs.
+    [[nodiscard]] std::set<std::string> knownControls() const;
     void startReplica();
     /// Follows which control VMs could vote and changes the voters when the review asks for it.
     void reviewVoters(Instant now);
@@ -142,6 +157,9 @@
     void onSubscribed(Subscriber& subscriber);
     bool onLogFrame(const VmId& from, std::span<const std::byte> payload);
     void onReport(const Subscriber& from, const fleet::Report& report);
+    /// Takes over a call that another VM carries here.
+    void onOffer(Subscriber& from, const fleet::CallOffer& offer);
+    void onCall(const Subscriber& from, const fleet::CarriedCall& call);
     /// Sends a subscriber the changes of the document that it gets next, when there are any.
     void feedDocument(Subscriber& subscriber);
     [[nodiscard]] std::shared_ptr<const Frames> framesOf(const fleet::DocumentFeed::Push& push);
@@ -186,8 +204,16 @@
     std::vector<VmId> m_learners;
     fleet::VoterReview m_review;
     Instant m_reviewedAt;
-    /// Used while this VM does not vote or knows no leader.
+    /// Connection to the leader while this VM does not lead.
     ControlLink m_link;
+    ControlCalls m_calls;
+    /// Introduces this VM to seeds that are no control VMs.
+    SeedLinks m_seedLinks;
+    /// Since when this VM is to found the log.
+    std::optional<Instant> m_foundingSince;
+    /// Control VMs that may found the log, this one included.
+    std::set<std::string> m_founders;
+    fleet::CallDesk m_desk;
     fleet::EntryRoster m_entryVms;
     /// Number of entry VMs that was last told to them.
     unsigned m_entryCount { 0 };
--- a/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/subscriber_server.hpp
@@ -37,6 +37,11 @@
     std::size_t nextFrame { 0 };
 
     [[nodiscard]] const VmId& vm() const { return link->remote()->vm; }
+    /// Whether it serves clients, and so needs servers and documents.
+    [[nodiscard]] bool isEntryVm() const noexcept
+    {
+        return subscribed && !subscription.control && !subscription.gateway;
+    }
 };
 
 /// Bytes that wait for the sockets of subscribers.
@@ -57,8 +62,14 @@
         /// A frame of the control log. Returns false when it is malformed.
         std::function<bool(const VmId& from, std::span<const std::byte> payload)> onLogFrame;
         std::function<void(const Subscriber&)> onClosed;
+        /// The subscriber carries a call. May be empty.
+        std::function<void(Subscriber&, const fleet::CallOffer&)> onOffer;
+        std::function<void(Subscriber&, const fleet::CarriedCall&)> onCall;
     };
 
+    /// Subscribers that a message is for.
+    enum class Audience { All, EntryVms };
+
     /// Connections that are accepted at most; more would exceed the descriptors of a small VM.
     static constexpr std::size_t maxSubscribers = 1024;
 
@@ -69,8 +80,10 @@
     SubscriberServer& operator=(const SubscriberServer&) = delete;
 
     void send(Subscriber& to, const fleet::Message& message);
-    /// Sends a message, encoded once, to all subscribers.
-    void broadcast(const fleet::Message& message);
+    /// Sends a message, encoded once, to all subscribers or to the entry VMs among them.
+    void broadcast(const fleet::Message& message, Audience audience = Audience::All);
+    /// Subscriber of a connection; null when it has closed.
+    [[nodiscard]] Subscriber* find(std::uint64_t id);
 
     /// Sends the frames of a push one after the other as the socket takes them, so that other messages wait for one
     /// frame at most. Replaces a push that is under way.
--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -7,6 +7,7 @@
 
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <stdexcept>
 
 namespace rosemarymill::runtime::http {
@@ -239,6 +240,13 @@
 
 void Exchange::abort() { evhtp_connection_free(m_connection.htp); }
 
+bool Exchange::clientPresent() const noexcept
+{
+    char byte = 0;
+    const auto n = recv(m_connection.htp->sock, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
 std::size_t Exchange::unsentBytes() const noexcept
 {
     return evbuffer_get_length(bufferevent_get_output(evhtp_connection_get_bev(m_connection.htp)));
--- a/packages/runtime/src/nodes/control_link.cpp
+++ b/packages/runtime/src/nodes/control_link.cpp
@@ -111,6 +111,8 @@
     if (m_leader == &*place) {
         writeDecision("fleet", "control link lost", { { "control", place->address }, { "why", reason } });
         m_leader = nullptr;
+        if (m_handlers.onConnected)
+            m_handlers.onConnected(false);
     }
     m_closed.splice(m_closed.end(), m_attempts, place);
     if (m_attempts.empty())
@@ -139,6 +141,8 @@
             closeOthers(m_leader, "another control VM leads");
             writeDecision("fleet", "control link established",
                 { { "control", place->address }, { "term", std::to_string(members->term) } });
+            if (m_handlers.onConnected)
+                m_handlers.onConnected(true);
         } else if (!leads) {
             m_redirect = members->leader == place->address ? std::string {} : members->leader;
             close(place, "it does not lead");
@@ -168,6 +172,20 @@
         connect(address);
 }
 
+void ControlLink::follow(const std::string& leader)
+{
+    if (leader.empty() || (m_leader && m_leader->address == leader))
+        return;
+    if (m_leader) {
+        const auto place
+            = std::find_if(m_attempts.begin(), m_attempts.end(), [this](const auto& it) { return &it == m_leader; });
+        close(place, "another control VM leads");
+    }
+    m_redirect = leader;
+    if (std::exchange(m_followed, leader) != leader)
+        m_retryAt = {};
+}
+
 void ControlLink::disconnect()
 {
     m_closed.clear();
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -32,8 +32,12 @@
 /// After a restart of all control VMs the log needs a leader soon; a working leader sends three heartbeats meanwhile.
 constexpr Duration firstElectionMax = 700ms;
 
-/// All machines of a new system start within 300 ms.
-constexpr Duration foundingDelay = 400ms;
+/// The founder holds its first election at once: the others have introduced themselves.
+constexpr Duration foundingDelay = 50ms;
+
+/// Time for which the founder waits for as many control VMs as are to vote; all machines of a new system start within
+/// 300 ms.
+constexpr Duration foundingWait = 2s;
 
 /// Shortest interval at which entry VMs hear of each other's loads, and the part of it for each entry VM, which bounds
 /// the leader's work.
@@ -64,6 +68,13 @@
     return std::move(result.value());
 }
 
+/// Process that carries a call.
+std::string carrierOf(const Subscriber& it)
+{
+    const auto& remote = *it.link->remote();
+    return remote.vm.text() + '/' + remote.bootId.text();
+}
+
 void writeDurably(const std::filesystem::path& folder, const std::string& name, const std::string& text)
 {
     const auto path = folder / name;
@@ -98,11 +109,28 @@
                   feedDocument(it);
               },
               [this](const VmId& from, std::span<const std::byte> payload) { return onLogFrame(from, payload); },
-              [this](const Subscriber& it) { m_feed.unsubscribed(it.id); } })
+              [this](const Subscriber& it) { m_feed.unsubscribed(it.id); },
+              [this](Subscriber& it, const core::CallOffer& offer) { onOffer(it, offer); },
+              [this](const Subscriber& it, const core::CarriedCall& call) { onCall(it, call); } })
     , m_link(base, m_self,
-          { [](const core::Message&) {},
+          { [this](const core::Message& message) {
+               if (const auto* ticket = std::get_if<core::CallTicket>(&message))
+                   m_calls.receive(*ticket);
+               else if (const auto* answer = std::get_if<core::CarriedAnswer>(&message))
+                   m_calls.receive(*answer);
+           },
               [this] {
-                  return core::Subscribe { m_settings.address, true, m_documentVersion };
+                  return core::Subscribe { m_settings.address, true, m_documentVersion, false, mayFound() };
+              },
+              [this](bool connected) { m_calls.setConnected(connected); } })
+    , m_calls([this](const core::Message& message) { m_link.send(message); })
+    , m_seedLinks(base, m_self,
+          { [this] {
+               return core::Subscribe { m_settings.address, true, m_documentVersion, false, mayFound() };
+           },
+              [this](const core::Message& message) {
+                  if (std::get_if<core::Found>(&message) && !m_foundingSince)
+                      m_foundingSince = readClock();
               } })
     , m_tick(event_new(
           base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<ControlNode*>(self)->tick(); },
@@ -111,7 +139,11 @@
     m_folder = std::make_unique<storage::DataFolder>(
         opened(m_settings.dataFolder, storage::DataFolder::open(m_settings.dataFolder)));
     setSeeds(m_settings.seeds);
+    m_founders.insert(m_settings.address);
     startReplica();
+    if (!m_settings.seeds.empty()
+        && *std::min_element(m_settings.seeds.begin(), m_settings.seeds.end()) == m_settings.address)
+        m_foundingSince = readClock();
     event_add(m_tick.get(), &tickInterval);
 }
 
@@ -122,6 +154,7 @@
     std::vector<std::string> others;
     std::copy_if(seeds.begin(), seeds.end(), std::back_inserter(others),
         [&](const auto& it) { return it != m_settings.address; });
+    m_seedLinks.setSeeds(others);
     m_link.setSeeds(std::move(others));
 }
 
@@ -138,18 +171,31 @@
             else
                 voters.push_back(std::exchange(line, {}));
         }
-    } else if (m_settings.bootstrap
-        && std::find(m_settings.seeds.begin(), m_settings.seeds.end(), m_settings.address) != m_settings.seeds.end()) {
-        voters = m_settings.seeds;
-        std::sort(voters.begin(), voters.end());
-        std::string text;
-        for (const auto& it : voters)
-            text += it + '\n';
-        writeDurably(m_settings.dataFolder, votersName, text);
     }
     return voters;
 }
 
+bool ControlNode::mayFound() const
+{
+    return m_settings.bootstrap && m_replica->voters().empty() && m_replica->log().lastIndex() == 0;
+}
+
+void ControlNode::reviewFounding(Instant now)
+{
+    if (!m_foundingSince || !mayFound()
+        || (m_founders.size() < m_voterSettings.wanted && now < *m_foundingSince + foundingWait))
+        return;
+    m_foundingSince.reset();
+    std::string text;
+    for (const auto& it : m_founders)
+        text += it + '\n';
+    writeDurably(m_settings.dataFolder, votersName, text);
+    writeDecision("fleet", "found the control log", { { "voters", text } });
+    m_replica.reset();
+    m_storage.reset();
+    startReplica();
+}
+
 void ControlNode::startReplica()
 {
     const auto voters = foundingVoters();
@@ -169,7 +215,7 @@
     settings.electionMax = std::min(settings.electionMax, catchUp / 2);
     settings.retryMin = std::min(settings.retryMin, settings.electionMin / 4);
     settings.firstElectionMax = firstElectionMax;
-    if (m_settings.bootstrap && !voters.empty() && voters.front() == m_settings.address)
+    if (m_settings.bootstrap && !voters.empty())
         settings.foundingDelay = foundingDelay;
     m_replica = std::make_unique<Replica>(settings, m_storage->takeImage());
     if (m_replica->damaged())
@@ -263,8 +309,10 @@
         } else {
             m_submitted.clear();
             m_table.reset();
+            m_desk.clear();
             failProposals(readClock(), true);
         }
+        m_calls.setLeads(leads);
     }
     if (const auto current = leader(); current != m_lastLeader) {
         m_lastLeader = current;
@@ -313,7 +361,8 @@
                    [&](core::effect::SendOrder& it) { sendOrder(it); },
                    [&](core::effect::ProbeServer& it) { probe(it); },
                    [&](core::effect::PublishTargets& it) {
-                       m_subscribers.broadcast(core::TargetsPush { std::move(it.delta) });
+                       m_subscribers.broadcast(
+                           core::TargetsPush { std::move(it.delta) }, SubscriberServer::Audience::EntryVms);
                    },
                    [&](core::effect::LogDecision& it) {
                        writeDecision("fleet", it.decision, { { "subject", it.subject }, { "reason", it.reason } });
@@ -395,6 +444,16 @@
         finishProposal(it, false);
 }
 
+std::set<std::string> ControlNode::knownControls() const
+{
+    auto controls = m_link.learned();
+    for (const auto& it : m_replica->voters())
+        controls.insert(it.text());
+    for (const auto& it : m_learners)
+        controls.insert(it.text());
+    return controls;
+}
+
 core::Members ControlNode::members() const
 {
     core::Members members;
@@ -411,15 +470,16 @@
 
 void ControlNode::onSubscribed(Subscriber& subscriber)
 {
-    if (!subscriber.subscription.control)
+    if (subscriber.subscription.control && subscriber.subscription.mayFound
+        && m_founders.size() < m_voterSettings.wanted)
+        m_founders.insert(subscriber.subscription.address);
+    if (subscriber.isEntryVm())
         m_entryVms.heard(subscriber.vm(), readClock());
     m_subscribers.send(subscriber, members());
-    if (!m_leads)
+    if (!m_leads || !subscriber.isEntryVm())
         return;
-    if (!subscriber.subscription.control) {
-        m_feed.subscribed(subscriber.id, subscriber.subscription.documentVersion, readClock());
-        feedDocument(subscriber);
-    }
+    m_feed.subscribed(subscriber.id, subscriber.subscription.documentVersion, readClock());
+    feedDocument(subscriber);
     core::TargetsPush push;
     push.delta.full = m_control.settled();
     for (const auto& [id, target] : m_control.targets())
@@ -453,6 +513,39 @@
         decide(core::event::StallReported { readClock(), it });
 }
 
+void ControlNode::onOffer(Subscriber& from, const core::CallOffer& offer)
+{
+    if (!m_leads)
+        return;
+    const core::CarriedCallKey key { carrierOf(from), offer.id };
+    switch (m_desk.offered(key, offer, readClock())) {
+    case core::CallDesk::Decision::Ticket:
+        return m_subscribers.send(from, core::CallTicket { offer.id });
+    case core::CallDesk::Decision::Answered:
+        return m_subscribers.send(from, core::CarriedAnswer { offer.id, m_desk.answer(key) });
+    case core::CallDesk::Decision::Running:
+        return;
+    case core::CallDesk::Decision::Refused:
+        writeLog(node::LogLevel::Warning, "fleet", "A carried call was not taken: too many are open.");
+    }
+}
+
+void ControlNode::onCall(const Subscriber& from, const core::CarriedCall& call)
+{
+    const core::CarriedCallKey key { carrierOf(from), call.id };
+    if (!m_leads || !m_desk.arrived(key, readClock())) {
+        writeDecision("fleet", "carried call dropped",
+            { { "carrier", key.carrier }, { "call", std::to_string(call.id) },
+                { "why", m_leads ? "it has no valid ticket" : "this VM does not lead" } });
+        return;
+    }
+    m_calls.execute(call.call, [this, key, connection = from.id](const core::ControlAnswer& answer) {
+        m_desk.finished(key, answer, readClock());
+        if (auto* to = m_subscribers.find(connection))
+            m_subscribers.send(*to, core::CarriedAnswer { key.id, answer });
+    });
+}
+
 std::vector<core::VoterCandidate> ControlNode::voterCandidates() const
 {
     std::map<VmId, DataCentreId> dataCentres { { m_self.vm, m_self.dataCentre } };
@@ -496,14 +589,14 @@
 void ControlNode::pushLoads(Instant now)
 {
     m_loadsSentAt = now;
-    m_subscribers.broadcast(core::LoadsPush { m_loads.totals(now) });
+    m_subscribers.broadcast(core::LoadsPush { m_loads.totals(now) }, SubscriberServer::Audience::EntryVms);
 }
 
 void ControlNode::countEntryVms()
 {
     const auto now = readClock();
     for (const auto& it : m_subscribers.subscribers()) {
-        if (it.subscribed && !it.subscription.control)
+        if (it.isEntryVm())
             m_entryVms.heard(it.vm(), now);
     }
     m_entryVms.expire(now);
@@ -519,11 +612,16 @@
     m_subscribers.tick(now);
     post(agreement::Tick { now });
     failProposals(now, false);
-    // A VM that does not vote tells the leader of itself; a voter that hears no leader may have been replaced.
-    if (m_replica->leader().empty() || !m_replica->isVoter(m_self.vm))
-        m_link.tick(now);
-    else
+    // Calls are carried to the leader, and a VM that does not vote tells it of itself.
+    if (m_replica->role() == agreement::Role::Leader) {
         m_link.disconnect();
+    } else {
+        m_link.follow(m_replica->leader().text());
+        m_link.tick(now);
+    }
+    reviewFounding(now);
+    m_calls.tick(now);
+    m_seedLinks.tick(knownControls(), now);
     ++m_ticks;
     if (m_leads && m_ticks % decisionTicks == 0)
         decide(core::event::Tick { now });
--- a/packages/runtime/src/nodes/control_node_metrics.cpp
+++ b/packages/runtime/src/nodes/control_node_metrics.cpp
@@ -61,6 +61,7 @@
     m_voterLinks.eachWaiting([&](const VmId& vm, std::size_t bytes) {
         out << "rosemarymill_control_log_waiting_bytes{vm=\"" << vm.text() << "\"} " << bytes << '\n';
     });
+    m_calls.writeMetrics(out);
     out << "# TYPE rosemarymill_control_unknown_proposals_total counter\nrosemarymill_control_unknown_proposals_total "
         << m_unknownProposals << '\n';
     out << "# TYPE rosemarymill_control_commit_seconds summary\n";
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -29,7 +29,8 @@
           { [this](const core::Message& message) { receive(message); },
               [this] {
                   return core::Subscribe { {}, false, m_documents.version() };
-              } })
+              },
+              {} })
     , m_tick(event_new(
           base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<EntryNode*>(self)->tick(); },
           this))
--- /dev/null
+++ b/packages/runtime/src/nodes/gateway_node.cpp
@@ -0,0 +1,103 @@
+#include <rosemarymill/runtime/nodes/gateway_node.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
+
+#include <algorithm>
+#include <ostream>
+
+#include <event2/event.h>
+
+namespace rosemarymill::runtime::nodes {
+
+namespace core = rosemarymill::fleet;
+
+namespace {
+
+/// Time between two looks at the connection to the leader and at the calls.
+constexpr timeval tickInterval { 0, 50'000 };
+
+} // namespace
+
+GatewayNode::GatewayNode(event_base* base, GatewayNodeSettings settings)
+    : m_settings(std::move(settings))
+    , m_self { VmId { m_settings.address }, m_settings.dataCentre, BootId { std::to_string(m_settings.seed) } }
+    , m_subscribers(base, m_settings.address, m_self,
+          { [this](Subscriber& it) { onSubscribed(it); }, [](const Subscriber&, const core::Report&) {},
+              [](const Subscriber&, std::uint64_t) {}, [](const VmId&, std::span<const std::byte>) { return false; },
+              [](const Subscriber&) {}, {}, {} })
+    , m_link(base, m_self,
+          { [this](const core::Message& message) {
+               if (const auto* ticket = std::get_if<core::CallTicket>(&message))
+                   m_calls.receive(*ticket);
+               else if (const auto* answer = std::get_if<core::CarriedAnswer>(&message))
+                   m_calls.receive(*answer);
+           },
+              [this] {
+                  return core::Subscribe { m_settings.address, false, 0, true, false };
+              },
+              [this](bool connected) { m_calls.setConnected(connected); } })
+    , m_calls([this](const core::Message& message) { m_link.send(message); })
+    , m_tick(event_new(
+          base, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<GatewayNode*>(self)->tick(); },
+          this))
+{
+    setSeeds(m_settings.seeds);
+    event_add(m_tick.get(), &tickInterval);
+}
+
+void GatewayNode::setSeeds(const std::vector<std::string>& seeds)
+{
+    std::vector<std::string> others;
+    std::copy_if(seeds.begin(), seeds.end(), std::back_inserter(others),
+        [&](const auto& it) { return it != m_settings.address; });
+    m_link.setSeeds(std::move(others));
+}
+
+std::string GatewayNode::leader() const { return m_link.connected() ? m_link.members().leader : std::string {}; }
+
+core::Members GatewayNode::members() const
+{
+    core::Members members;
+    if (m_link.connected()) {
+        members = m_link.members();
+        // Only the leader tells how many entry VMs share limits.
+        members.entryVms.clear();
+    }
+    members.controls.assign(m_link.learned().begin(), m_link.learned().end());
+    return members;
+}
+
+void GatewayNode::onSubscribed(Subscriber& subscriber)
+{
+    const auto& it = subscriber.subscription;
+    if (it.control) {
+        m_link.learn(it.address);
+        const auto first = std::min_element(m_settings.seeds.begin(), m_settings.seeds.end());
+        const bool chooses = m_settings.bootstrap && it.mayFound && *first == m_settings.address;
+        if (chooses && m_founder.empty()) {
+            m_founder = it.address;
+            writeDecision("fleet", "founder chosen", { { "vm", m_founder } });
+        }
+        if (chooses && m_founder == it.address)
+            m_subscribers.send(subscriber, core::Found {});
+    }
+    m_subscribers.send(subscriber, members());
+}
+
+void GatewayNode::tick()
+{
+    const auto now = readClock();
+    m_subscribers.tick(now);
+    m_link.tick(now);
+    m_calls.tick(now);
+}
+
+void GatewayNode::writeMetrics(std::ostream& out) const
+{
+    out << "# TYPE rosemarymill_control_connected gauge\nrosemarymill_control_connected "
+        << (m_link.connected() ? 1 : 0) << '\n';
+    m_calls.writeMetrics(out);
+}
+
+} // namespace rosemarymill::runtime::nodes
--- a/packages/runtime/src/nodes/subscriber_server.cpp
+++ b/packages/runtime/src/nodes/subscriber_server.cpp
@@ -83,6 +83,12 @@
         m_handlers.onReport(from, *report);
     } else if (const auto* inForce = std::get_if<core::DocumentInForce>(&message.value())) {
         m_handlers.onInForce(from, inForce->version);
+    } else if (const auto* offer = std::get_if<core::CallOffer>(&message.value())) {
+        if (m_handlers.onOffer)
+            m_handlers.onOffer(from, *offer);
+    } else if (const auto* call = std::get_if<core::CarriedCall>(&message.value())) {
+        if (m_handlers.onCall)
+            m_handlers.onCall(from, *call);
     }
     return true;
 }
@@ -102,7 +108,14 @@
     sendMessage(*to.link, message);
 }
 
-void SubscriberServer::broadcast(const core::Message& message)
+Subscriber* SubscriberServer::find(std::uint64_t id)
+{
+    const auto it
+        = std::find_if(m_subscribers.begin(), m_subscribers.end(), [&](const auto& other) { return other.id == id; });
+    return it == m_subscribers.end() ? nullptr : &*it;
+}
+
+void SubscriberServer::broadcast(const core::Message& message, Audience audience)
 {
     wire::Buffer payload;
     wire::fleet::encode(message, payload);
@@ -110,7 +123,7 @@
     wire::appendFrame(wire::FrameKind::Fleet, payload, frame);
     const auto now = readClock();
     for (auto& it : m_subscribers) {
-        if (!it.subscribed)
+        if (!it.subscribed || (audience == Audience::EntryVms && !it.isEntryVm()))
             continue;
         it.sentAt = now;
         it.link->write(wire::FrameKind::Fleet, frame);
--- /dev/null
+++ b/tests/runtime/nodes/control_world.hpp
@@ -0,0 +1,228 @@
+#pragma once
+
+#include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/nodes/control_node.hpp>
+
+#include "support/http.hpp"
+#include "support/peer.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <string>
+#include <vector>
+
+/// Control VMs in one process, on loopback.
+namespace rosemarymill::test {
+
+using runtime::nodes::ControlNode;
+
+/// Address on loopback that no listener has.
+inline std::string freeAddress(event_base* base) { return PeerListener(base).address(); }
+
+/// Document of a size that repeats itself as routes do. Its text begins with its version.
+inline std::string documentText(std::uint64_t version, std::size_t bytes)
+{
+    auto text = std::to_string(version);
+    while (text.size() < bytes)
+        text += ",{\"name\":\"r-" + std::to_string(text.size() * 7919) + "\",\"route_kind\":\"streaming\"}";
+    text.resize(std::max(bytes, std::to_string(version).size()));
+    return text;
+}
+
+/// Document that cannot be compressed. Its text begins with its version.
+inline std::string randomText(std::uint64_t version, std::size_t bytes)
+{
+    std::mt19937 random { 1 };
+    auto text = std::to_string(version) + ',';
+    while (text.size() < bytes)
+        text.push_back(static_cast<char>(random()));
+    return text;
+}
+
+inline routes::Document documentOf(std::uint64_t version)
+{
+    routes::Document document;
+    document.version = version;
+    return document;
+}
+
+inline std::uint64_t versionOf(std::string_view text)
+{
+    std::uint64_t version = 0;
+    std::from_chars(text.data(), text.data() + text.size(), version);
+    return version;
+}
+
+/// Control VM of the tests, with its data folder and its count of decoded documents.
+struct Vm {
+    std::string address;
+    std::string folder;
+    unsigned decoded { 0 };
+    std::unique_ptr<ControlNode> node;
+};
+
+struct World {
+    static constexpr std::size_t founders = 3;
+
+    /// `prepare` is called with each data folder before the VMs start. It leaves the state of an earlier version, which
+    /// knows the voters that founded its log.
+    explicit World(const std::function<void(const std::filesystem::path&)>& prepare = {})
+        : World(std::vector<std::string> {}, prepare)
+    {
+    }
+
+    /// The VMs are given these seeds instead of each other.
+    explicit World(
+        std::vector<std::string> others, const std::function<void(const std::filesystem::path&)>& prepare = {})
+        : base(event_base_new())
+        , seeds(std::move(others))
+    {
+        std::string name = (std::filesystem::temp_directory_path() / "rosemarymill-XXXXXX").string();
+        root = mkdtemp(name.data());
+        for (std::size_t i = 0; i < founders; ++i)
+            add();
+        for (auto& it : vms) {
+            if (prepare) {
+                prepare(it.folder);
+                std::ofstream voters(it.folder + "/voters");
+                for (const auto& vm : vms)
+                    voters << vm.address << '\n';
+            }
+        }
+        for (auto& it : vms)
+            start(it);
+    }
+
+    ~World()
+    {
+        for (auto& it : vms)
+            it.node.reset();
+        std::error_code ec;
+        std::filesystem::remove_all(root, ec);
+    }
+
+    World(const World&) = delete;
+    World& operator=(const World&) = delete;
+
+    /// Control VM with an empty disk that is not started yet.
+    Vm& add()
+    {
+        auto& vm = vms.emplace_back();
+        vm.address = freeAddress(base.get());
+        vm.folder = (root / std::to_string(vms.size())).string();
+        std::filesystem::create_directory(vm.folder);
+        return vm;
+    }
+
+    void loseDisk(Vm& vm)
+    {
+        vm.node.reset();
+        std::filesystem::remove_all(vm.folder);
+        std::filesystem::create_directory(vm.folder);
+    }
+
+    void start(Vm& vm, bool bootstrap = true)
+    {
+        runtime::nodes::ControlNodeSettings settings;
+        settings.address = vm.address;
+        settings.dataCentre = DataCentreId { "mixco" };
+        settings.seeds = seeds;
+        for (const auto& it : vms) {
+            if (seeds.empty())
+                settings.seeds.push_back(it.address);
+        }
+        settings.bootstrap = bootstrap;
+        settings.dataFolder = vm.folder;
+        settings.seed = ++starts;
+        runtime::nodes::Environment environment;
+        environment.decodeDocument = [&vm](std::string_view text) {
+            ++vm.decoded;
+            runtime::nodes::DecodedDocument decoded;
+            decoded.document.version = versionOf(text);
+            return decoded;
+        };
+        vm.node = std::make_unique<ControlNode>(base.get(), std::move(settings), std::move(environment));
+    }
+
+    Vm* leader()
+    {
+        const auto it
+            = std::find_if(vms.begin(), vms.end(), [](const auto& vm) { return vm.node && vm.node->leads(); });
+        return it == vms.end() ? nullptr : &*it;
+    }
+
+    /// Waits for a leader and returns it.
+    Vm& needLeader()
+    {
+        REQUIRE(runUntil(base.get(), [&] { return leader() != nullptr; }));
+        return *leader();
+    }
+
+    /// Submits a document as an operator does, who sends it again while nobody knows whether it is committed. Returns
+    /// whether it is committed within ten seconds; false also when it is refused.
+    bool store(std::uint64_t version, const std::string& text)
+    {
+        const auto deadline = runtime::readClock() + 10s;
+        while (runtime::readClock() < deadline) {
+            std::optional<bool> committed;
+            if (!needLeader().node->storeDocument(documentOf(version), text, [&](bool it) { committed = it; }))
+                return false;
+            REQUIRE(runUntil(base.get(), [&] { return committed.has_value(); }));
+            if (*committed)
+                return true;
+            WARN("the outcome of version " << version << " is unknown, it is sent again");
+        }
+        return false;
+    }
+
+    /// Reads the stored document through the leader; empty when it is not known.
+    std::string read()
+    {
+        std::optional<std::string> text;
+        needLeader().node->readDocument([&](const auto* it) { text = it ? it->text : std::string {}; });
+        runUntil(base.get(), [&] { return text.has_value(); });
+        return text.value_or("");
+    }
+
+    /// Value of a metric of a control VM; -1 when it is not written.
+    static double metric(const Vm& vm, const std::string& name)
+    {
+        std::ostringstream out;
+        vm.node->writeMetrics(out);
+        std::istringstream in(out.str());
+        for (std::string line; std::getline(in, line);) {
+            if (line.starts_with(name + ' '))
+                return std::stod(line.substr(name.size()));
+        }
+        return -1;
+    }
+
+    bool allHold(std::uint64_t version)
+    {
+        return runUntil(base.get(), [&] {
+            return std::all_of(vms.begin(), vms.end(), [&](const auto& it) {
+                return !it.node || metric(it, "rosemarymill_control_document_version") == static_cast<double>(version);
+            });
+        });
+    }
+
+    EventBase base;
+    /// Seeds of all VMs; empty when each knows those that were added before it.
+    std::vector<std::string> seeds;
+    std::filesystem::path root;
+    std::uint64_t starts { 0 };
+    std::deque<Vm> vms;
+};
+
+} // namespace rosemarymill::test
--- /dev/null
+++ b/tests/runtime/nodes/gateway_node.cpp
@@ -0,0 +1,140 @@
+#include <rosemarymill/runtime/nodes/gateway_node.hpp>
+
+#include "runtime/nodes/control_world.hpp"
+
+using namespace rosemarymill;
+using runtime::nodes::GatewayNode;
+using test::World;
+
+namespace {
+
+/// Addresses on loopback that no listener has, in order.
+std::vector<std::string> freeAddresses(std::size_t n)
+{
+    const test::EventBase base(event_base_new());
+    std::list<test::PeerListener> listeners;
+    std::vector<std::string> addresses;
+    for (std::size_t i = 0; i < n; ++i)
+        addresses.push_back(listeners.emplace_back(base.get()).address());
+    std::sort(addresses.begin(), addresses.end());
+    return addresses;
+}
+
+/// Control VMs and processes that know gateways only.
+struct Deployment {
+    static constexpr std::size_t gatewayCount = 3;
+
+    Deployment()
+        : addresses(freeAddresses(gatewayCount))
+        , world(addresses)
+    {
+        for (auto& it : world.vms)
+            execute(it);
+        for (const auto& it : addresses)
+            gateways.push_back(gateway(it, true));
+    }
+
+    std::unique_ptr<GatewayNode> gateway(const std::string& address, bool bootstrap)
+    {
+        return std::make_unique<GatewayNode>(world.base.get(),
+            runtime::nodes::GatewayNodeSettings { address, DataCentreId { "mixco" }, addresses, bootstrap, ++starts });
+    }
+
+    /// A call stores a document of that version.
+    static void execute(test::Vm& vm)
+    {
+        vm.node->calls().onExecute([&vm](const fleet::ControlCall& call, const auto& answered) {
+            const auto stored = vm.node->storeDocument(
+                test::documentOf(test::versionOf(call.body)), call.body, [answered](bool committed) {
+                    answered({ committed ? 200U : 503U, {} });
+                });
+            if (!stored)
+                answered({ 413, {} });
+        });
+    }
+
+    /// Status of a call that the gateway takes; 0 when it is not answered within the caller's patience.
+    unsigned call(GatewayNode& it, std::uint64_t version)
+    {
+        unsigned status = 0;
+        it.calls().take({ "PUT", "/document", test::documentText(version, 100) },
+            [&status](const fleet::ControlAnswer& answer) { status = answer.status; });
+        const auto until = runtime::readClock() + fleet::callerPatience;
+        test::runUntil(world.base.get(), [&] { return status != 0 || runtime::readClock() >= until; });
+        return status;
+    }
+
+    /// Repeats a call as its caller does. Returns whether it is acknowledged within ten seconds.
+    bool stores(GatewayNode& it, std::uint64_t version)
+    {
+        const auto until = runtime::readClock() + 10s;
+        while (runtime::readClock() < until) {
+            if (call(it, version) == 200)
+                return true;
+        }
+        return false;
+    }
+
+    std::uint64_t starts { 100 };
+    std::vector<std::string> addresses;
+    World world;
+    std::vector<std::unique_ptr<GatewayNode>> gateways;
+};
+
+} // namespace
+
+TEST_CASE("control VMs that know gateways only found one log and take calls through them", "[nodes]")
+{
+    Deployment it;
+    std::uint64_t version = 0;
+    for (auto& gateway : it.gateways)
+        CHECK(it.stores(*gateway, ++version));
+    CHECK(it.world.allHold(version));
+    CHECK(World::metric(it.world.needLeader(), "rosemarymill_control_voters") == World::founders);
+}
+
+TEST_CASE("a call is answered through a gateway although the leader it knew is gone", "[nodes]")
+{
+    Deployment it;
+    REQUIRE(it.stores(*it.gateways.front(), 1));
+    REQUIRE(it.world.allHold(1));
+    it.world.needLeader().node.reset();
+    CHECK(it.stores(*it.gateways.front(), 2));
+}
+
+TEST_CASE("control VMs and gateways that all restarted find each other again", "[nodes]")
+{
+    Deployment it;
+    REQUIRE(it.stores(*it.gateways.front(), 1));
+    REQUIRE(it.world.allHold(1));
+    for (auto& vm : it.world.vms)
+        vm.node.reset();
+    it.gateways.clear();
+    for (const auto& address : it.addresses)
+        it.gateways.push_back(it.gateway(address, false));
+    for (auto& vm : it.world.vms) {
+        it.world.start(vm, false);
+        Deployment::execute(vm);
+    }
+    for (std::uint64_t version = 2; version < 2 + it.gateways.size(); ++version)
+        CHECK(it.stores(*it.gateways[version - 2], version));
+}
+
+TEST_CASE("a gateway without a leader refuses calls at once after an election's time", "[nodes]")
+{
+    const auto addresses = freeAddresses(1);
+    const test::EventBase base(event_base_new());
+    GatewayNode gateway(base.get(), { addresses.front(), DataCentreId { "mixco" }, addresses, false, 1 });
+    const auto take = [&](unsigned& status) {
+        gateway.calls().take(
+            { "GET", "/document", {} }, [&status](const fleet::ControlAnswer& answer) { status = answer.status; });
+    };
+    unsigned held = 0;
+    take(held);
+    CHECK(held == 0);
+    test::runFor(base.get(), std::chrono::duration_cast<std::chrono::milliseconds>(fleet::electionPatience));
+    CHECK(held == 503);
+    unsigned refused = 0;
+    take(refused);
+    CHECK(refused == 503);
+}
