Reset connections of requests that were given up

Callers saw: a request that its entry VM had given up reached a backend server in an evacuated data centre more than evacuate_ms after the acknowledgement (EVAC), long after its client had the answer of another server or had gone; a reservation could run at that time, too. Cause: the proxy closed the socket in order. The kernel goes on delivering what the server has not acknowledged, here behind a cut, and the end of the connection behind it. The limit of 1.5 s on unacknowledged bytes no longer acted once the socket was closed. Change: a connection that is discarded while the server has not acknowledged all bytes is reset, which drops them; one whose bytes were all acknowledged still ends in order, so that its end is repeated until the server knows it. Test: "a request that was given up does not reach its server later" receives all of 1 MiB and an end in order on the old code, in both sections, and a part and a reset now.

--- /dev/null
+++ b/packages/runtime/src/base/abandon.cpp
@@ -0,0 +1,34 @@
+#include <rosemarymill/runtime/base/abandon.hpp>
+
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+namespace rosemarymill::runtime {
+
+void abandon(int socket) noexcept
+{
+    int unacknowledged = 0;
+    if (socket < 0 || (ioctl(socket, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0))
+        return;
+    const linger reset { 1, 0 };
+    // Fails only for what is no socket.
+    static_cast<void>(setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)));
+}
+
+void abandon(bufferevent* buf) noexcept
+{
+    if (buf)
+        abandon(bufferevent_getfd(buf));
+}
+
+void abandon(evhttp_connection* connection) noexcept
+{
+    if (connection)
+        abandon(evhttp_connection_get_bufferevent(connection));
+}
+
+} // namespace rosemarymill::runtime
--- a/packages/runtime/src/proxy/upstream.cpp
+++ b/packages/runtime/src/proxy/upstream.cpp
@@ -1,5 +1,6 @@
 #include <rosemarymill/runtime/proxy/upstream.hpp>
 
+#include <rosemarymill/runtime/base/abandon.hpp>
 #include <rosemarymill/runtime/base/address.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/proxy/call.hpp>
@@ -218,6 +219,7 @@
     if (const auto count = m_counts.find(upstream.m_server); count != m_counts.end() && --count->second == 0)
         m_counts.erase(count);
     upstream.m_call = nullptr;
+    abandon(upstream.m_buf.get());
     upstream.m_buf.reset();
     m_discarded.push_back(std::move(it->second));
     m_all.erase(it);
--- /dev/null
+++ b/tests/runtime/base/abandon.cpp
@@ -0,0 +1,73 @@
+#include <rosemarymill/runtime/base/abandon.hpp>
+
+#include "support/http.hpp"
+#include "support/peer.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <optional>
+
+using namespace rosemarymill;
+
+namespace {
+
+/// A socket of the code under test, connected to a peer that takes little unless it reads.
+struct World {
+    World()
+        : base(event_base_new())
+        , listener(base.get())
+        , socket(bufferevent_socket_new(base.get(), -1, BEV_OPT_CLOSE_ON_FREE))
+    {
+        listener.setReceiveBuffer(4096);
+        listener.reading = false;
+        auto to = runtime::parseAddress(listener.address()).value();
+        REQUIRE(bufferevent_socket_connect(socket, to.get(), static_cast<int>(to.length)) == 0);
+        REQUIRE(test::runUntil(base.get(), [&] { return !listener.peers.empty(); }));
+    }
+
+    /// Writes bytes and waits until the kernel has taken them.
+    void write(std::size_t n)
+    {
+        const std::string bytes(n, 'x');
+        bufferevent_write(socket, bytes.data(), bytes.size());
+        REQUIRE(test::runUntil(base.get(), [&] { return evbuffer_get_length(bufferevent_get_output(socket)) == 0; }));
+    }
+
+    /// Gives the connection up and lets the peer read what is left of it.
+    test::Peer& abandon()
+    {
+        runtime::abandon(socket);
+        bufferevent_free(socket);
+        auto& peer = listener.peers.front();
+        peer.setReading(true);
+        REQUIRE(test::runUntil(base.get(), [&] { return peer.closed; }));
+        return peer;
+    }
+
+    test::EventBase base;
+    test::PeerListener listener;
+    bufferevent* socket;
+};
+
+} // namespace
+
+TEST_CASE("Bytes that the other end has not acknowledged are lost with an abandoned connection", "[base]")
+{
+    constexpr std::size_t size = 256 * 1024;
+    World world;
+    world.write(size);
+    const auto& peer = world.abandon();
+    CHECK(peer.reset);
+    CHECK(peer.received.size() < size);
+}
+
+TEST_CASE("An abandoned connection ends in order when all bytes were acknowledged", "[base]")
+{
+    World world;
+    world.write(100);
+    test::runFor(world.base.get(), std::chrono::milliseconds { 20 });
+    const auto& peer = world.abandon();
+    CHECK_FALSE(peer.reset);
+    CHECK(peer.received.size() == 100);
+}
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -296,6 +296,44 @@
     CHECK(silent.closed);
 }
 
+TEST_CASE("a request that was given up does not reach its server later", "[proxy]")
+{
+    World world;
+    for (auto* it : { &world.a, &world.b }) {
+        it->setReceiveBuffer(4096);
+        it->reading = false;
+    }
+    const std::string body(1024 * 1024, 'x');
+    SECTION("after silence")
+    {
+        auto& client = world.client("/lookup/1", "POST", body);
+        world.waitFor([&] { return world.a.peers.size() + world.b.peers.size() == 2; });
+        // The first of the two requests was given up, and the second one is answered.
+        auto& first = world.log.str().find("\"server\":\"a\"") != std::string::npos ? world.a : world.b;
+        auto& second = &first == &world.a ? world.b : world.a;
+        auto& givenUp = first.peers.front();
+        givenUp.setReading(true);
+        second.peers.front().setReading(true);
+        world.waitFor([&] { return second.peers.front().received.ends_with(body); });
+        second.peers.front().send(answer("200 OK", "found"));
+        world.waitFor([&] { return client.has("found") && givenUp.closed; });
+        CHECK(givenUp.reset);
+        CHECK(givenUp.received.size() < body.size());
+    }
+    SECTION("after its client has gone")
+    {
+        auto& client = world.client("/order/1", "POST", body);
+        world.waitFor([&] { return world.a.peers.size() + world.b.peers.size() == 1; });
+        auto& givenUp = (world.a.peers.empty() ? world.b : world.a).peers.front();
+        client.close();
+        world.waitFor([&] { return Catch::Contains("client gone").match(world.log.str()); });
+        givenUp.setReading(true);
+        world.waitFor([&] { return givenUp.closed; });
+        CHECK(givenUp.reset);
+        CHECK(givenUp.received.size() < body.size());
+    }
+}
+
 TEST_CASE("answers that are not the server's answer to this request never reach the client", "[proxy]")
 {
     World world;
--- a/tests/support/peer.hpp
+++ b/tests/support/peer.hpp
@@ -14,6 +14,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <sys/socket.h>
 
 /// Ends of connections that send and receive raw bytes on the test's event loop.
 namespace rosemarymill::test {
@@ -46,8 +47,9 @@
         bufferevent_setcb(
             m_buf.get(), [](bufferevent*, void* self) { static_cast<Peer*>(self)->read(); }, nullptr,
             [](bufferevent*, short what, void* self) {
-                if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-                    static_cast<Peer*>(self)->closed = true;
+                auto& it = *static_cast<Peer*>(self);
+                it.closed = it.closed || (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0;
+                it.reset = it.reset || (what & BEV_EVENT_ERROR) != 0;
             },
             this);
         bufferevent_enable(m_buf.get(), EV_READ | EV_WRITE);
@@ -83,6 +85,8 @@
 
     std::string received;
     bool closed { false };
+    /// The connection ended by a reset or another error, not in order.
+    bool reset { false };
     std::function<void(Peer&)> onReceived;
 
 private:
@@ -115,7 +119,9 @@
             base,
             [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
                 auto& it = *static_cast<PeerListener*>(self);
-                it.peers.emplace_back(it.m_base, socket).onReceived = it.onReceived;
+                auto& peer = it.peers.emplace_back(it.m_base, socket);
+                peer.onReceived = it.onReceived;
+                peer.setReading(it.reading);
             },
             this, LEV_OPT_CLOSE_ON_FREE, 16, address.get(), static_cast<int>(address.length)));
         if (!m_listener)
@@ -128,8 +134,16 @@
     }
 
     std::list<Peer> peers;
+    /// Makes connections accepted from now on take little before they are read.
+    void setReceiveBuffer(int bytes) const
+    {
+        setsockopt(evconnlistener_get_fd(m_listener.get()), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    }
+
     /// Handler of the connections accepted from now on.
     std::function<void(Peer&)> onReceived;
+    /// Whether connections accepted from now on are read.
+    bool reading { true };
 
 private:
     struct Free {
