Reset connections of orders and probes that were given up

Callers saw: nothing yet. An order to a server whose answer did not come in time could still begin seconds after the control VM had given it up and ordered something else. Guards so far: orders carry a fencing token, and those of groups the group and its epoch, by which a server turns away what a newer order has overtaken. A late order to stage a model has the token only, so that an old one of the same leader may load weights that are not wanted any more; late probes cost their price. Change: an exchange that ends while bytes are not acknowledged resets its connection, and its own timer is the only time limit.

--- a/packages/runtime/src/nodes/server_client.cpp
+++ b/packages/runtime/src/nodes/server_client.cpp
@@ -1,5 +1,6 @@
 #include <rosemarymill/runtime/nodes/server_client.hpp>
 
+#include <rosemarymill/runtime/base/abandon.hpp>
 #include <rosemarymill/runtime/base/address.hpp>
 #include <rosemarymill/runtime/base/answer_guard.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
@@ -31,7 +32,8 @@
     HttpConnectionHandle connection;
     std::unique_ptr<AnswerGuard> guard;
     Handler handler;
-    /// Limits the whole exchange; the connection's own time limit restarts with each step.
+    /// Limits the whole exchange. The connection has no shorter limit of its own, at which evhttp would close it in
+    /// order.
     EventHandle timer;
     bool finished { false };
 };
@@ -73,7 +75,6 @@
     }
     it->connection.reset(
         evhttp_connection_base_new(m_base, nullptr, formatIp(parsed.value()).c_str(), portOf(parsed.value())));
-    evhttp_connection_set_timeout_tv(it->connection.get(), &limit);
     it->guard = std::make_unique<AnswerGuard>(
         m_base, it->connection.get(),
         [](AnswerGuard::Fault fault, void* arg) {
@@ -111,6 +112,7 @@
         return;
     pending.finished = true;
     pending.guard.reset();
+    abandon(pending.connection.get());
     const auto it = m_pending.find(&pending);
     m_done.push_back(std::move(it->second));
     m_pending.erase(it);
--- a/tests/runtime/nodes/server_client.cpp
+++ b/tests/runtime/nodes/server_client.cpp
@@ -109,3 +109,22 @@
         CHECK(world.answer->status == 0);
     }
 }
+
+TEST_CASE("an order without an answer in time does not reach its server later", "[nodes]")
+{
+    const test::EventBase base(event_base_new());
+    test::PeerListener server(base.get());
+    server.setReceiveBuffer(4096);
+    server.reading = false;
+    ServerClient client(base.get());
+    const std::string body(mebibyte, 'x');
+    std::optional<ServerAnswer> answer;
+    client.send(server.address(), { "POST", "/api/order", {}, body }, 200ms, [&](const auto& it) { answer = it; });
+    REQUIRE(test::runUntil(base.get(), [&] { return answer.has_value(); }));
+    CHECK(answer->status == 0);
+    auto& peer = server.peers.front();
+    peer.setReading(true);
+    REQUIRE(test::runUntil(base.get(), [&] { return peer.closed; }));
+    CHECK(peer.reset);
+    CHECK(peer.received.size() < body.size());
+}
