Reset connections of attempts and orders that were given up on the product's own plane

Callers saw: nothing yet. A cancelled attempt, or an order without an answer in time, could reach its backend server later. Cause: as for requests of the proxy; evhttp's own time limit of an order was the same as the guard's. Guards so far: orders carry a fencing number and their lease's end is checked before they are sent, attempts carry group and fencing number. A cancelled attempt of a call without a group had none but its cancellation, which may be lost as well. Change: both reset the connection when bytes are not acknowledged; only the guard limits an order. Tests: "A cancelled attempt does not reach its server later" and "An order without an answer in time does not reach its server later" fail on the old code and pass now.

--- a/packages/runtime/src/backend/client.cpp
+++ b/packages/runtime/src/backend/client.cpp
@@ -1,6 +1,7 @@
 #include <rosemarymill/runtime/backend/client.hpp>
 
 #include <rosemarymill/runtime/backend/sse_parser.hpp>
+#include <rosemarymill/runtime/base/abandon.hpp>
 #include <rosemarymill/runtime/base/answer_guard.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
@@ -344,8 +345,10 @@
 {
     // The connection owns a request in progress and frees it. Both are freed outside of their own callbacks.
     exchange->finished = true;
-    if (exchange->connection)
+    if (exchange->connection) {
         bufferevent_disable(evhttp_connection_get_bufferevent(exchange->connection.get()), EV_READ | EV_WRITE);
+        abandon(exchange->connection.get());
+    }
     m_disposed.push_back(std::move(exchange));
     event_active(m_cleanUp.get(), EV_TIMEOUT, 0);
 }
--- a/packages/runtime/src/backend/order_sender.cpp
+++ b/packages/runtime/src/backend/order_sender.cpp
@@ -1,5 +1,6 @@
 #include <rosemarymill/runtime/backend/order_sender.hpp>
 
+#include <rosemarymill/runtime/base/abandon.hpp>
 #include <rosemarymill/runtime/base/address.hpp>
 #include <rosemarymill/runtime/base/answer_guard.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
@@ -41,7 +42,6 @@
             evhttp_connection_base_new(m_base, nullptr, formatIp(address.value()).c_str(), portOf(address.value()))) });
     auto* it = pending.get();
     m_pending.emplace(it, std::move(pending));
-    evhttp_connection_set_timeout_tv(it->connection.get(), &orderTimeout);
     it->guard = std::make_unique<AnswerGuard>(
         m_base, it->connection.get(),
         [](AnswerGuard::Fault fault, void* arg) {
@@ -51,6 +51,7 @@
             given.sender.answered(given, false);
         },
         it);
+    // evhttp has no shorter limit of its own, at which it would close the connection in order.
     it->guard->expect(maxAnswerHeadBytes, std::chrono::seconds { orderTimeout.tv_sec });
     auto* request = evhttp_request_new(
         [](evhttp_request* answer, void* arg) {
@@ -74,6 +75,7 @@
     if (it == m_pending.end())
         return;
     it->second->guard.reset();
+    abandon(it->second->connection.get());
     m_done.push_back(std::move(it->second));
     m_pending.erase(it);
     event_active(m_cleanUp.get(), EV_TIMEOUT, 0);
--- /dev/null
+++ b/tests/runtime/backend/given_up.cpp
@@ -0,0 +1,85 @@
+#include <rosemarymill/runtime/backend/client.hpp>
+#include <rosemarymill/runtime/backend/order_sender.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+
+#include "support/http.hpp"
+#include "support/peer.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+using namespace rosemarymill;
+
+namespace {
+
+/// More than the kernel of a server takes that does not read.
+const std::string large(1024 * 1024, 'x');
+
+/// A server that does not read.
+struct Server : test::PeerListener {
+    explicit Server(event_base* base)
+        : PeerListener(base)
+    {
+        setReceiveBuffer(4096);
+        reading = false;
+    }
+
+    /// Reads what is left once the other end has given up.
+    test::Peer& readRest(event_base* base)
+    {
+        auto& peer = peers.front();
+        peer.setReading(true);
+        REQUIRE(test::runUntil(base, [&] { return peer.closed; }));
+        return peer;
+    }
+};
+
+} // namespace
+
+TEST_CASE("A cancelled attempt does not reach its server later", "[backend]")
+{
+    const test::EventBase base(event_base_new());
+    Server server(base.get());
+    runtime::backend::OutgoingRequest request;
+    request.method = EVHTTP_REQ_POST;
+    request.target = "/v1/chat/completions";
+    request.body = large;
+    runtime::backend::ConnectionPool pool(base.get());
+    runtime::backend::Client client(
+        base.get(), pool, [](node::Event&&) {}, [&](CallId) { return &request; }, "vm");
+    node::Dispatch effect;
+    effect.attempt = AttemptId { 7 };
+    effect.call = CallId { 1 };
+    effect.address = server.address();
+    client.dispatch(effect);
+    REQUIRE(test::runUntil(base.get(), [&] { return !server.peers.empty(); }));
+    test::runFor(base.get(), std::chrono::milliseconds { 50 });
+    client.cancel({ AttemptId { 7 }, false });
+    test::runFor(base.get(), std::chrono::milliseconds { 20 });
+    const auto& peer = server.readRest(base.get());
+    CHECK(peer.reset);
+    CHECK(peer.received.size() < large.size());
+}
+
+TEST_CASE("An order without an answer in time does not reach its server later", "[backend]")
+{
+    const test::EventBase base(event_base_new());
+    Server server(base.get());
+    std::optional<bool> accepted;
+    runtime::backend::OrderSender sender(base.get(), [&](node::Event&& event) {
+        if (const auto* it = std::get_if<node::OrderAnswered>(&event))
+            accepted = it->accepted;
+    });
+    node::SendOrder effect;
+    effect.address = server.address();
+    effect.order.version = large;
+    effect.notAfter = runtime::readClock() + 1min;
+    sender.send(effect);
+    REQUIRE(test::runUntil(base.get(), [&] { return accepted.has_value(); }));
+    CHECK(accepted == false);
+    const auto& peer = server.readRest(base.get());
+    CHECK(peer.reset);
+    CHECK(peer.received.size() < large.size());
+}
