Check that a request waits behind a cut for less than the contact time

Asked: may a request that nobody gave up, sent just before an evacuation and held up behind a cut, arrive after evacuate_ms? Test: "a request that its server does not take is lost within the contact time" passes on this code and fails without the option.

--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -334,6 +334,28 @@
     }
 }
 
+// The platform excuses a late arrival for its contact time, 3 s at least, after a link was cut.
+TEST_CASE("a request that its server does not take is lost within the contact time", "[proxy]")
+{
+    constexpr Duration contactTime = 3s;
+    World world;
+    world.setTable(10s);
+    for (auto* it : { &world.a, &world.b }) {
+        it->setReceiveBuffer(4096);
+        it->reading = false;
+    }
+    const std::string body(1024 * 1024, 'x');
+    world.client("/order/1", "POST", body);
+    world.waitFor([&] { return world.a.peers.size() + world.b.peers.size() == 1; });
+    auto& server = (world.a.peers.empty() ? world.b : world.a).peers.front();
+    const auto end = runtime::readClock() + contactTime;
+    world.waitFor([&] { return runtime::readClock() >= end; });
+    server.setReading(true);
+    world.waitFor([&] { return server.closed; });
+    CHECK(server.reset);
+    CHECK(server.received.size() < body.size());
+}
+
 TEST_CASE("answers that are not the server's answer to this request never reach the client", "[proxy]")
 {
     World world;
