Reset links whose other end is taken for lost

Callers saw: nothing yet. Reports, pushes and log messages on a connection that was given up as silent could arrive later: a stall report about a group that has been repaired meanwhile, or an old subscription. Guards so far: terms and indexes of the control log, versions of documents, numbers of pushes by connection, and the limit of 1.2 s on unacknowledged bytes, which acts only until the socket is closed. Reports of progress and stalls have no number. Change: links reset the connection when they give it up: voter links, control links, subscribers, links between entry VMs. Tests: "Log messages of a connection that was given up do not arrive later", "Reports on a connection that was given up do not arrive later" and "Messages on a connection that was given up as silent do not arrive later" fail without the change.

--- a/packages/runtime/include/rosemarymill/runtime/link/connection.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/link/connection.hpp
@@ -53,6 +53,10 @@
 
     [[nodiscard]] const std::optional<wire::link::Hello>& remote() const noexcept { return m_remote; }
 
+    /// To be called before a connection is destroyed whose other end is taken for lost: what has not arrived by then
+    /// does not arrive later.
+    void abandon() noexcept;
+
     /// Checks the time limits. Returns the reason when the connection has to be closed, or an empty text.
     [[nodiscard]] std::string overdue(Instant now) const;
 
--- a/packages/runtime/src/link/connection.cpp
+++ b/packages/runtime/src/link/connection.cpp
@@ -1,5 +1,6 @@
 #include <rosemarymill/runtime/link/connection.hpp>
 
+#include <rosemarymill/runtime/base/abandon.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
 
 #include <string>
@@ -60,6 +61,8 @@
 
 std::size_t LinkConnection::unsentBytes() const { return evbuffer_get_length(bufferevent_get_output(m_buf.get())); }
 
+void LinkConnection::abandon() noexcept { runtime::abandon(m_buf.get()); }
+
 std::string LinkConnection::overdue(Instant now) const
 {
     if (!m_remote && now - m_openedAt > helloTimeout)
--- a/packages/runtime/src/link/links.cpp
+++ b/packages/runtime/src/link/links.cpp
@@ -129,8 +129,10 @@
         std::erase_if(outgoing, [&](const auto& entry) { return entry.second->idle(now); });
         incoming.remove_if([&](const auto& it) {
             const bool overdue = !it->overdue(now).empty();
-            if (overdue)
+            if (overdue) {
                 ++counters.faults;
+                it->abandon();
+            }
             return overdue || now - it->lastFrame() > incomingIdleTimeout;
         });
     }
--- a/packages/runtime/src/link/outgoing.cpp
+++ b/packages/runtime/src/link/outgoing.cpp
@@ -72,6 +72,8 @@
 
 void OutgoingLink::closed(const std::string& reason)
 {
+    if (m_connection)
+        m_connection->abandon();
     m_connection.reset();
     // Old messages are of no use after a failure, and senders repeat what matters.
     m_queue.clear();
--- a/packages/runtime/src/nodes/control_link.cpp
+++ b/packages/runtime/src/nodes/control_link.cpp
@@ -108,6 +108,7 @@
 {
     if (std::exchange(place->closed, true))
         return;
+    place->link->abandon();
     if (m_leader == &*place) {
         writeDecision("fleet", "control link lost", { { "control", place->address }, { "why", reason } });
         m_leader = nullptr;
--- a/packages/runtime/src/nodes/subscriber_server.cpp
+++ b/packages/runtime/src/nodes/subscriber_server.cpp
@@ -152,6 +152,7 @@
         const auto next = std::next(it);
         // Connections of other voters carry log frames only, which come more often than this.
         if (now >= it->link->heardAt() + ControlLink::silenceLimit) {
+            it->link->abandon();
             retire(it);
         } else if (it->subscribed && now >= it->sentAt + ControlLink::aliveInterval) {
             send(*it, core::Alive {});
--- a/packages/runtime/src/nodes/voter_links.cpp
+++ b/packages/runtime/src/nodes/voter_links.cpp
@@ -39,6 +39,7 @@
             return;
     }
     if (!link.connection->overdue(now).empty() || link.connection->unsentBytes() > maxWaiting) {
+        link.connection->abandon();
         m_closed.push_back(std::move(link.connection));
         return;
     }
--- a/tests/runtime/nodes/control_link.cpp
+++ b/tests/runtime/nodes/control_link.cpp
@@ -126,6 +126,29 @@
     CHECK(world.runUntil([&] { return world.control.peers.size() == 2; }));
 }
 
+TEST_CASE("Reports on a connection that was given up do not arrive later", "[nodes]")
+{
+    World world;
+    world.control.setReceiveBuffer(4096);
+    world.link.setSeeds({ world.control.address() });
+    REQUIRE(world.runUntil([&] { return !world.control.peers.empty(); }));
+    auto& givenUp = world.control.peers.front();
+    givenUp.send(helloFrame() + membersFrame(world.control.address()));
+    REQUIRE(world.runUntil([&] { return world.link.connected(); }));
+    givenUp.setReading(false);
+    fleet::Report report;
+    report.stalled = { ServerId { std::string(512 * 1024, 'x') } };
+    world.link.send(report);
+    test::runFor(world.base.get(), std::chrono::milliseconds { 20 });
+    world.link.tick(runtime::readClock() + ControlLink::silenceLimit);
+    REQUIRE_FALSE(world.link.connected());
+    world.link.tick(runtime::readClock());
+    givenUp.setReading(true);
+    REQUIRE(test::runUntil(world.base.get(), [&] { return givenUp.closed; }));
+    CHECK(givenUp.reset);
+    CHECK(givenUp.received.size() < report.stalled.front().text().size());
+}
+
 TEST_CASE("A connection is not silent while a large frame arrives slowly", "[nodes]")
 {
     World world;
--- a/tests/runtime/nodes/subscriber_server.cpp
+++ b/tests/runtime/nodes/subscriber_server.cpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/core/fleet/document_parts.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/nodes/control_link.hpp>
 #include <rosemarymill/wire/fleet/codec.hpp>
 
 #include "support/http.hpp"
@@ -71,6 +72,24 @@
     CHECK(world.closed == 1);
 }
 
+TEST_CASE("Messages on a connection that was given up as silent do not arrive later", "[nodes]")
+{
+    constexpr std::size_t size = 16 * 1024 * 1024;
+    World world;
+    world.peer.setReading(false);
+    world.peer.received.clear();
+    fleet::Members members;
+    members.controls = { std::string(512 * 1024, 'x') };
+    for (std::size_t n = 0; n < size; n += members.controls.front().size())
+        world.server.send(world.server.subscribers().front(), members);
+    test::runFor(world.base.get(), std::chrono::milliseconds { 50 });
+    world.server.tick(runtime::readClock() + runtime::nodes::ControlLink::silenceLimit);
+    world.server.tick(runtime::readClock());
+    world.peer.setReading(true);
+    REQUIRE(test::runUntil(world.base.get(), [&] { return world.peer.closed; }));
+    CHECK(world.peer.reset);
+}
+
 TEST_CASE("At most two parts of a push wait for a subscriber that does not read, and all arrive later", "[nodes]")
 {
     // 16 MiB: Linux buffers at most 4 MiB for a connection that sends and 6 MiB for one that receives.
--- /dev/null
+++ b/tests/runtime/nodes/voter_links.cpp
@@ -0,0 +1,37 @@
+#include <rosemarymill/runtime/nodes/voter_links.hpp>
+
+#include <rosemarymill/runtime/base/clock.hpp>
+
+#include "support/http.hpp"
+#include "support/peer.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace rosemarymill;
+using runtime::nodes::VoterLinks;
+
+TEST_CASE("Log messages of a connection that was given up do not arrive later", "[nodes]")
+{
+    const test::EventBase base(event_base_new());
+    test::PeerListener voter(base.get());
+    voter.setReceiveBuffer(4096);
+    voter.reading = false;
+    VoterLinks links(base.get(), { VmId { "leader" }, DataCentreId { "mixco" }, BootId { "1" } });
+    agreement::InstallSnapshot<fleet::Snapshot> install;
+    install.snapshot.state.bytes = std::string(512 * 1024, 'x');
+    const fleet::LogMessage message { 1, install };
+    const VmId to { voter.address() };
+    links.send(to, message, runtime::readClock());
+    REQUIRE(test::runUntil(base.get(), [&] { return voter.peers.size() == 1; }));
+    // The first connection is given up when too much waits; the next message opens another one.
+    REQUIRE(test::runUntil(base.get(), [&] {
+        links.send(to, message, runtime::readClock());
+        return voter.peers.size() == 2;
+    }));
+    links.tick();
+    auto& givenUp = voter.peers.front();
+    givenUp.setReading(true);
+    REQUIRE(test::runUntil(base.get(), [&] { return givenUp.closed; }));
+    CHECK(givenUp.reset);
+    CHECK(givenUp.received.size() < install.snapshot.state.bytes.size());
+}
