Hand over the lead when the leader's disk is slow

Cause: a change waits for several syncs of the leader's own disk, and the process waits with it. At x 100 a change is applied on the followers' disks in milliseconds and on the leader's after 0.3 to 0.8 s; meanwhile callers wait in its socket until their second is over. The leader goes on, since it sends heartbeats between two syncs. Ruled out: elections (none at x 100), slow followers.

A leader whose last two records each took a tenth of the shortest election timeout or longer now asks the voter with the whole log and a disk that is at least twice as fast to stand for election at once. Voters report the time of their last records with each answer. A new leader, or one whose hand-over failed, keeps the lead for the longest election timeout.

--- a/packages/core/include/rosemarymill/core/agreement/event.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/event.hpp
@@ -99,6 +99,11 @@
     std::vector<VmId> voters;
 };
 
+/// The leader asks another voter to lead and takes no commands meanwhile. It goes on when no voter can.
+struct HandOver {
+    Instant now;
+};
+
 /// All records up to this sequence number are synced.
 struct Persisted {
     Instant now;
@@ -113,7 +118,7 @@
 
 template <typename Command, typename Snapshot>
 using Event = std::variant<Started, Tick, Received<Command, Snapshot>, Proposed<Command>, SetLearners, ChangeVoters,
-    Persisted, StorageChanged>;
+    HandOver, Persisted, StorageChanged>;
 
 /// Sends a message to another voter. Delivery is not guaranteed.
 template <typename Command, typename Snapshot> struct Send {
--- a/packages/core/include/rosemarymill/core/agreement/message.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rosemarymill/core/agreement/record.hpp>
+#include <rosemarymill/core/base/time.hpp>
 
 #include <variant>
 #include <vector>
@@ -49,6 +50,8 @@
     bool accepted { false };
     /// Accepted: the log matches the leader's up to here. Otherwise: the last index that may match.
     Index match { 0 };
+    /// Longest time that one of the voter's last records took to be synced.
+    Duration syncTime {};
 
     friend bool operator==(const AppendReply&, const AppendReply&) = default;
 };
@@ -68,9 +71,17 @@
     friend bool operator==(const OutdatedIncarnation&, const OutdatedIncarnation&) = default;
 };
 
+/// Asks a voter that holds the leader's whole log to stand for election at once.
+struct TakeLead {
+    /// Term of the leader that asks.
+    Term term { 0 };
+
+    friend bool operator==(const TakeLead&, const TakeLead&) = default;
+};
+
 template <typename Command, typename Snapshot>
 using Body = std::variant<VoteRequest, VoteReply, Append<Command>, AppendReply, InstallSnapshot<Snapshot>,
-    OutdatedIncarnation>;
+    OutdatedIncarnation, TakeLead>;
 
 /// Message with its sender's incarnation.
 template <typename Command, typename Snapshot> struct Message {
--- a/packages/core/include/rosemarymill/core/agreement/progress.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/progress.hpp
@@ -15,6 +15,8 @@
     std::uint64_t incarnation { 0 };
     Instant heardAt { Duration::min() };
     Instant snapshotSentAt { Duration::min() };
+    /// See AppendReply::syncTime.
+    Duration syncTime {};
 };
 
 /// Record that was handed to the storage and is not synced yet.
@@ -22,6 +24,7 @@
     std::uint64_t sequence { 0 };
     Index lastIndex { 0 };
     Index commit { 0 };
+    Instant since;
 };
 
 /// Message that waits until the records it rests on are synced.
--- a/packages/core/include/rosemarymill/core/agreement/replica.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/replica.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rosemarymill/core/agreement/event.hpp>
+#include <rosemarymill/core/agreement/hand_over.hpp>
 #include <rosemarymill/core/agreement/log.hpp>
 #include <rosemarymill/core/agreement/progress.hpp>
 #include <rosemarymill/core/agreement/rules.hpp>
@@ -63,6 +64,7 @@
                 handle(it, effects);
             },
             event);
+        reviewHandOver();
         if (m_damaged)
             effects(Diverged { m_hard.commit });
         flush(effects);
@@ -162,8 +164,9 @@
 
     void handle(const Proposed<Command>& event, Effects& effects)
     {
-        if (m_role != Role::Leader || !m_writable) {
-            const auto error = m_role == Role::Leader ? ProposalError::StorageFull : ProposalError::NotLeader;
+        if (m_role != Role::Leader || !m_writable || m_handOver) {
+            const auto error
+                = m_role == Role::Leader && !m_writable ? ProposalError::StorageFull : ProposalError::NotLeader;
             effects(Refused<Command> { error, event.command });
             return;
         }
@@ -185,7 +188,7 @@
     void handle(const ChangeVoters& event, Effects&)
     {
         const bool keepsSelf = VoterSet::contains(event.voters, m_settings.self);
-        if (m_role != Role::Leader || !m_writable || !m_caughtUp || !keepsSelf)
+        if (m_role != Role::Leader || !m_writable || !m_caughtUp || m_handOver || !keepsSelf)
             return;
         if (Rules::changesOneVoterAtOnce && (changingVoters() || m_voters.differences(event.voters) != 1))
             return;
@@ -200,6 +203,7 @@
         Index commit = 0;
         while (!m_pending.empty() && m_pending.front().sequence <= event.sequence) {
             m_durable = m_pending.front().lastIndex;
+            m_syncTimes.add(m_now - m_pending.front().since);
             commit = std::max(commit, m_pending.front().commit);
             m_pending.pop_front();
         }
@@ -207,6 +211,12 @@
         advanceCommit();
     }
 
+    void handle(const HandOver&, Effects&)
+    {
+        if (m_role == Role::Leader && !m_handOver)
+            beginHandOver(Duration::max(), true);
+    }
+
     void handle(const StorageChanged& event, Effects&)
     {
         m_writable = event.writable;
@@ -270,6 +280,7 @@
         // Names the voters, so that one that lost its disk learns them with the log.
         appendOwn(std::nullopt, voters());
         useVoters();
+        m_handOverAfter = m_now + m_settings.electionMax;
         broadcast();
     }
 
@@ -286,6 +297,7 @@
         m_role = Role::Follower;
         m_electing = false;
         m_leader = leader;
+        m_handOver.reset();
     }
 
     void handleBody(const VmId& from, const VoteRequest& request)
@@ -327,6 +339,53 @@
         countGrants();
     }
 
+    // Hand-over
+
+    /// Leader: hands over when its own disk keeps changes waiting and another voter's does not.
+    void reviewHandOver()
+    {
+        if (m_role != Role::Leader)
+            return;
+        if (!m_handOver && m_now >= m_handOverAfter && syncTime() >= m_settings.electionMin / detail::slowDiskDivisor)
+            beginHandOver(syncTime() / detail::fasterDiskFactor, false);
+        if (!m_handOver)
+            return;
+        if (m_now >= m_handOver->until) {
+            m_handOver.reset();
+            m_handOverAfter = m_now + m_settings.electionMax;
+            return;
+        }
+        const bool finished = !m_handOver->finishesChanges || m_applied == m_log.lastIndex();
+        if (m_now < m_handOver->askAt || !finished || m_peers[m_handOver->target].match != m_log.lastIndex())
+            return;
+        m_handOver->askAt = m_now + m_settings.heartbeat;
+        send(m_handOver->target, TakeLead { m_hard.term }, false);
+    }
+
+    /// How long records take to be synced. One that is not synced yet counts half, since one late record does not make
+    /// a disk slow.
+    [[nodiscard]] Duration syncTime() const
+    {
+        const auto pending = m_pending.empty() ? Duration::zero() : (m_now - m_pending.front().since) / 2;
+        return std::max(m_syncTimes.sustained(), pending);
+    }
+
+    /// Chooses the voter that holds most of the log among those that answer and whose disks take less than a time.
+    void beginHandOver(Duration disk, bool finishesChanges)
+    {
+        if (changingVoters())
+            return;
+        const auto heardAfter = m_now - 2 * m_settings.heartbeat;
+        if (const auto* it = detail::successor(voters(), m_settings.self, m_peers, heardAfter, disk))
+            m_handOver = detail::HandOverState { *it, m_now + m_settings.electionMin, finishesChanges, m_now };
+    }
+
+    void handleBody(const VmId& from, const TakeLead& request)
+    {
+        if (m_role == Role::Follower && request.term == m_hard.term && from == m_leader)
+            startElection(false);
+    }
+
     // Replication at the leader
 
     void appendOwn(std::optional<Command> command, std::vector<VmId> voters = {})
@@ -386,6 +445,7 @@
             return;
         auto& peer = m_peers[from];
         peer.heardAt = m_now;
+        peer.syncTime = reply.syncTime;
         if (!reply.accepted) {
             peer.next = std::min(m_log.lastIndex(), std::max(reply.match, peer.match)) + 1;
             if (peer.next > m_log.base() || snapshotDue(peer))
@@ -426,10 +486,15 @@
 
     // Replication at a follower
 
+    [[nodiscard]] AppendReply reply(bool accepted, Index match) const
+    {
+        return { m_hard.term, accepted, match, m_syncTimes.worst() };
+    }
+
     bool acceptLeader(const VmId& from, Term term)
     {
         if (term < m_hard.term) {
-            send(from, AppendReply { m_hard.term, false, 0 }, true);
+            send(from, reply(false, 0), true);
             return false;
         }
         follow(term, from);
@@ -447,7 +512,7 @@
             return;
         if (append.previousIndex >= m_log.base() && held != append.previousTerm) {
             const auto hint = held ? m_log.beforeTermOf(append.previousIndex) : m_log.lastIndex();
-            send(from, AppendReply { m_hard.term, false, hint }, true);
+            send(from, reply(false, hint), true);
             return;
         }
         if (!m_writable && !append.entries.empty())
@@ -466,7 +531,7 @@
                 m_hardChanged = true;
             }
         }
-        send(from, AppendReply { m_hard.term, true, match }, true);
+        send(from, reply(true, match), true);
     }
 
     /// A committed entry that differs from the leader's cannot be repaired. The replica stops taking part.
@@ -519,7 +584,7 @@
             m_record.snapshot = install.snapshot;
             setCommit(index);
         }
-        send(from, AppendReply { m_hard.term, true, index }, true);
+        send(from, reply(true, index), true);
     }
 
     void handleOutdated(const OutdatedIncarnation& it, Effects& effects)
@@ -595,7 +660,7 @@
         if (m_hardChanged || m_record.snapshot || m_record.truncateFrom || !m_record.entries.empty()) {
             m_record.hard = m_hard;
             m_hardChanged = false;
-            m_pending.push_back({ ++m_sequence, m_log.lastIndex(), m_hard.commit });
+            m_pending.push_back({ ++m_sequence, m_log.lastIndex(), m_hard.commit, m_now });
             effects(Persist<Command, Snapshot> { m_sequence, std::exchange(m_record, {}) });
             if (!Rules::syncsBeforeSending)
                 m_durable = m_log.lastIndex();
@@ -673,6 +738,10 @@
     std::uint64_t m_sequence { 0 };
     std::uint64_t m_persistedSequence { 0 };
     std::deque<PendingRecord> m_pending;
+    detail::SyncTimes m_syncTimes;
+    std::optional<detail::HandOverState> m_handOver;
+    /// A new leader, or one whose hand-over failed, keeps the lead for a while.
+    Instant m_handOverAfter;
     std::vector<HeldMessage> m_outgoing;
     std::deque<HeldMessage> m_held;
 };
--- a/packages/wire/src/agreement/codec.cpp
+++ b/packages/wire/src/agreement/codec.cpp
@@ -114,6 +114,7 @@
     packed.term = it.term;
     packed.accepted = it.accepted;
     packed.match = it.match;
+    packed.sync_time = it.syncTime.count();
     body.Set(fb::AppendReplyT { packed });
 }
 
@@ -132,6 +133,13 @@
     body.Set(fb::OutdatedIncarnationT { packed });
 }
 
+void packBody(const core::TakeLead& it, fb::BodyUnion& body)
+{
+    fb::TakeLeadT packed;
+    packed.term = it.term;
+    body.Set(fb::TakeLeadT { packed });
+}
+
 std::optional<core::Body<Buffer, Buffer>> unpackBody(const fb::BodyUnion& body)
 {
     if (const auto* it = body.AsVoteRequest())
@@ -142,11 +150,13 @@
         return core::Append<Buffer> { it->term, it->previous_index, it->previous_term, it->commit,
             it->receiver_incarnation, unpack(it->entries) };
     if (const auto* it = body.AsAppendReply())
-        return core::AppendReply { it->term, it->accepted, it->match };
+        return core::AppendReply { it->term, it->accepted, it->match, Duration { it->sync_time } };
     if (const auto* it = body.AsInstallSnapshot())
         return core::InstallSnapshot<Buffer> { it->term, unpack(*it->snapshot) };
     if (const auto* it = body.AsOutdatedIncarnation())
         return core::OutdatedIncarnation { it->seen };
+    if (const auto* it = body.AsTakeLead())
+        return core::TakeLead { it->term };
     return std::nullopt;
 }
 
--- a/tests/core/agreement/cluster.hpp
+++ b/tests/core/agreement/cluster.hpp
@@ -48,6 +48,10 @@
         /// The process knows the founding voters. They are lost with its disk.
         bool knowsFounders { true };
         agreement::Index shown { 0 };
+        /// Time of one sync. The process waits for it and does nothing else. Zero means a disk that syncs in the
+        /// background, see syncChance.
+        Duration syncTime {};
+        std::optional<Instant> syncsUntil;
     };
 
     /// The first `founding` processes found the log; by default all do. Snapshots are taken after `snapshotInterval`
@@ -91,6 +95,7 @@
     {
         node.replica.reset();
         node.unsynced.clear();
+        node.syncsUntil.reset();
         node.paused = false;
     }
 
@@ -115,13 +120,17 @@
         for (auto& node : nodes) {
             if (!node.replica || node.paused)
                 continue;
-            if (node.writable && chance(syncChance))
-                sync(node);
+            if (node.syncTime > Duration::zero()) {
+                if (waitForDisk(node))
+                    continue;
+            } else if (node.writable && chance(syncChance) && !node.unsynced.empty()) {
+                sync(node, 1 + pick(node.unsynced.size()));
+            }
             deliver(node, agreement::Tick { now });
         }
         for (auto it = m_network.begin(); it != m_network.end() && it->first <= now; it = m_network.erase(it)) {
             auto& node = *find(it->second.to);
-            if (node.paused)
+            if (node.paused || node.syncsUntil)
                 m_network.emplace(now + 10ms, it->second);
             else if (node.replica && !cut(it->second.from, it->second.to))
                 deliver(node,
@@ -141,7 +150,7 @@
     {
         bool taken = false;
         for (auto& node : nodes) {
-            if (!node.replica || node.paused || node.replica->role() != agreement::Role::Leader)
+            if (!node.replica || node.paused || node.syncsUntil || node.replica->role() != agreement::Role::Leader)
                 continue;
             taken = true;
             deliver(node, agreement::Proposed<typename M::Command> { now, command });
@@ -153,7 +162,7 @@
     template <typename Make> void tellLeaders(Make&& make)
     {
         for (auto& node : nodes) {
-            if (node.replica && !node.paused && node.replica->role() == agreement::Role::Leader)
+            if (node.replica && !node.paused && !node.syncsUntil && node.replica->role() == agreement::Role::Leader)
                 deliver(node, make(node));
         }
     }
@@ -208,11 +217,20 @@
             failure = std::move(text);
     }
 
-    void sync(Node& node)
+    /// Starts and ends the syncs of a process that waits for its disk. Returns whether it waits.
+    bool waitForDisk(Node& node)
+    {
+        if (node.syncsUntil && now < *node.syncsUntil)
+            return true;
+        if (std::exchange(node.syncsUntil, std::nullopt))
+            sync(node, node.unsynced.size());
+        else if (node.writable && !node.unsynced.empty())
+            node.syncsUntil = now + node.syncTime;
+        return node.syncsUntil.has_value();
+    }
+
+    void sync(Node& node, std::size_t count)
     {
-        if (node.unsynced.empty())
-            return;
-        const auto count = 1 + pick(node.unsynced.size());
         for (std::size_t i = 0; i < count; ++i)
             agreement::applyRecord(node.disk, node.unsynced[i].second);
         const auto sequence = node.unsynced[count - 1].first;
--- a/tests/wire/agreement/codec.cpp
+++ b/tests/wire/agreement/codec.cpp
@@ -45,7 +45,8 @@
 {
     checkRoundTrip({ 1, core::VoteRequest { 2, 3, 4, true } });
     checkRoundTrip({ 1, core::VoteReply { 2, true, false, true } });
-    checkRoundTrip({ 1, core::AppendReply { 2, true, 9 } });
+    checkRoundTrip({ 1, core::AppendReply { 2, true, 9, 15ms } });
+    checkRoundTrip({ 1, core::TakeLead { 2 } });
     checkRoundTrip({ 1, core::OutdatedIncarnation { 5 } });
     core::Append<configuration::Command> append { 1, 2, 3, 4, 5, {} };
     append.entries.push_back({ 3, 1, std::nullopt });
