Hand over the lead before a control VM stops

Cause: SIGTERM ended the process at once; the other voters waited for their election timeout.

One that follows stops at once.

The new test in tests/runtime/nodes was not run against the former code, which has no such call.

--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -71,6 +71,9 @@
 
     void setSeeds(const std::vector<std::string>& seeds);
 
+    /// Hands the lead over when this VM leads and calls `finished` once another VM leads, at the latest after `limit`.
+    void shutDown(Duration limit, std::function<void()> finished);
+
     /// Whether this VM leads and has applied all that was committed before.
     [[nodiscard]] bool leads() const noexcept { return m_leads; }
     /// Address of the leader as far as this VM knows, or an empty text.
@@ -147,6 +150,7 @@
     [[nodiscard]] std::shared_ptr<const Frames> framesOf(const fleet::DocumentFeed::Push& push);
     void countEntryVms();
     void pushLoads(Instant now);
+    void reviewShutDown(Instant now);
     void tick();
 
     event_base* m_base;
@@ -194,6 +198,8 @@
     fleet::LoadTable m_loads;
     Instant m_loadsSentAt;
     std::string m_lastLeader;
+    Instant m_stopsBy;
+    std::function<void()> m_finished;
     unsigned m_ticks { 0 };
     EventHandle m_tick;
 };
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -125,6 +125,26 @@
     m_link.setSeeds(std::move(others));
 }
 
+void ControlNode::shutDown(Duration limit, std::function<void()> finished)
+{
+    if (m_finished)
+        return;
+    m_finished = std::move(finished);
+    m_stopsBy = readClock() + limit;
+    reviewShutDown(readClock());
+}
+
+void ControlNode::reviewShutDown(Instant now)
+{
+    if (!m_finished)
+        return;
+    if (m_replica->role() == agreement::Role::Leader)
+        post(agreement::HandOver { now });
+    const bool led = m_replica->role() != agreement::Role::Leader && !m_replica->leader().empty();
+    if (led || now >= m_stopsBy)
+        m_finished();
+}
+
 std::vector<std::string> ControlNode::foundingVoters()
 {
     const auto path = std::filesystem::path(m_settings.dataFolder) / votersName;
@@ -518,6 +538,7 @@
     m_voterLinks.tick();
     m_subscribers.tick(now);
     post(agreement::Tick { now });
+    reviewShutDown(now);
     failProposals(now, false);
     // A VM that does not vote tells the leader of itself; a voter that hears no leader may have been replaced.
     if (m_replica->leader().empty() || !m_replica->isVoter(m_self.vm))
--- a/tests/runtime/nodes/control_node.cpp
+++ b/tests/runtime/nodes/control_node.cpp
@@ -335,6 +335,23 @@
     CHECK(world.read() == documentText(12, 1000));
 }
 
+TEST_CASE("a control VM that leads and is told to stop is followed by another at once", "[nodes]")
+{
+    World world;
+    REQUIRE(world.store(1, documentText(1, 1000)));
+    REQUIRE(world.allHold(1));
+    auto& leader = world.needLeader();
+    const auto began = runtime::readClock();
+    bool finished = false;
+    leader.node->shutDown(2s, [&] { finished = true; });
+    REQUIRE(test::runUntil(world.base.get(), [&] { return finished; }));
+    CHECK_FALSE(leader.node->leads());
+    leader.node.reset();
+    world.needLeader();
+    CHECK(runtime::readClock() - began < 900ms);
+    CHECK(world.store(2, documentText(2, 1000)));
+}
+
 TEST_CASE("a change is committed after a lost leader was replaced and the next one loses its disk", "[voter-losses]")
 {
     // Bounds of a deployment, see docs/platform.md.
