Do not use a server that left before a new leader knew it

Cause: the server sent DELETE to the new leader, which had not heard of it since its election at 4.9 s, acknowledged at 7.04 s and kept nothing. A heartbeat that the server had sent before arrived at 9.19 s and added it as a new server. Ruled out: entry VMs that had not found the new leader (all were linked to it at 5.7 s).

The registry now remembers that an unknown server left; a later heartbeat of that life registers it as draining. A new life is told by its first sequence numbers, as elsewhere.

With the look-up taken out, the new test fails in two checks.

--- a/packages/core/include/rosemarymill/core/fleet/registry.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/registry.hpp
@@ -43,7 +43,11 @@
 public:
     HeartbeatResult apply(Instant now, ServerRecord record);
 
-    /// Removes a server that said goodbye or is long silent.
+    /// A server said goodbye. It drains for the rest of its life, also when it is not known yet: a late heartbeat of
+    /// that life may still come.
+    void left(Instant now, const ServerId& id);
+
+    /// Removes a server that is long silent.
     void remove(const ServerId& id);
 
     [[nodiscard]] KnownServer* find(const ServerId& id);
@@ -60,6 +64,8 @@
     /// Latest life seen at each address and of each id, also of servers that were removed.
     std::unordered_map<std::string, std::int64_t> m_bornAtAddress;
     std::unordered_map<ServerId, std::int64_t> m_departed;
+    /// When servers said goodbye that were not known.
+    std::unordered_map<ServerId, Instant> m_leftUnknown;
 };
 
 } // namespace rosemarymill::fleet
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -73,11 +73,8 @@
     if (!m_leads)
         return;
     log("remove server", event.server.text(), "it left", effects);
-    if (auto* server = m_registry.find(event.server)) {
-        // The process serves a little longer; its groups are closed in order.
-        server->record.draining = true;
-        server->heardAt = m_now;
-    }
+    // The process serves a little longer; its groups are closed in order.
+    m_registry.left(m_now, event.server);
     reviewGroups(effects);
     publish(false, effects);
 }
--- a/packages/core/src/fleet/registry.cpp
+++ b/packages/core/src/fleet/registry.cpp
@@ -2,6 +2,16 @@
 
 namespace rosemarymill::fleet {
 
+namespace {
+
+/// Latest sequence number of a heartbeat that shows a new life of a server that said goodbye.
+constexpr std::uint64_t firstSequences = 2;
+
+/// Longest time that a heartbeat is under way.
+constexpr Duration heartbeatLateness = 30s;
+
+} // namespace
+
 HeartbeatResult Registry::apply(Instant now, ServerRecord record)
 {
     if (const auto it = m_departed.find(record.id); it != m_departed.end()) {
@@ -24,6 +34,10 @@
         if (record.bornMs > held.bornMs || record.address != held.address)
             m_servers.erase(known);
     }
+    if (const auto it = m_leftUnknown.find(record.id); it != m_leftUnknown.end()) {
+        record.draining = record.draining || (record.sequence > firstSequences && now < it->second + heartbeatLateness);
+        m_leftUnknown.erase(it);
+    }
     bornAtAddress = record.bornMs;
     // Another process that had the address before is gone.
     if (const auto it = m_byAddress.find(record.address); it != m_byAddress.end() && it->second != record.id)
@@ -37,6 +51,17 @@
     return HeartbeatResult::Accepted;
 }
 
+void Registry::left(Instant now, const ServerId& id)
+{
+    auto* server = find(id);
+    if (!server) {
+        m_leftUnknown[id] = now;
+        return;
+    }
+    server->record.draining = true;
+    server->heardAt = now;
+}
+
 void Registry::remove(const ServerId& id)
 {
     const auto it = m_servers.find(id);
@@ -67,6 +92,7 @@
     m_byAddress.clear();
     m_bornAtAddress.clear();
     m_departed.clear();
+    m_leftUnknown.clear();
 }
 
 } // namespace rosemarymill::fleet
--- a/tests/core/fleet/registry.cpp
+++ b/tests/core/fleet/registry.cpp
@@ -57,6 +57,28 @@
     CHECK_FALSE(registry.find(ServerId { "a" })->record.draining);
 }
 
+TEST_CASE("a late heartbeat does not bring back a server that left before a new leader knew it", "[fleet]")
+{
+    Registry registry;
+    registry.left(now, ServerId { "a" });
+    static_cast<void>(registry.apply(now + 2s, record("a", 100, 6, "x")));
+    CHECK(registry.find(ServerId { "a" })->record.draining);
+    static_cast<void>(registry.apply(now + 2s, record("a", 100, 7, "x")));
+    CHECK(registry.find(ServerId { "a" })->record.draining);
+    static_cast<void>(registry.apply(now + 4s, record("a", 200, 1, "x")));
+    CHECK_FALSE(registry.find(ServerId { "a" })->record.draining);
+}
+
+TEST_CASE("a server that starts again after it left is used", "[fleet]")
+{
+    Registry registry;
+    registry.left(now, ServerId { "a" });
+    static_cast<void>(registry.apply(now + 1s, record("a", 200, 1, "x")));
+    CHECK_FALSE(registry.find(ServerId { "a" })->record.draining);
+    static_cast<void>(registry.apply(now + 2s, record("a", 200, 5, "x")));
+    CHECK_FALSE(registry.find(ServerId { "a" })->record.draining);
+}
+
 TEST_CASE("late heartbeats do not bring back a server that left", "[fleet]")
 {
     Registry registry;
