Do not name a leader that has gone silent

Servers and operators that ask a follower are sent on to the leader that it last heard, also for the 1 to 2 s in which that VM stands still and no other is elected; the caller then waits a second there.

A follower now names its leader for three heartbeats only. After that callers get 503 and turn to another VM.

Without the bound the new test fails for both followers of each of 100 seeds.

--- a/packages/core/include/rosemarymill/core/agreement/replica.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/replica.hpp
@@ -77,6 +77,11 @@
     [[nodiscard]] const M& machine() const noexcept { return m_machine; }
     [[nodiscard]] Role role() const noexcept { return m_role; }
     [[nodiscard]] const VmId& leader() const noexcept { return m_leader; }
+    /// Whether this voter leads, or has heard its leader within the time in which three heartbeats are due.
+    [[nodiscard]] bool hearsLeader(Instant now) const noexcept
+    {
+        return m_role == Role::Leader || (!m_leader.empty() && now < m_heardLeaderAt + 3 * m_settings.heartbeat);
+    }
     [[nodiscard]] Term term() const noexcept { return m_hard.term; }
     /// Voters by the latest entry of the log, committed or not.
     [[nodiscard]] const std::vector<VmId>& voters() const noexcept { return m_voters.members(); }
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -259,7 +259,8 @@
 
 std::string ControlNode::leader() const
 {
-    const auto& known = m_replica->leader().text();
+    // A caller that is sent to a VM that stands still loses a second; one that is turned away calls another VM.
+    const auto known = m_replica->hearsLeader(readClock()) ? m_replica->leader().text() : std::string {};
     return known.empty() && m_link.connected() ? m_link.members().leader : known;
 }
 
--- a/tests/core/agreement/voters.cpp
+++ b/tests/core/agreement/voters.cpp
@@ -169,6 +169,27 @@
     CHECK(restarted.replica->voters() == voters);
 }
 
+TEST_CASE("Followers do not name a leader that has gone silent", "[agreement]")
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        tests::Cluster<Register, StandardRules> cluster(founders, seed);
+        cluster.run(5s);
+        auto* leader = cluster.leader();
+        REQUIRE(leader);
+        const auto hears = [&](const auto& it) { return it.replica->hearsLeader(cluster.now); };
+        CHECK(std::all_of(cluster.nodes.begin(), cluster.nodes.begin() + founders, hears));
+        leader->paused = true;
+        // Three heartbeats, and one that was under way.
+        for (const auto end = cluster.now + 500ms; cluster.now < end;)
+            cluster.step();
+        for (std::size_t i = 0; i < founders; ++i) {
+            const auto& replica = *cluster.nodes[i].replica;
+            INFO("seed " << seed << ", voter " << i);
+            CHECK((&cluster.nodes[i] == leader || replica.leader() != leader->vm || !hears(cluster.nodes[i])));
+        }
+    }
+}
+
 TEST_CASE("A lost leader is followed by another within the contact time, also after split votes", "[agreement]")
 {
     constexpr Duration contact = 3s;
