--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -158,6 +158,26 @@
     m_link.setSeeds(std::move(others));
 }
 
+void ControlNode::shutDown(Duration limit, std::function<void()> finished)
+{
+    if (m_finished)
+        return;
+    m_finished = std::move(finished);
+    m_stopsBy = readClock() + limit;
+    reviewShutDown(readClock());
+}
+
+void ControlNode::reviewShutDown(Instant now)
+{
+    if (!m_finished)
+        return;
+    if (m_replica->role() == agreement::Role::Leader)
+        post(agreement::HandOver { now });
+    const bool led = m_replica->role() != agreement::Role::Leader && !m_replica->leader().empty();
+    if (led || now >= m_stopsBy)
+        m_finished();
+}
+
 std::vector<std::string> ControlNode::foundingVoters()
 {
     const auto path = std::filesystem::path(m_settings.dataFolder) / votersName;
@@ -285,7 +305,8 @@
 
 std::string ControlNode::leader() const
 {
-    const auto& known = m_replica->leader().text();
+    // A caller that is sent to a VM that stands still loses a second; one that is turned away calls another VM.
+    const auto known = m_replica->hearsLeader(readClock()) ? m_replica->leader().text() : std::string {};
     return known.empty() && m_link.connected() ? m_link.members().leader : known;
 }
 
@@ -611,6 +632,7 @@
     m_voterLinks.tick();
     m_subscribers.tick(now);
     post(agreement::Tick { now });
+    reviewShutDown(now);
     failProposals(now, false);
     // Calls are carried to the leader, and a VM that does not vote tells it of itself.
     if (m_replica->role() == agreement::Role::Leader) {
