Do not name a silent leader by the connection to it either

Cause: with the connection to the leader that every control VM keeps now, leader() named a silent leader again until that connection was given up, 1.2 s after its last byte. Change: what the log knows goes before the connection, which only counts where the log knows no leader.

--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -306,8 +306,9 @@
 std::string ControlNode::leader() const
 {
     // A caller that is sent to a VM that stands still loses a second; one that is turned away calls another VM.
-    const auto known = m_replica->hearsLeader(readClock()) ? m_replica->leader().text() : std::string {};
-    return known.empty() && m_link.connected() ? m_link.members().leader : known;
+    if (const auto& known = m_replica->leader().text(); !known.empty())
+        return m_replica->hearsLeader(readClock()) ? known : std::string {};
+    return m_link.connected() ? m_link.members().leader : std::string {};
 }
 
 void ControlNode::reviewLeadership()
