--- a/tests/runtime/nodes/control_node.cpp
+++ b/tests/runtime/nodes/control_node.cpp
@@ -1,214 +1,17 @@
-#include <rosemarymill/runtime/nodes/control_node.hpp>
+#include "runtime/nodes/control_world.hpp"
 
-#include <rosemarymill/runtime/base/address.hpp>
-#include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/storage/log_file.hpp>
 #include <rosemarymill/wire/compress/compress.hpp>
 #include <rosemarymill/wire/fleet/codec.hpp>
 #include <rosemarymill/wire/frame/frame.hpp>
 
-#include "support/http.hpp"
-#include "support/peer.hpp"
-
-#include <catch2/catch.hpp>
-
-#include <algorithm>
 #include <array>
-#include <charconv>
-#include <cstdlib>
-#include <deque>
-#include <filesystem>
-#include <functional>
-#include <memory>
-#include <optional>
-#include <random>
-#include <sstream>
 
 using namespace rosemarymill;
-using runtime::nodes::ControlNode;
-
-namespace {
-
-/// Address on loopback that no listener has.
-std::string freeAddress(event_base* base) { return test::PeerListener(base).address(); }
-
-/// Document of a size that repeats itself as routes do. Its text begins with its version.
-std::string documentText(std::uint64_t version, std::size_t bytes)
-{
-    auto text = std::to_string(version);
-    while (text.size() < bytes)
-        text += ",{\"name\":\"r-" + std::to_string(text.size() * 7919) + "\",\"route_kind\":\"streaming\"}";
-    text.resize(std::max(bytes, std::to_string(version).size()));
-    return text;
-}
-
-/// Document that cannot be compressed. Its text begins with its version.
-std::string randomText(std::uint64_t version, std::size_t bytes)
-{
-    std::mt19937 random { 1 };
-    auto text = std::to_string(version) + ',';
-    while (text.size() < bytes)
-        text.push_back(static_cast<char>(random()));
-    return text;
-}
-
-routes::Document documentOf(std::uint64_t version)
-{
-    routes::Document document;
-    document.version = version;
-    return document;
-}
-
-std::uint64_t versionOf(std::string_view text)
-{
-    std::uint64_t version = 0;
-    std::from_chars(text.data(), text.data() + text.size(), version);
-    return version;
-}
-
-/// Control VM of the tests, with its data folder and its count of decoded documents.
-struct Vm {
-    std::string address;
-    std::string folder;
-    unsigned decoded { 0 };
-    std::unique_ptr<ControlNode> node;
-};
-
-struct World {
-    static constexpr std::size_t founders = 3;
-
-    /// `prepare` is called with each data folder before the VMs start.
-    explicit World(const std::function<void(const std::filesystem::path&)>& prepare = {})
-        : base(event_base_new())
-    {
-        std::string name = (std::filesystem::temp_directory_path() / "rosemarymill-XXXXXX").string();
-        root = mkdtemp(name.data());
-        for (std::size_t i = 0; i < founders; ++i) {
-            const auto& vm = add();
-            if (prepare)
-                prepare(vm.folder);
-        }
-        for (auto& it : vms)
-            start(it);
-    }
-
-    ~World()
-    {
-        for (auto& it : vms)
-            it.node.reset();
-        std::error_code ec;
-        std::filesystem::remove_all(root, ec);
-    }
-
-    World(const World&) = delete;
-    World& operator=(const World&) = delete;
-
-    /// Control VM with an empty disk that is not started yet.
-    Vm& add()
-    {
-        auto& vm = vms.emplace_back();
-        vm.address = freeAddress(base.get());
-        vm.folder = (root / std::to_string(vms.size())).string();
-        std::filesystem::create_directory(vm.folder);
-        return vm;
-    }
-
-    void loseDisk(Vm& vm)
-    {
-        vm.node.reset();
-        std::filesystem::remove_all(vm.folder);
-        std::filesystem::create_directory(vm.folder);
-    }
-
-    void start(Vm& vm, bool bootstrap = true)
-    {
-        runtime::nodes::ControlNodeSettings settings;
-        settings.address = vm.address;
-        settings.dataCentre = DataCentreId { "mixco" };
-        for (const auto& it : vms)
-            settings.seeds.push_back(it.address);
-        settings.bootstrap = bootstrap;
-        settings.dataFolder = vm.folder;
-        settings.seed = ++starts;
-        runtime::nodes::Environment environment;
-        environment.decodeDocument = [&vm](std::string_view text) {
-            ++vm.decoded;
-            runtime::nodes::DecodedDocument decoded;
-            decoded.document.version = versionOf(text);
-            return decoded;
-        };
-        vm.node = std::make_unique<ControlNode>(base.get(), std::move(settings), std::move(environment));
-    }
-
-    Vm* leader()
-    {
-        const auto it
-            = std::find_if(vms.begin(), vms.end(), [](const auto& vm) { return vm.node && vm.node->leads(); });
-        return it == vms.end() ? nullptr : &*it;
-    }
-
-    /// Waits for a leader and returns it.
-    Vm& needLeader()
-    {
-        REQUIRE(test::runUntil(base.get(), [&] { return leader() != nullptr; }));
-        return *leader();
-    }
-
-    /// Submits a document as an operator does, who sends it again while nobody knows whether it is committed. Returns
-    /// whether it is committed within ten seconds; false also when it is refused.
-    bool store(std::uint64_t version, const std::string& text)
-    {
-        const auto deadline = runtime::readClock() + 10s;
-        while (runtime::readClock() < deadline) {
-            std::optional<bool> committed;
-            if (!needLeader().node->storeDocument(documentOf(version), text, [&](bool it) { committed = it; }))
-                return false;
-            REQUIRE(test::runUntil(base.get(), [&] { return committed.has_value(); }));
-            if (*committed)
-                return true;
-            WARN("the outcome of version " << version << " is unknown, it is sent again");
-        }
-        return false;
-    }
-
-    /// Reads the stored document through the leader; empty when it is not known.
-    std::string read()
-    {
-        std::optional<std::string> text;
-        needLeader().node->readDocument([&](const auto* it) { text = it ? it->text : std::string {}; });
-        test::runUntil(base.get(), [&] { return text.has_value(); });
-        return text.value_or("");
-    }
-
-    /// Value of a metric of a control VM; -1 when it is not written.
-    static double metric(const Vm& vm, const std::string& name)
-    {
-        std::ostringstream out;
-        vm.node->writeMetrics(out);
-        std::istringstream in(out.str());
-        for (std::string line; std::getline(in, line);) {
-            if (line.starts_with(name + ' '))
-                return std::stod(line.substr(name.size()));
-        }
-        return -1;
-    }
-
-    bool allHold(std::uint64_t version)
-    {
-        return test::runUntil(base.get(), [&] {
-            return std::all_of(vms.begin(), vms.end(), [&](const auto& it) {
-                return !it.node || metric(it, "rosemarymill_control_document_version") == static_cast<double>(version);
-            });
-        });
-    }
-
-    test::EventBase base;
-    std::filesystem::path root;
-    std::uint64_t starts { 0 };
-    std::deque<Vm> vms;
-};
-
-} // namespace
+using test::documentOf;
+using test::documentText;
+using test::randomText;
+using test::World;
 
 TEST_CASE("the control log goes on after a document that fills a frame", "[nodes]")
 {
@@ -335,6 +138,23 @@
     CHECK(world.read() == documentText(12, 1000));
 }
 
+TEST_CASE("a control VM that leads and is told to stop is followed by another at once", "[nodes]")
+{
+    World world;
+    REQUIRE(world.store(1, documentText(1, 1000)));
+    REQUIRE(world.allHold(1));
+    auto& leader = world.needLeader();
+    const auto began = runtime::readClock();
+    bool finished = false;
+    leader.node->shutDown(2s, [&] { finished = true; });
+    REQUIRE(test::runUntil(world.base.get(), [&] { return finished; }));
+    CHECK_FALSE(leader.node->leads());
+    leader.node.reset();
+    world.needLeader();
+    CHECK(runtime::readClock() - began < 900ms);
+    CHECK(world.store(2, documentText(2, 1000)));
+}
+
 TEST_CASE("a change is committed after a lost leader was replaced and the next one loses its disk", "[voter-losses]")
 {
     // Bounds of a deployment, see docs/platform.md.
