End gateways in order and do not name a silent leader there

Change: a gateway answers the calls that wait, which takes no longer than their callers wait, and stops. It names the leader only while it hears it. Naming a silent leader in a gateway has no test of its own.

--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_calls.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_calls.hpp
@@ -45,6 +45,9 @@
     void receive(fleet::CarriedAnswer answer);
     void tick(Instant now);
 
+    /// Whether calls are not answered yet.
+    [[nodiscard]] bool waiting() const noexcept { return !m_callers.empty(); }
+
     void writeMetrics(std::ostream& out) const;
 
 private:
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_link.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_link.hpp
@@ -70,6 +70,8 @@
 
     /// Whether the leader is connected.
     [[nodiscard]] bool connected() const noexcept { return m_leader != nullptr; }
+    /// Whether the leader is connected and has sent something within two intervals of its messages.
+    [[nodiscard]] bool hearsLeader(Instant now) const noexcept;
     [[nodiscard]] const fleet::Members& members() const noexcept { return m_members; }
     [[nodiscard]] const LinkCounters& counters() const noexcept { return m_counters; }
 
--- a/packages/runtime/include/rosemarymill/runtime/nodes/gateway_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/gateway_node.hpp
@@ -4,6 +4,7 @@
 #include <rosemarymill/runtime/nodes/control_link.hpp>
 #include <rosemarymill/runtime/nodes/subscriber_server.hpp>
 
+#include <functional>
 #include <iosfwd>
 #include <string>
 #include <vector>
@@ -37,6 +38,9 @@
     /// Address of the leader as far as this VM knows, or an empty text.
     [[nodiscard]] std::string leader() const;
 
+    /// Answers the calls that wait, which takes no longer than their callers wait, and calls `finished`.
+    void shutDown(std::function<void()> finished);
+
     void writeMetrics(std::ostream& out) const;
 
 private:
@@ -51,6 +55,7 @@
     ControlCalls m_calls;
     /// Control VM that was told to found the log.
     std::string m_founder;
+    std::function<void()> m_finished;
     EventHandle m_tick;
 };
 
--- a/packages/runtime/src/nodes/control_link.cpp
+++ b/packages/runtime/src/nodes/control_link.cpp
@@ -193,6 +193,11 @@
     closeOthers(nullptr, "not needed");
 }
 
+bool ControlLink::hearsLeader(Instant now) const noexcept
+{
+    return m_leader && now < m_leader->link->heardAt() + 2 * aliveInterval;
+}
+
 void ControlLink::send(const core::Message& message)
 {
     if (!m_leader)
--- a/packages/runtime/src/nodes/gateway_node.cpp
+++ b/packages/runtime/src/nodes/gateway_node.cpp
@@ -54,7 +54,10 @@
     m_link.setSeeds(std::move(others));
 }
 
-std::string GatewayNode::leader() const { return m_link.connected() ? m_link.members().leader : std::string {}; }
+std::string GatewayNode::leader() const
+{
+    return m_link.hearsLeader(readClock()) ? m_link.members().leader : std::string {};
+}
 
 core::Members GatewayNode::members() const
 {
@@ -91,8 +94,12 @@
     m_subscribers.tick(now);
     m_link.tick(now);
     m_calls.tick(now);
+    if (m_finished && !m_calls.waiting())
+        m_finished();
 }
 
+void GatewayNode::shutDown(std::function<void()> finished) { m_finished = std::move(finished); }
+
 void GatewayNode::writeMetrics(std::ostream& out) const
 {
     out << "# TYPE rosemarymill_control_connected gauge\nrosemarymill_control_connected "
--- a/tests/process/control_orders.cpp
+++ b/tests/process/control_orders.cpp
@@ -215,3 +215,10 @@
         }
     }
 }
+
+TEST_CASE("A gateway that is told to stop ends in order", "[process]")
+{
+    ControlVms vms(1, 1);
+    REQUIRE(Operator(vms.ips(), 1).send(document(1)).acknowledgedAt != Clock::time_point::max());
+    CHECK(vms.stop(1) == 0);
+}
--- a/tests/process/control_vms.hpp
+++ b/tests/process/control_vms.hpp
@@ -65,6 +65,13 @@
 
     void signal(std::size_t i, int number) const { m_processes[i].signal(number); }
 
+    /// Tells a VM's process to stop. Returns its exit code, or -1 when it was killed or did not end.
+    int stop(std::size_t i)
+    {
+        m_processes[i].signal(SIGTERM);
+        return m_processes[i].wait();
+    }
+
     /// Lines of all VMs about elections.
     [[nodiscard]] std::string elections() const
     {
