Follow a new leader on control VMs that do not vote, and found the log across data centres

Cause: its log is not told of elections and named the former leader, and each look closed the right connection. The founder took the control VMs in the order in which they introduced themselves. Change: only a voter that hears its leader takes it from the log. The founder waits until all have had time to start and chooses voters from as many data centres as possible.

--- a/packages/core/include/rosemarymill/core/fleet/voters.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/voters.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -70,6 +71,11 @@
 [[nodiscard]] VoterReview reviewVoters(const VmId& self, std::span<const VoterCandidate> candidates, bool changing,
     const VoterSettings& settings, Instant now);
 
+/// Voters that found the log: `self` and the other control VMs that are known, up to `wanted`, from as many data
+/// centres as possible.
+[[nodiscard]] std::vector<VmId> foundingVoters(
+    const VmId& self, const std::map<VmId, DataCentreId>& known, std::size_t wanted);
+
 /// Voters and learners as the leader `self` sees them. `dataCentreOf` tells where a VM is, as far as that is known.
 template <typename Replica, typename DataCentreOf>
 [[nodiscard]] std::vector<VoterCandidate> voterCandidates(
--- a/packages/core/src/fleet/voters.cpp
+++ b/packages/core/src/fleet/voters.cpp
@@ -92,6 +92,24 @@
     return { VoterDecision::Keep, {}, "all voters answer", {} };
 }
 
+std::vector<VmId> foundingVoters(const VmId& self, const std::map<VmId, DataCentreId>& known, std::size_t wanted)
+{
+    std::vector<VmId> voters { self };
+    std::map<DataCentreId, std::size_t> chosen;
+    if (const auto it = known.find(self); it != known.end())
+        ++chosen[it->second];
+    auto left = known;
+    left.erase(self);
+    while (voters.size() < wanted && !left.empty()) {
+        const auto next = std::min_element(left.begin(), left.end(),
+            [&](const auto& a, const auto& b) { return chosen[a.second] < chosen[b.second]; });
+        ++chosen[next->second];
+        voters.push_back(next->first);
+        left.erase(next);
+    }
+    return voters;
+}
+
 std::size_t workingVoters(std::span<const VoterCandidate> candidates, const VoterSettings& settings, Instant now)
 {
     return static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(),
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -216,7 +216,7 @@
     /// Since when this VM is to found the log.
     std::optional<Instant> m_foundingSince;
     /// Control VMs that may found the log, this one included.
-    std::set<std::string> m_founders;
+    std::map<VmId, DataCentreId> m_founders;
     fleet::CallDesk m_desk;
     fleet::EntryRoster m_entryVms;
     /// Number of entry VMs that was last told to them.
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -35,10 +35,15 @@
 /// The founder holds its first election at once: the others have introduced themselves.
 constexpr Duration foundingDelay = 50ms;
 
-/// Time for which the founder waits for as many control VMs as are to vote; all machines of a new system start within
-/// 300 ms.
+/// Time in which all control VMs of a new system have started and have introduced themselves.
+constexpr Duration startingTime = 600ms;
+
+/// Time for which the founder waits for as many control VMs as are to vote.
 constexpr Duration foundingWait = 2s;
 
+/// Control VMs that the founder chooses the voters from.
+constexpr std::size_t maxFounders = 64;
+
 /// Shortest interval at which entry VMs hear of each other's loads, and the part of it for each entry VM, which bounds
 /// the leader's work.
 constexpr Duration minLoadInterval = 150ms;
@@ -139,7 +144,7 @@
     m_folder = std::make_unique<storage::DataFolder>(
         opened(m_settings.dataFolder, storage::DataFolder::open(m_settings.dataFolder)));
     setSeeds(m_settings.seeds);
-    m_founders.insert(m_settings.address);
+    m_founders.emplace(m_self.vm, m_self.dataCentre);
     startReplica();
     if (!m_settings.seeds.empty()
         && *std::min_element(m_settings.seeds.begin(), m_settings.seeds.end()) == m_settings.address)
@@ -202,13 +207,15 @@
 
 void ControlNode::reviewFounding(Instant now)
 {
-    if (!m_foundingSince || !mayFound()
-        || (m_founders.size() < m_voterSettings.wanted && now < *m_foundingSince + foundingWait))
+    if (!m_foundingSince || !mayFound())
+        return;
+    const bool enough = m_founders.size() >= m_voterSettings.wanted;
+    if (now < *m_foundingSince + (enough ? startingTime : foundingWait))
         return;
     m_foundingSince.reset();
     std::string text;
-    for (const auto& it : m_founders)
-        text += it + '\n';
+    for (const auto& it : core::foundingVoters(m_self.vm, m_founders, m_voterSettings.wanted))
+        text += it.text() + '\n';
     writeDurably(m_settings.dataFolder, votersName, text);
     writeDecision("fleet", "found the control log", { { "voters", text } });
     m_replica.reset();
@@ -492,9 +499,8 @@
 
 void ControlNode::onSubscribed(Subscriber& subscriber)
 {
-    if (subscriber.subscription.control && subscriber.subscription.mayFound
-        && m_founders.size() < m_voterSettings.wanted)
-        m_founders.insert(subscriber.subscription.address);
+    if (subscriber.subscription.control && subscriber.subscription.mayFound && m_founders.size() < maxFounders)
+        m_founders.emplace(subscriber.subscription.address, subscriber.link->remote()->dataCentre);
     if (subscriber.isEntryVm())
         m_entryVms.heard(subscriber.vm(), readClock());
     m_subscribers.send(subscriber, members());
@@ -639,7 +645,9 @@
     if (m_replica->role() == agreement::Role::Leader) {
         m_link.disconnect();
     } else {
-        m_link.follow(m_replica->leader().text());
+        // A VM that does not vote is not told of elections, so what it heard last may be out of date.
+        if (m_replica->isVoter(m_self.vm) && m_replica->hearsLeader(now))
+            m_link.follow(m_replica->leader().text());
         m_link.tick(now);
     }
     reviewFounding(now);
--- a/tests/core/fleet/voters.cpp
+++ b/tests/core/fleet/voters.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <set>
+
 using namespace rosemarymill;
 using fleet::reviewVoters;
 using fleet::VoterCandidate;
@@ -39,6 +42,23 @@
 
 } // namespace
 
+TEST_CASE("the voters that found a log stand in different data centres", "[fleet]")
+{
+    const DataCentreId a { "a" };
+    const DataCentreId b { "b" };
+    const DataCentreId c { "c" };
+    const std::map<VmId, DataCentreId> known { { VmId { "1" }, a }, { VmId { "2" }, a }, { VmId { "3" }, b },
+        { VmId { "4" }, b }, { VmId { "5" }, c }, { VmId { "6" }, c } };
+    const auto voters = fleet::foundingVoters(VmId { "4" }, known, 3);
+    REQUIRE(voters.size() == 3);
+    CHECK(voters.front() == VmId { "4" });
+    std::set<DataCentreId> dataCentres;
+    for (const auto& it : voters)
+        dataCentres.insert(known.at(it));
+    CHECK(dataCentres.size() == 3);
+    CHECK(fleet::foundingVoters(VmId { "4" }, known, 9).size() == known.size());
+}
+
 TEST_CASE("working voters stay", "[fleet]")
 {
     CHECK(next({ voter("a", "x"), voter("b", "y"), voter("c", "z"), standby("d", "x") }).empty());
--- a/tests/runtime/nodes/control_node.cpp
+++ b/tests/runtime/nodes/control_node.cpp
@@ -173,3 +173,27 @@
     CHECK(world.store(2, documentText(2, 1000)));
     CHECK(runtime::readClock() < begin + contact + ack);
 }
+
+TEST_CASE("a control VM that does not vote follows a new leader and carries calls to it", "[nodes]")
+{
+    World world;
+    REQUIRE(world.store(1, documentText(1, 1000)));
+    REQUIRE(world.allHold(1));
+    auto& spare = world.add();
+    world.start(spare, false);
+    REQUIRE(world.allHold(1));
+    for (auto& it : world.vms) {
+        it.node->calls().onExecute([](const fleet::ControlCall&, const auto& answered) { answered({ 200, {} }); });
+    }
+    auto& lost = world.needLeader();
+    REQUIRE(&lost != &spare);
+    lost.node.reset();
+    world.needLeader();
+    test::runFor(world.base.get(), 3000ms);
+    unsigned status = 0;
+    spare.node->calls().take({ "GET", "/", {} }, [&status](const auto& answer) { status = answer.status; });
+    CHECK(test::runUntil(world.base.get(), [&] { return status != 0; }));
+    CHECK(status == 200);
+    CHECK(world.store(2, documentText(2, 1000)));
+    CHECK(world.allHold(2));
+}
