Name the same request under all its ids in the log, and tell whether an attempt may have begun

Change: `fingerprint` in the lines of a call (client account, path and body, as core/quarantine takes it) and `begun` in those of an attempt.

--- a/packages/core/include/rosemarymill/core/base/hash.hpp
+++ b/packages/core/include/rosemarymill/core/base/hash.hpp
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <span>
+#include <string>
 #include <string_view>
 
 /// Hashes by XXH3. They are stable across processes and versions, so several VMs compute the same choice.
@@ -24,6 +25,9 @@
 /// Hashes the parts in order. The boundaries between parts matter: ("ab", "c") and ("a", "bc") differ.
 [[nodiscard]] Fingerprint fingerprint(std::span<const std::string_view> parts) noexcept;
 
+/// The fingerprint as 32 hexadecimal digits.
+[[nodiscard]] std::string formatFingerprint(const Fingerprint& fingerprint);
+
 /// Weight of a candidate for a key in rendezvous hashing; the candidate with the highest weight is chosen.
 [[nodiscard]] std::uint64_t rendezvousWeight(std::string_view key, std::string_view candidate) noexcept;
 
--- a/packages/core/src/base/hash.cpp
+++ b/packages/core/src/base/hash.cpp
@@ -23,6 +23,18 @@
     return { digest.high64, digest.low64 };
 }
 
+std::string formatFingerprint(const Fingerprint& fingerprint)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr unsigned bitsPerDigit = 4;
+    std::string text;
+    for (const auto part : { fingerprint.high, fingerprint.low }) {
+        for (unsigned shift = 64; shift > 0; shift -= bitsPerDigit)
+            text += digits[(part >> (shift - bitsPerDigit)) & 0xFU];
+    }
+    return text;
+}
+
 std::uint64_t rendezvousWeight(std::string_view key, std::string_view candidate) noexcept
 {
     return hash64(candidate, hash64(key));
--- a/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <rosemarymill/core/base/hash.hpp>
 #include <rosemarymill/core/dispatch/balancer.hpp>
 #include <rosemarymill/core/routes/table.hpp>
 #include <rosemarymill/runtime/proxy/event_buffer.hpp>
@@ -93,6 +94,8 @@
     ModelName m_model;
     dispatch::Work m_work;
     std::string m_attemptId;
+    /// Names the request among those of all callers: the client account, the path and the body.
+    Fingerprint m_fingerprint;
 
     dispatch::CallState m_state;
     /// How the last attempt ended.
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -154,6 +154,9 @@
         const auto promptTokens = parseNumber(usage.substr(0, usage.find(',')));
         m_work = dispatch::workOf(*m_service->engine, m_model, static_cast<unsigned>(promptTokens.value_or(0)));
     }
+    const std::array<std::string_view, 3> parts { m_account ? std::string_view { m_account->id.text() } : "",
+        m_head.target, m_body };
+    m_fingerprint = rosemarymill::fingerprint(parts);
     const auto wait = parseNumber(m_head.find(names.deadline));
     m_clientDeadline = m_startedAt + (wait ? Duration { std::chrono::milliseconds { *wait } } : m_route->timeout);
     m_state.deadline = std::min(m_clientDeadline, m_startedAt + m_route->timeout);
@@ -466,7 +469,8 @@
     writeDecision("call", "attempt ended",
         { { "request", m_attemptId }, { "server", server.text() }, { "end", std::string(nameOf(end)) },
             { "why", std::string(why) }, { "attempt", std::to_string(m_tried.size()) },
-            { "age_ms", std::to_string((now - m_attemptAt) / 1ms) }, { "budget", budgetLeft ? "left" : "spent" },
+            { "age_ms", std::to_string((now - m_attemptAt) / 1ms) }, { "begun", mayHaveBegun ? "maybe" : "no" },
+            { "fingerprint", formatFingerprint(m_fingerprint) }, { "budget", budgetLeft ? "left" : "spent" },
             { "budget_left", formatNumber(budget) }, { "entry_vms", std::to_string(entryVms) },
             { "next", step == Step::TryNext ? "try next" : "end" } });
     if (step != Step::TryNext)
@@ -636,7 +640,7 @@
             { "status", std::to_string(status) }, { "why", std::string(why) },
             { "server", m_tried.empty() ? std::string {} : m_tried.back().text() },
             { "attempts", std::to_string(m_tried.size()) }, { "load", formatNumber(m_chosenLoad) },
-            { "candidates", std::to_string(m_candidates) },
+            { "candidates", std::to_string(m_candidates) }, { "fingerprint", formatFingerprint(m_fingerprint) },
             { "document", std::to_string(m_table ? m_table->document().version : 0) },
             { "first_event_ms", m_eventCount > 0 ? age(m_firstEventAt) : std::string {} }, { "ms", age(now) } });
 }
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -568,3 +568,24 @@
     for (const auto* part : { R"("request":"r1")", R"("route":"/order/")", R"("status":"200")", R"("document":"1")" })
         CHECK(log.find(part) != std::string::npos);
 }
+
+TEST_CASE(
+    "the lines of a request have the same fingerprint under another id, and tell whether it may have begun", "[proxy]")
+{
+    World world;
+    auto& first = world.client("/order/1");
+    world.nextRequest().close();
+    world.waitFor([&] { return first.has(" 502 "); });
+    auto& second = world.clients.emplace_back(world.base.get(), world.proxy->address());
+    second.send("POST /order/1 HTTP/1.1\r\nHost: x.example\r\nX-Id: r2\r\nAuthorization: Bearer key\r\n"
+                "Content-Length: 4\r\n\r\nbody");
+    world.nextRequest().close();
+    world.waitFor([&] { return second.has(" 502 "); });
+    const std::string field = R"("fingerprint":")";
+    const auto log = world.log.str();
+    const auto at = log.find(field);
+    REQUIRE(at != std::string::npos);
+    const auto value = log.substr(at, field.size() + 32);
+    CHECK(log.find(value, log.find(R"("request":"r2")")) != std::string::npos);
+    CHECK_THAT(log, Catch::Contains(R"("begun":"maybe")"));
+}
