--- a/tests/process/control_vms.hpp
+++ b/tests/process/control_vms.hpp
@@ -1,15 +1,9 @@
 #pragma once
 
-#include "support/child.hpp"
-
-#include <platform/names.hpp>
-
-#include <nlohmann/json.hpp>
+#include "daemons.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <filesystem>
-#include <fstream>
 #include <sstream>
 #include <stdexcept>
 #include <string>
@@ -26,27 +20,16 @@
 
     /// Starts VMs that vote in the control log, and others without a data folder that only take orders.
     explicit ControlVms(std::size_t voters, std::size_t others = 0)
+        : m_voters(voters)
     {
-        std::string name = (std::filesystem::temp_directory_path() / "rosemarymill-XXXXXX").string();
-        m_folder = mkdtemp(name.data());
         const auto pid = static_cast<unsigned>(getpid());
-        const auto network = "127." + std::to_string(1 + pid / 250 % 250) + '.' + std::to_string(pid % 250) + '.';
+        m_network = "127." + std::to_string(1 + pid / 250 % 250) + '.' + std::to_string(pid % 250) + '.';
         for (std::size_t i = 0; i < voters + others; ++i)
-            m_ips.push_back(network + std::to_string(i + 1));
+            m_ips.push_back(m_network + std::to_string(i + 1));
         for (std::size_t i = 0; i < m_ips.size(); ++i)
-            start(i, voters);
-    }
-
-    ~ControlVms()
-    {
-        m_processes.clear();
-        std::error_code ec;
-        std::filesystem::remove_all(m_folder, ec);
+            m_daemons.start(settingsOf(i, true));
     }
 
-    ControlVms(const ControlVms&) = delete;
-    ControlVms& operator=(const ControlVms&) = delete;
-
     /// Addresses of the VMs that take orders, in the order of their numbers.
     [[nodiscard]] const std::vector<std::string>& ips() const noexcept { return m_ips; }
 
@@ -54,8 +37,8 @@
     [[nodiscard]] std::size_t leader() const
     {
         constexpr std::string_view roleChanged = R"("text":"log role changed","role":")";
-        for (std::size_t i = 0; i < m_processes.size(); ++i) {
-            const auto log = m_processes[i].output();
+        for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+            const auto log = m_daemons[i].output();
             const auto at = log.rfind(roleChanged);
             if (at != std::string::npos && log.substr(at + roleChanged.size()).starts_with("2\""))
                 return i;
@@ -63,21 +46,33 @@
         throw std::runtime_error("no control VM leads");
     }
 
-    void signal(std::size_t i, int number) const { m_processes[i].signal(number); }
+    /// First three parts of the VMs' addresses, with a dot.
+    [[nodiscard]] const std::string& network() const noexcept { return m_network; }
+
+    [[nodiscard]] Daemons& daemons() noexcept { return m_daemons; }
+
+    /// Starts the process of a VM again that has ended. It keeps its disk.
+    void restart(std::size_t i)
+    {
+        m_daemons.write(i, settingsOf(i, false));
+        m_daemons.restart(i);
+    }
+
+    void signal(std::size_t i, int number) const { m_daemons[i].signal(number); }
 
     /// Tells a VM's process to stop. Returns its exit code, or -1 when it was killed or did not end.
     int stop(std::size_t i)
     {
-        m_processes[i].signal(SIGTERM);
-        return m_processes[i].wait();
+        m_daemons[i].signal(SIGTERM);
+        return m_daemons[i].wait();
     }
 
     /// Lines of all VMs about elections.
     [[nodiscard]] std::string elections() const
     {
         std::string lines;
-        for (std::size_t i = 0; i < m_processes.size(); ++i) {
-            std::istringstream log(m_processes[i].output());
+        for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+            std::istringstream log(m_daemons[i].output());
             for (std::string line; std::getline(log, line);) {
                 if (line.find("log role changed") != std::string::npos)
                     lines += "VM " + std::to_string(i) + ": " + line + '\n';
@@ -87,34 +82,31 @@
     }
 
 private:
-    void start(std::size_t i, std::size_t voters)
+    [[nodiscard]] nlohmann::json settingsOf(std::size_t i, bool bootstrap) const
     {
         using nlohmann::json;
         const auto name = "control-" + std::to_string(i + 1);
         auto seeds = json::array();
-        for (std::size_t seed = 0; seed < voters; ++seed)
+        for (std::size_t seed = 0; seed < m_voters; ++seed)
             seeds.push_back(m_ips[seed] + ':' + std::to_string(port));
         json settings { { "node", name }, { "zone", "zone-" + std::to_string(i % 3) }, { "ip", m_ips[i] },
-            { "machine_class", i < voters ? "core" : "edge" }, { "serves", { "control" } },
+            { "machine_class", i < m_voters ? "core" : "edge" }, { "serves", { "control" } },
             { "listen", { { "control_plane", m_ips[i] + ':' + std::to_string(port) } } },
-            { "internal_ports", { 7340, 7355 } }, { "seeds", seeds }, { "bootstrap", true }, { "heartbeat_ms", 1200 },
-            { "fault_tolerance", { { "machine_count", (voters - 1) / 2 } } },
+            { "internal_ports", { 7340, 7355 } }, { "seeds", seeds }, { "bootstrap", bootstrap },
+            { "heartbeat_ms", 1200 }, { "fault_tolerance", { { "machine_count", (m_voters - 1) / 2 } } },
             { "bounds", { { "catch_up_s", 4 }, { "contact_ms", 3000 }, { "ack_ms", 4000 } } } };
-        if (i < voters) {
-            const auto data = m_folder / name;
+        if (i < m_voters) {
+            const auto data = m_daemons.folder() / name;
             std::filesystem::create_directories(data);
             settings["data_dir"] = data.string();
         }
-        const auto path = m_folder / (name + ".json");
-        std::ofstream(path) << settings.dump();
-        m_processes.emplace_back("/usr/bin/env",
-            std::vector<std::string> { std::string(platform::settingsVariable) + '=' + path.string(),
-                std::string(ROSEMARYMILL_BINARY_DIR) + "/packages/daemon/rosemarymilld", "platform" });
+        return settings;
     }
 
-    std::filesystem::path m_folder;
+    std::size_t m_voters;
+    std::string m_network;
     std::vector<std::string> m_ips;
-    std::deque<Child> m_processes;
+    Daemons m_daemons;
 };
 
 } // namespace rosemarymill::test
--- /dev/null
+++ b/tests/process/crashing_request.cpp
@@ -0,0 +1,176 @@
+#include "desk_servers.hpp"
+#include "entry_vms.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <sstream>
+
+using namespace rosemarymill;
+using namespace std::chrono_literals;
+using nlohmann::json;
+using test::ControlVms;
+using test::DeskServers;
+using test::EntryVms;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using Seconds = std::chrono::duration<double>;
+
+/// Bounds of the platform: `contact_ms`, and the rule on requests that crash their servers.
+constexpr auto contact = 3s;
+constexpr std::size_t allowedCrashes = 3;
+constexpr std::size_t allowedRepeats = 3;
+
+/// Control VMs, entry VMs and servers of a plain service with a route for each kind of request.
+struct World {
+    World()
+        : controls(3)
+        , entries(controls, 4)
+        , servers(controls.network(), 10, controls.ips())
+        , base(event_base_new())
+    {
+        REQUIRE(test::waitFor([&] { return call(controls.ips()[0], ControlVms::port, putDocument()) == 200; }));
+        REQUIRE(test::waitFor([&] { return ready(); }));
+    }
+
+    struct Request {
+        evhttp_cmd_type method { EVHTTP_REQ_POST };
+        std::string path;
+        std::string body;
+        test::Headers headers;
+    };
+
+    static Request putDocument()
+    {
+        auto routes = json::array();
+        for (const auto* kind : { "idempotent", "mutating", "streaming" })
+            routes.push_back({ { "name", kind }, { "host", "h.example" },
+                { "path_prefix", std::string("/") + kind + '/' }, { "route_kind", kind }, { "timeout_ms", 2000 },
+                { "max_attempts", 2 }, { "resumable", true }, { "service", DeskServers::service } });
+        const json body { { "version", 1 }, { "routes", routes },
+            { "services", { { { "name", DeskServers::service } } } },
+            { "tenants", { { { "name", "brand" }, { "api_keys", { "key" } } } } } };
+        return { EVHTTP_REQ_PUT, platform::documentPath, body.dump(), { { "Content-Type", "application/json" } } };
+    }
+
+    int call(const std::string& ip, std::uint16_t port, const Request& it)
+    {
+        constexpr timeval patience { 2, 500'000 };
+        return test::request(*base, ip, port, patience, it.method, it.path, it.body, it.headers).status;
+    }
+
+    bool ready()
+    {
+        return std::all_of(entries.ips().begin(), entries.ips().end(), [&](const auto& ip) {
+            return call(ip, EntryVms::readyPort, { EVHTTP_REQ_GET, platform::readyPath, {}, {} }) == 200;
+        });
+    }
+
+    /// Sends a request of the client account to an entry VM, under a new id.
+    int send(std::size_t entry, const std::string& kind, const std::string& body)
+    {
+        const auto names = platform::headerNames();
+        const auto id = "r" + std::to_string(++sent);
+        ids[id] = kind + ' ' + body;
+        Request it { EVHTTP_REQ_POST, '/' + kind + "/1", body,
+            { { "Host", "h.example" }, { "Authorization", "Bearer key" }, { names.attemptId, id },
+                { names.deadline, "2000" } } };
+        return call(entries.ips()[entry % entries.ips().size()], EntryVms::port, it);
+    }
+
+    /// Ends of servers under a request, in their order.
+    std::vector<Clock::time_point> crashes(const std::string& kind, const std::string& body) const
+    {
+        std::vector<Clock::time_point> times;
+        for (const auto& it : servers.crashes()) {
+            if (ids.at(it.request) == kind + ' ' + body)
+                times.push_back(it.at);
+        }
+        return times;
+    }
+
+    /// Ends of servers later than the contact time after the third one.
+    static std::size_t late(const std::vector<Clock::time_point>& crashes)
+    {
+        if (crashes.size() <= allowedCrashes)
+            return 0;
+        const auto limit = crashes[allowedCrashes - 1] + contact;
+        return static_cast<std::size_t>(
+            std::count_if(crashes.begin(), crashes.end(), [&](auto it) { return it > limit; }));
+    }
+
+    ControlVms controls;
+    EntryVms entries;
+    DeskServers servers;
+    test::EventBase base;
+    std::size_t sent { 0 };
+    std::map<std::string, std::string> ids;
+};
+
+} // namespace
+
+TEST_CASE("A request under which three servers ended is not sent on, whichever entry VM it comes to",
+    "[process][crashing-request]")
+{
+    constexpr auto duration = 9s;
+    const std::string deadly = DeskServers::deadly;
+    World world;
+    const auto end = Clock::now() + duration;
+    std::size_t refusedInnocents = 0;
+    for (std::size_t i = 0; Clock::now() < end; ++i) {
+        for (const auto* kind : { "idempotent", "mutating", "streaming" }) {
+            world.send(i, kind, deadly + kind);
+            // All innocent requests share path, client account and body.
+            const auto status = world.send(i + 1, kind, "innocent");
+            refusedInnocents += status == 503 && world.crashes(kind, deadly + kind).size() >= allowedCrashes ? 1 : 0;
+        }
+        std::this_thread::sleep_for(200ms);
+    }
+    for (const auto* kind : { "idempotent", "mutating", "streaming" }) {
+        const auto crashes = world.crashes(kind, deadly + kind);
+        INFO(kind << ": " << crashes.size() << " servers ended");
+        CHECK(crashes.size() >= 1);
+        CHECK(World::late(crashes) <= allowedRepeats);
+    }
+    CHECK(refusedInnocents == 0);
+}
+
+TEST_CASE("A request under which three servers ended is still known after all processes were killed",
+    "[process][crashing-request]")
+{
+    const std::string deadly = DeskServers::deadly;
+    const std::string kind = "mutating";
+    World world;
+    const auto known = [&] { return world.crashes(kind, deadly).size() >= allowedCrashes; };
+    for (std::size_t i = 0; i < 20 && !known(); ++i) {
+        world.send(i, kind, deadly);
+        std::this_thread::sleep_for(200ms);
+    }
+    REQUIRE(known());
+    std::this_thread::sleep_until(world.crashes(kind, deadly)[allowedCrashes - 1] + contact);
+    auto& controls = world.controls.daemons();
+    auto& entries = world.entries.daemons();
+    for (std::size_t i = 0; i < controls.size(); ++i)
+        controls.kill(i);
+    for (std::size_t i = 0; i < entries.size(); ++i)
+        entries.kill(i);
+    for (std::size_t i = 0; i < controls.size(); ++i)
+        world.controls.restart(i);
+    for (std::size_t i = 0; i < entries.size(); ++i)
+        entries.restart(i);
+    REQUIRE(test::waitFor([&] { return world.ready(); }));
+    for (std::size_t i = 0; i < 2 * world.entries.ips().size(); ++i) {
+        world.send(i, kind, deadly);
+        std::this_thread::sleep_for(100ms);
+    }
+    const auto crashes = world.crashes(kind, deadly);
+    INFO(crashes.size() << " servers ended");
+    CHECK(World::late(crashes) <= allowedRepeats);
+    // A request of the same caller that has nothing to do with it is served.
+    CHECK(test::waitFor([&] { return world.send(0, kind, "innocent") == 200; }));
+}
--- /dev/null
+++ b/tests/process/desk_servers.hpp
@@ -0,0 +1,220 @@
+#pragma once
+
+#include "support/http.hpp"
+#include "support/peer.hpp"
+
+#include <platform/names.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <charconv>
+#include <chrono>
+#include <cstdint>
+#include <cstring>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// Stand-in for a plain service of the users' platform whose servers end when they begin to run certain requests.
+namespace rosemarymill::test {
+
+class DeskServers {
+public:
+    using Clock = std::chrono::steady_clock;
+
+    static constexpr std::uint16_t port = 8080;
+    static constexpr const char* service = "desk";
+    /// Requests with this text in their body end the server that begins to run them.
+    static constexpr const char* deadly = "deadly";
+
+    /// End of a server by a request.
+    struct Crash {
+        Clock::time_point at;
+        std::string server;
+        std::string request;
+    };
+
+    /// Servers at `network` + 101 and the following addresses, which announce themselves to the control VMs.
+    DeskServers(const std::string& network, std::size_t n, std::vector<std::string> controls)
+        : m_controls(std::move(controls))
+        , m_base(event_base_new())
+    {
+        for (std::size_t i = 0; i < n; ++i)
+            m_servers.push_back(std::make_unique<Server>(network + std::to_string(101 + i), i));
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~DeskServers()
+    {
+        m_stopped = true;
+        m_thread.join();
+    }
+
+    DeskServers(const DeskServers&) = delete;
+    DeskServers& operator=(const DeskServers&) = delete;
+
+    [[nodiscard]] std::vector<Crash> crashes() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_crashes;
+    }
+
+private:
+    static constexpr std::chrono::milliseconds heartbeat { 400 };
+    /// Time after which a server that has ended is back.
+    static constexpr std::chrono::milliseconds downTime { 1000 };
+
+    struct FreeListener {
+        void operator()(evconnlistener* it) const noexcept { evconnlistener_free(it); }
+    };
+
+    struct Server {
+        Server(std::string address, std::size_t n)
+            : ip(std::move(address))
+            , number(n)
+        {
+        }
+
+        [[nodiscard]] std::string id() const
+        {
+            // Servers mostly start under a new id, some under the one that they had.
+            const auto name = number % 2 == 0 ? life : 0;
+            return "i-" + std::to_string(number) + '-' + std::to_string(name);
+        }
+
+        std::string ip;
+        std::size_t number;
+        unsigned life { 0 };
+        std::int64_t bornMs { 0 };
+        std::uint64_t sequence { 0 };
+        Clock::time_point upAt;
+        Clock::time_point beatAt;
+        std::unique_ptr<evconnlistener, FreeListener> listener;
+        std::list<Peer> peers;
+        bool ends { false };
+    };
+
+    void run()
+    {
+        while (!m_stopped) {
+            for (auto& it : m_servers) {
+                const auto now = Clock::now();
+                if (it->ends)
+                    end(*it);
+                else if (!it->listener && now >= it->upAt)
+                    start(*it);
+                else if (it->listener && now >= it->beatAt + heartbeat)
+                    announce(*it);
+                it->peers.remove_if([](const auto& peer) { return peer.closed; });
+            }
+            runFor(m_base.get(), std::chrono::milliseconds { 5 });
+        }
+    }
+
+    void start(Server& server)
+    {
+        using std::chrono::system_clock;
+        ++server.life;
+        server.sequence = 0;
+        server.bornMs
+            = std::chrono::duration_cast<std::chrono::milliseconds>(system_clock::now().time_since_epoch()).count();
+        auto address = runtime::parseAddress(server.ip + ':' + std::to_string(port)).value();
+        auto* context = new std::pair<DeskServers*, Server*>(this, &server);
+        m_contexts.emplace_back(context);
+        server.listener.reset(evconnlistener_new_bind(
+            m_base.get(),
+            [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* it) {
+                auto& [self, to] = *static_cast<std::pair<DeskServers*, Server*>*>(it);
+                auto& peer = to->peers.emplace_back(self->m_base.get(), socket);
+                peer.onReceived = [self = self, to = to](Peer& from) { self->receive(*to, from); };
+            },
+            context, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64, address.get(), static_cast<int>(address.length)));
+        if (server.listener)
+            announce(server);
+    }
+
+    static void end(Server& server)
+    {
+        server.ends = false;
+        server.peers.clear();
+        server.listener.reset();
+        server.upAt = Clock::now() + downTime;
+    }
+
+    void announce(Server& server)
+    {
+        constexpr timeval patience { 0, 300'000 };
+        server.beatAt = Clock::now();
+        const nlohmann::json body { { "service", service }, { "address", server.ip + ':' + std::to_string(port) },
+            { "zone", "zone-0" }, { "version", "v1" }, { "slots", 6 }, { "state", "healthy" }, { "cold_left_ms", 0 },
+            { "sequence", ++server.sequence }, { "born", server.bornMs } };
+        const auto id = server.id();
+        auto to = m_controls[m_next % m_controls.size()];
+        for (unsigned hop = 0; hop < 3; ++hop) {
+            const auto response = request(*m_base, to, 8229, patience, EVHTTP_REQ_PUT, platform::serversPath + id,
+                body.dump(), { { "Content-Type", "application/json" } });
+            if (response.status != 307) {
+                if (response.status != 200)
+                    ++m_next;
+                return;
+            }
+            const auto begin = response.location.find("//") + 2;
+            to = response.location.substr(begin, response.location.find(':', begin) - begin);
+        }
+    }
+
+    static std::string headerOf(const std::string& head, const std::string& name)
+    {
+        const auto at = head.find("\r\n" + name + ": ");
+        if (at == std::string::npos)
+            return {};
+        const auto begin = at + name.size() + 4;
+        return head.substr(begin, head.find("\r\n", begin) - begin);
+    }
+
+    void receive(Server& server, Peer& from)
+    {
+        const auto headEnd = from.received.find("\r\n\r\n");
+        if (headEnd == std::string::npos)
+            return;
+        const auto head = from.received.substr(0, headEnd + 2);
+        std::size_t length = 0;
+        const auto text = headerOf(head, "Content-Length");
+        std::from_chars(text.data(), text.data() + text.size(), length);
+        if (from.received.size() < headEnd + 4 + length)
+            return;
+        const auto body = from.received.substr(headEnd + 4, length);
+        from.received.erase(0, headEnd + 4 + length);
+        const auto names = platform::headerNames();
+        const auto id = headerOf(head, names.attemptId);
+        const auto echo = names.attemptId + ": " + id + "\r\n";
+        if (const auto expected = headerOf(head, names.expectServer); expected != server.id())
+            return from.send("HTTP/1.1 421 Misdirected\r\n" + echo + "Content-Length: 0\r\n\r\n");
+        if (body.find(deadly) != std::string::npos) {
+            const std::lock_guard lock(m_mutex);
+            m_crashes.push_back({ Clock::now(), server.id() + '/' + std::to_string(server.life), id });
+            // The connections end outside of their callbacks.
+            server.ends = true;
+            return;
+        }
+        from.send("HTTP/1.1 200 OK\r\n" + echo + names.seal + ": s\r\nContent-Length: 2\r\n\r\nok");
+    }
+
+    std::vector<std::string> m_controls;
+    EventBase m_base;
+    std::vector<std::unique_ptr<Server>> m_servers;
+    std::vector<std::unique_ptr<std::pair<DeskServers*, Server*>>> m_contexts;
+    std::size_t m_next { 0 };
+    mutable std::mutex m_mutex;
+    std::vector<Crash> m_crashes;
+    std::atomic<bool> m_stopped { false };
+    std::thread m_thread;
+};
+
+} // namespace rosemarymill::test
--- a/tests/support/http.hpp
+++ b/tests/support/http.hpp
@@ -63,9 +63,10 @@
     HttpResponse response;
     auto* it = evhttp_request_new(&detail::onResponse, &response);
     auto* out = evhttp_request_get_output_headers(it);
-    evhttp_add_header(out, "Host", ip.c_str());
     for (const auto& [key, value] : headers)
         evhttp_add_header(out, key.c_str(), value.c_str());
+    if (!evhttp_find_header(out, "Host"))
+        evhttp_add_header(out, "Host", ip.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(it), body.data(), body.size());
     evhttp_make_request(connection.get(), it, method, path.c_str());
     while (!response.done)
