Refuse odd heartbeats before they are taken apart

What callers saw: a heartbeat of another writer that nests 60,000 deep ended the leading control process, and the next one that took it; another one outdated or displaced the server whose id or address it named. Cause: the product's parser bounds nesting, the platform's did not, and the refused value was shown by a serializer that recurses. Starts, numbers of heartbeats, slots and names were not bounded, and a service that no document names took its place in the registry. Change: parseForeignJson bounds nesting by a scan before anything is parsed; refused values are shown as excerpts; numbers that do not fit, long names, starts and numbers of heartbeats from the future are refused; a heartbeat of a service that the document does not name changes nothing unless the server had that service. The operators' client reads by the same function. Ruled out: the library's parser and destructor do not recurse, only its serializer, copies and comparisons do. A well-formed heartbeat that is only a little ahead still outdates the server's own.

--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -41,6 +41,12 @@
         return;
     const auto* before = m_registry.find(event.record.id);
     const bool known = before != nullptr;
+    if (m_table && !m_table->service(event.record.service)
+        && (!known || before->record.service != event.record.service)) {
+        // It may name the address or the id of a server that is in use.
+        log("ignore heartbeat", event.record.id.text(), "no service " + event.record.service.text(), effects);
+        return;
+    }
     const bool wasDraining = known && before->record.draining;
     const auto result = m_registry.apply(m_now, event.record);
     const auto name = event.record.id.text();
--- a/packages/ctl/src/commands.cpp
+++ b/packages/ctl/src/commands.cpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/ctl/client.hpp>
 #include <rosemarymill/wire/digest/sha256.hpp>
+#include <rosemarymill/wire/json/parse.hpp>
 #include <rosemarymill/wire/manifest/manifest.hpp>
 
 #include <boost/uuid/random_generator.hpp>
@@ -117,7 +118,7 @@
 
 std::string describeAnswer(const Answer& answer)
 {
-    const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+    const auto body = wire::parseForeignJson(answer.body);
     if (!body.is_object())
         return answer.body;
     if (!body.contains("result"))
--- a/packages/ctl/src/render.cpp
+++ b/packages/ctl/src/render.cpp
@@ -1,5 +1,7 @@
 #include <rosemarymill/ctl/commands.hpp>
 
+#include <rosemarymill/wire/json/parse.hpp>
+
 #include <sstream>
 
 #include <nlohmann/json.hpp>
@@ -34,7 +36,7 @@
 
 std::string renderStatus(std::string_view text)
 {
-    const auto status = json::parse(text, nullptr, false);
+    const auto status = wire::parseForeignJson(text);
     if (!status.is_object())
         return std::string(text);
     std::ostringstream out;
@@ -62,7 +64,7 @@
 
 std::string renderRevisions(std::string_view text)
 {
-    const auto document = json::parse(text, nullptr, false);
+    const auto document = wire::parseForeignJson(text);
     if (!document.is_object())
         return std::string(text);
     std::ostringstream out;
--- a/packages/wire/include/rosemarymill/wire/json/parse.hpp
+++ b/packages/wire/include/rosemarymill/wire/json/parse.hpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/wire/json/fault.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,16 @@
 /// Deepest nesting that is accepted. It bounds the recursion of the library's serializer.
 inline constexpr int maxJsonDepth = 16;
 
+/// Deepest nesting of texts whose unknown members are ignored. Copies and comparisons of values recurse as well.
+inline constexpr std::size_t maxForeignJsonDepth = 64;
+
+/// Whether arrays and objects in a JSON text nest deeper than a number of levels.
+[[nodiscard]] bool nestsDeeper(std::string_view text, std::size_t levels) noexcept;
+
+/// Parses a JSON text in which members may occur twice. The value is discarded when the text is malformed or nests
+/// deeper than maxForeignJsonDepth.
+[[nodiscard]] nlohmann::json parseForeignJson(std::string_view text);
+
 /// Parses a JSON text. Malformed text, duplicate object members and nesting beyond maxJsonDepth are faults; then there
 /// is no value.
 [[nodiscard]] std::optional<nlohmann::json> parseJson(std::string_view text, std::vector<JsonFault>& faults);
--- a/packages/wire/src/json/parse.cpp
+++ b/packages/wire/src/json/parse.cpp
@@ -104,6 +104,38 @@
     return text;
 }
 
+bool nestsDeeper(std::string_view text, std::size_t levels) noexcept
+{
+    std::size_t depth = 0;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        switch (text[i]) {
+        case '"':
+            for (++i; i < text.size() && text[i] != '"'; ++i)
+                i += text[i] == '\\' ? 1 : 0;
+            break;
+        case '{':
+        case '[':
+            if (++depth > levels)
+                return true;
+            break;
+        case '}':
+        case ']':
+            depth -= depth > 0 ? 1 : 0;
+            break;
+        default:
+            break;
+        }
+    }
+    return false;
+}
+
+json parseForeignJson(std::string_view text)
+{
+    if (nestsDeeper(text, maxForeignJsonDepth))
+        return json::value_t::discarded;
+    return json::parse(text, nullptr, false);
+}
+
 std::optional<json> parseJson(std::string_view text, std::vector<JsonFault>& faults)
 {
     const auto before = faults.size();
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -553,3 +553,22 @@
     for (const auto& [id, target] : fleet.control.targets())
         CHECK(fleet.servers.at(id).alive);
 }
+
+TEST_CASE("a heartbeat of a service that the document does not name takes no server's place", "[fleet]")
+{
+    FakeFleet fleet({});
+    fleet.lead(1);
+    fleet.run(40s);
+    const auto head = anyOpenHead(fleet);
+    auto odd = fleet.servers.at(head).record;
+    odd.service = ServiceName { "unnamed" };
+    odd.sequence += 100;
+    fleet.decide(rosemarymill::fleet::event::HeartbeatReceived { fleet.now, odd });
+    odd.id = ServerId { "odd" };
+    odd.bornMs += 1;
+    fleet.decide(rosemarymill::fleet::event::HeartbeatReceived { fleet.now, odd });
+    REQUIRE(fleet.control.registry().find(head));
+    CHECK(fleet.control.registry().find(head)->record.service == ServiceName { "llm" });
+    CHECK_FALSE(fleet.control.registry().find(odd.id));
+    CHECK(fleet.control.targets().contains(head));
+}
--- a/tests/platform/decode.cpp
+++ b/tests/platform/decode.cpp
@@ -6,8 +6,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <cstdio>
 #include <fstream>
+#include <limits>
 
 using namespace rosemarymill;
 using platform::Json;
@@ -36,6 +38,19 @@
         "group":{"name":"g7","epoch":12,"rank":0,"state":"healthy"}})");
 }
 
+/// Time of day soon after the start of the server in the heartbeat.
+constexpr std::chrono::milliseconds timeOfDay { 1'700'000'010'000 };
+
+bool refusesHeartbeat(const std::string& body, const std::string& id = "i-1")
+{
+    try {
+        static_cast<void>(platform::decodeHeartbeat(ServerId { id }, body, timeOfDay));
+        return false;
+    } catch (const platform::DecodeError&) {
+        return true;
+    }
+}
+
 std::string fault(const Json& json)
 {
     const auto faults = platform::decodeDocument(json.dump()).faults;
@@ -94,7 +109,7 @@
 
 TEST_CASE("a heartbeat is read into the product's terms", "[platform]")
 {
-    const auto it = platform::decodeHeartbeat(ServerId { "i-1" }, heartbeatJson().dump());
+    const auto it = platform::decodeHeartbeat(ServerId { "i-1" }, heartbeatJson().dump(), timeOfDay);
     CHECK(it.bornMs == 1700000000000);
     CHECK(it.coldLeft == 1500ms);
     CHECK(it.holds(ModelName { "m" }));
@@ -106,40 +121,94 @@
 
 TEST_CASE("heartbeats of other writers name no server", "[platform]")
 {
-    const auto refused = [](const std::string& body) {
-        try {
-            static_cast<void>(platform::decodeHeartbeat(ServerId { "i-1" }, body));
-            return false;
-        } catch (const platform::DecodeError&) {
-            return true;
-        }
-    };
-    CHECK(refused(""));
-    CHECK(refused("\xff\xfe"));
-    CHECK(refused("[1]"));
-    CHECK(refused("null"));
+    CHECK(refusesHeartbeat(""));
+    CHECK(refusesHeartbeat("\xff\xfe"));
+    CHECK(refusesHeartbeat("[1]"));
+    CHECK(refusesHeartbeat("null"));
     for (const auto* field : { "service", "address", "zone", "slots", "state", "sequence", "born" }) {
         CAPTURE(field);
         auto json = heartbeatJson();
         json.erase(field);
-        CHECK(refused(json.dump()));
+        CHECK(refusesHeartbeat(json.dump()));
         json[field] = Json::array();
-        CHECK(refused(json.dump()));
+        CHECK(refusesHeartbeat(json.dump()));
         json[field] = nullptr;
-        CHECK(refused(json.dump()));
+        CHECK(refusesHeartbeat(json.dump()));
     }
     auto json = heartbeatJson();
     json["state"] = "happy";
-    CHECK(refused(json.dump()));
+    CHECK(refusesHeartbeat(json.dump()));
     json = heartbeatJson();
     json["address"] = "nowhere";
-    CHECK(refused(json.dump()));
+    CHECK(refusesHeartbeat(json.dump()));
     json = heartbeatJson();
     json["born"] = 1.5;
-    CHECK(refused(json.dump()));
+    CHECK(refusesHeartbeat(json.dump()));
     json = heartbeatJson();
     json["group"]["state"] = "happy";
-    CHECK(refused(json.dump()));
+    CHECK(refusesHeartbeat(json.dump()));
+}
+
+TEST_CASE("an odd heartbeat is refused and ends no process", "[platform]")
+{
+    const auto nested = [](std::size_t levels) { return std::string(levels, '[') + std::string(levels, ']'); };
+    // Longer than a refused value may be copied into an error, as the calls of servers may have 1 MiB.
+    for (const std::size_t levels : { 100U, 60'000U, 500'000U }) {
+        for (const auto* field : { "service", "models", "staged_models", "group", "slots", "state", "extra" }) {
+            CAPTURE(levels, field);
+            auto json = heartbeatJson();
+            json[field] = "odd";
+            auto body = json.dump();
+            body.replace(body.find("\"odd\""), 5, nested(levels));
+            CHECK(refusesHeartbeat(body));
+        }
+    }
+    CHECK(refusesHeartbeat(nested(60'000)));
+    CHECK_FALSE(platform::decodeDocument("{\"version\":1,\"routes\":" + nested(60'000) + "}").faults.empty());
+    const auto with = [](const char* field, const Json& value) {
+        auto json = heartbeatJson();
+        json[field] = value;
+        return json.dump();
+    };
+    CHECK(refusesHeartbeat(with("slots", 99'999'999'999'999)));
+    CHECK(refusesHeartbeat(with("address", "10.0.0.1:99999")));
+    CHECK(refusesHeartbeat(with("service", std::string(1000, 'x'))));
+    CHECK(refusesHeartbeat(
+        with("group", { { "name", "g" }, { "epoch", 1 }, { "rank", 99'999'999'999 }, { "state", "open" } })));
+    auto body = with("cold_left_ms", "odd");
+    body.replace(body.find("\"odd\""), 5, "1e999");
+    CHECK(refusesHeartbeat(body));
+    CHECK(refusesHeartbeat(heartbeatJson().dump(), ""));
+    CHECK(refusesHeartbeat(heartbeatJson().dump(), std::string(1000, 'i')));
+}
+
+TEST_CASE("a heartbeat from the future does not outdate the server's own", "[platform]")
+{
+    const auto with = [](const char* field, std::uint64_t value) {
+        auto json = heartbeatJson();
+        json[field] = value;
+        return json.dump();
+    };
+    CHECK(refusesHeartbeat(with("born", 1'900'000'000'000)));
+    CHECK(refusesHeartbeat(with("born", std::numeric_limits<std::uint64_t>::max())));
+    CHECK(refusesHeartbeat(with("sequence", 1'000'000)));
+    CHECK(refusesHeartbeat(with("sequence", std::numeric_limits<std::uint64_t>::max())));
+    // Clocks differ, and a server that has run for long has sent many.
+    CHECK_FALSE(refusesHeartbeat(with("born", static_cast<std::uint64_t>(timeOfDay.count()) + 60'000)));
+    auto json = heartbeatJson();
+    json["born"] = 1'600'000'000'000;
+    json["sequence"] = 50'000'000;
+    CHECK_FALSE(refusesHeartbeat(json.dump()));
+}
+
+TEST_CASE("numbers of a document that do not fit are refused", "[platform]")
+{
+    auto json = documentJson();
+    json["routes"][0]["max_attempts"] = 99'999'999'999;
+    CHECK(fault(json) == "/routes/0/max_attempts");
+    json = documentJson();
+    json["services"][0]["inference_engine"]["models"][0]["size"] = 4'294'967'296;
+    CHECK(fault(json) == "/services/0/inference_engine/models/0/size");
 }
 
 TEST_CASE("orders carry fencing number and epoch", "[platform]")
