Do not end a caller's stream by the error that answers its rest

What callers saw, on the product's own plane: a stream broke off, the next server answered 500, 404, 204 or a plain 200, and the stream ended with [DONE] as if it were complete. Cause: an answer that is no stream was finished like a first answer, and the listener ends a stream that has begun with its mark. The platform's proxy refused such answers; the product's reducer did not: a rule kept on one of two planes. Change: once an answer has begun, an attempt whose answer is not an event stream with 200 has failed; it is cancelled and the call goes on elsewhere or is given up. Conclusion: happened here, fixed.

--- a/packages/core/src/node/attempts.cpp
+++ b/packages/core/src/node/attempts.cpp
@@ -138,6 +138,12 @@
     auto* call = findByAttempt(state, event.attempt);
     if (!call)
         return;
+    constexpr int statusOk = 200;
+    if (call->responseBegun && (!event.stream || event.status != statusOk)) {
+        effects(CancelAttempt { event.attempt, false });
+        handle(state, AttemptFailed { event.now, event.attempt, AttemptError::MalformedAnswer, true }, effects);
+        return;
+    }
     keepOnly(state, *call, event.attempt, effects);
     auto& attempt = *call->attempt;
     attempt.responseStarted = true;
--- a/tests/core/node/whole_path.cpp
+++ b/tests/core/node/whole_path.cpp
@@ -82,3 +82,49 @@
     node::reduce(state, node::AnnouncementReceived { start, RequestId { 5 }, confirmed }, effects);
     CHECK(effectsOf<node::Dispatch>(effects).size() == 1);
 }
+
+TEST_CASE("An error that answers the rest of a stream neither ends the stream nor comes into it", "[node]")
+{
+    node::Settings settings;
+    settings.vm = VmId { "entry-1" };
+    settings.dataCentre = DataCentreId { "mixco" };
+    settings.announceAddress = "127.0.0.1:7000";
+    node::State state { settings };
+    node::Effects effects;
+    const Instant start { 1s };
+    auto manifest = sampleManifest();
+    manifest.models[0].vmsPerReplica = 1;
+    node::reduce(state, node::ManifestSubmitted { start, RequestId { 1 }, std::nullopt, "s", "d", manifest }, effects);
+    node::reduce(state, node::AnnouncementReceived { start, RequestId { 2 }, engine("01") }, effects);
+    const auto orders = effectsOf<node::SendOrder>(effects);
+    REQUIRE(orders.size() == 1);
+    auto confirmed = engine("01");
+    confirmed.group = backend::GroupMembership { orders[0].order.group, orders[0].order.fencing, orders[0].order.rank };
+    confirmed.fencingSeen = orders[0].order.fencing;
+    node::reduce(state, node::AnnouncementReceived { start, RequestId { 3 }, confirmed }, effects);
+    call::Request request;
+    request.tokenDigest = "digest-1";
+    request.model = ModelName { "planner" };
+    request.stream = true;
+    effects.clear();
+    node::reduce(state, node::CallArrived { start, CallId { 1 }, request }, effects);
+    auto dispatches = effectsOf<node::Dispatch>(effects);
+    REQUIRE(dispatches.size() == 1);
+    const auto first = dispatches[0].attempt;
+    node::reduce(state, node::ResponseStarted { start, first, 200, true }, effects);
+    node::reduce(state, node::TokenReceived { start, first, 0, 8 }, effects);
+    node::reduce(state, node::AttemptFailed { start, first, node::AttemptError::TimedOut, true }, effects);
+    dispatches = effectsOf<node::Dispatch>(effects);
+    REQUIRE(dispatches.size() == 2);
+    const auto second = dispatches[1].attempt;
+    CHECK(dispatches[1].resumeFrom == 1);
+    const auto [status, stream] = GENERATE(std::pair { 500, false }, std::pair { 404, false }, std::pair { 200, false },
+        std::pair { 204, false }, std::pair { 500, true });
+    CAPTURE(status, stream);
+    effects.clear();
+    node::reduce(state, node::ResponseStarted { start, second, status, stream }, effects);
+    node::reduce(state, node::ResponseFinished { start, second }, effects);
+    CHECK(effectsOf<node::FinishCall>(effects).empty());
+    CHECK(effectsOf<node::BeginResponse>(effects).empty());
+    CHECK(effectsOf<node::CancelAttempt>(effects).size() == 1);
+}
