Take nothing from an answer before its id

What callers saw: a server wrote an earlier refusal once more on a kept connection; the order under way was taken as refused and went to a second server, while the first one was running it (TWICE, REFUSED). Cause: the load, the rejection and the faulty server were read from the head before its id was compared. Change: the id comes first. An answer to an earlier request on a kept connection is dropped whole, once, and the request's own answer awaited, so that an order that runs keeps its answer; on a new connection, or a second time, the attempt ends as one that may have run. Ruled out elsewhere: orders to servers use one connection each, carried calls are matched by id, the product's client compares the id first. Figures: with the rejection read first the new test ends with the order at a second server; now it gets its own answer from the first. Conclusion: happened here, fixed.

--- a/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
@@ -61,6 +61,9 @@
     [[nodiscard]] std::string requestFor(const fleet::Target& target, Instant now) const;
     [[nodiscard]] Duration timeLeft(Instant now) const;
 
+    /// Checks the id of an answer before anything else is taken from it. Skips one to an earlier request, or ends the
+    /// attempt.
+    [[nodiscard]] bool answersThisRequest();
     void onHead();
     void onStreamBytes();
     void onPlainBytes();
@@ -113,6 +116,8 @@
     unsigned m_candidates { 0 };
     bool m_headSeen { false };
     bool m_streaming { false };
+    /// An answer to an earlier request has been skipped in this attempt.
+    bool m_skipped { false };
     /// The stream waits for a server to continue on, since this time.
     std::optional<Instant> m_waitingSince;
     EventBuffer m_events;
--- a/packages/runtime/include/rosemarymill/runtime/proxy/upstream.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/upstream.hpp
@@ -58,6 +58,9 @@
     [[nodiscard]] bool connected() const noexcept { return m_connected; }
     [[nodiscard]] bool reused() const noexcept { return m_uses > 1; }
 
+    /// The answer whose head was seen belongs to another request: drops it and reads the next one.
+    void skipAnswer() noexcept { m_skipping = true; }
+
     /// The answer made progress. At most this many bytes may come before it does so again.
     void expect(std::size_t bytes) noexcept { m_limit.expect(bytes); }
     /// Whether bytes arrived since the request was sent, of an answer or not.
@@ -74,6 +77,8 @@
 
     void readIdle();
     void readAnswer();
+    /// Parses what has arrived, up to the end of the answer. Returns false when it is no answer.
+    [[nodiscard]] bool parseInput();
     void fail(End end);
     [[nodiscard]] bool reusable() const;
     /// How long the server keeps the idle connection, as it said in its last answer.
@@ -87,6 +92,7 @@
     std::string m_request;
     ReceiveLimit m_limit;
     bool m_hasReceived { false };
+    bool m_skipping { false };
     bool m_connected { false };
     unsigned m_uses { 0 };
     Instant m_idleSince;
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -186,6 +186,7 @@
     m_candidates = choice.candidates;
     m_waitingSince.reset();
     m_headSeen = m_streaming = false;
+    m_skipped = false;
     m_nextProgress = bodyProgressBytes;
     m_attemptAt = m_lastBytesAt = now;
     if (repeats) {
@@ -239,6 +240,8 @@
 void Call::onAnswer()
 {
     if (!m_headSeen) {
+        if (!answersThisRequest())
+            return;
         m_headSeen = true;
         m_lastBytesAt = readClock();
         m_upstream->expect(maxAnswerBytes);
@@ -256,6 +259,24 @@
         onPlainBytes();
 }
 
+bool Call::answersThisRequest()
+{
+    const auto& head = m_upstream->parser().head();
+    const auto id = head.find(m_proxy.m_settings.names.attemptId);
+    if (id == m_attemptId)
+        return true;
+    // The answer to an earlier request says nothing about this one, whose own answer may follow.
+    if (!id.empty() && m_upstream->reused() && !std::exchange(m_skipped, true)) {
+        writeDecision("call", "answer skipped",
+            { { "request", m_attemptId }, { "server", m_server.text() }, { "answers", std::string(id) },
+                { "status", std::to_string(head.status) } });
+        m_upstream->skipAnswer();
+    } else {
+        endAttempt(AttemptEnd::Broken, "answer to another request");
+    }
+    return false;
+}
+
 void Call::progressed(Instant now)
 {
     m_lastBytesAt = now;
@@ -317,8 +338,6 @@
         }
         return endAttempt(AttemptEnd::Rejected, "status " + std::to_string(head.status));
     }
-    if (head.find(names.attemptId) != m_attemptId)
-        return endAttempt(AttemptEnd::Broken, "answer to another request");
     const bool success = head.status >= 200 && head.status < 300;
     if ((success && !head.has(names.seal)) || head.has("Content-Encoding"))
         return endAttempt(AttemptEnd::Broken, "answer is not the server's");
--- a/packages/runtime/src/proxy/upstream.cpp
+++ b/packages/runtime/src/proxy/upstream.cpp
@@ -65,7 +65,7 @@
     ++m_uses;
     m_parser.reset(headRequest);
     m_limit.expect(maxAnswerHeadBytes);
-    m_hasReceived = false;
+    m_hasReceived = m_skipping = false;
     if (m_connected)
         bufferevent_write(m_buf.get(), request.data(), request.size());
     else
@@ -92,36 +92,50 @@
 void Upstream::readIdle() { m_pool.discard(*this); }
 
 void Upstream::readAnswer()
+{
+    auto* call = m_call;
+    do {
+        if (!parseInput())
+            return fail(End::Invalid);
+        if (m_parser.headComplete() && !m_skipping)
+            call->onAnswer();
+        // The call may have ended, or continue on another connection.
+        if (!m_call || call->upstream() != this)
+            return;
+    } while (m_skipping && m_parser.complete());
+    if (m_limit.exceeded())
+        fail(End::TooLong);
+}
+
+bool Upstream::parseInput()
 {
     auto* input = bufferevent_get_input(m_buf.get());
     for (;;) {
+        if (m_skipping && m_parser.complete()) {
+            m_parser.reset();
+            m_skipping = false;
+        }
         const auto n = evbuffer_get_contiguous_space(input);
         if (n == 0)
-            break;
+            return true;
         const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(n)));
         const auto used = m_parser.feed({ data, n });
         evbuffer_drain(input, used);
         m_limit.add(used);
         m_hasReceived = true;
         if (m_parser.failed())
-            return fail(End::Invalid);
+            return false;
         // An interim answer precedes the final one.
         constexpr unsigned firstFinalStatus = 200;
         if (m_parser.complete() && m_parser.head().status < firstFinalStatus) {
             if (m_parser.head().status == 101)
-                return fail(End::Invalid);
+                return false;
             m_parser.reset();
             continue;
         }
-        if (m_parser.complete())
-            break;
+        if (m_parser.complete() && !m_skipping)
+            return true;
     }
-    auto* call = m_call;
-    if (m_parser.headComplete())
-        call->onAnswer();
-    // The call may have ended, or continue on another connection.
-    if (m_call && call->upstream() == this && m_limit.exceeded())
-        fail(End::TooLong);
 }
 
 void Upstream::onEvent(bufferevent* buf, short what, void* self)
@@ -148,7 +162,7 @@
         if (call->upstream() != &it)
             return;
     }
-    if ((what & BEV_EVENT_EOF) && it.m_parser.finish())
+    if ((what & BEV_EVENT_EOF) && !it.m_skipping && it.m_parser.finish())
         return it.m_call->onAnswer();
     it.fail((what & BEV_EVENT_EOF) ? End::Closed : End::Reset);
 }
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -385,6 +385,48 @@
     CHECK_FALSE(client.has("half"));
 }
 
+TEST_CASE("a refusal that is repeated on a kept connection does not answer the next order", "[proxy]")
+{
+    World world;
+    fleet::TargetDelta one;
+    one.withdrawn = { ServerId { "b" } };
+    world.proxy->applyTargets(one);
+    const auto refusal = GENERATE(std::string("503 Service Unavailable"), "429 Too Many Requests", "421 Misdirected");
+    CAPTURE(refusal);
+    const std::string headers = "X-Not-Run: 1\r\nX-Load: 900,900,6\r\nAt: a\r\nX-Seal: s\r\n";
+    auto& first = world.client("/order/1");
+    auto& server = world.nextRequest();
+    server.send(answer("200 OK", "one"));
+    world.waitFor([&] { return first.has("one"); });
+    // The server is known again, and the connection was in use a moment ago.
+    fleet::TargetDelta both;
+    both.upserts = { World::target("b", world.b) };
+    server.received.clear();
+    auto& second = world.clients.emplace_back(world.base.get(), world.proxy->address());
+    second.send("POST /order/2 HTTP/1.1\r\nHost: x.example\r\nX-Id: r2\r\nAuthorization: Bearer key\r\n"
+                "Content-Length: 4\r\n\r\nnext");
+    world.waitFor([&] { return server.has("/order/2") && server.has("next"); });
+    world.proxy->applyTargets(both);
+    server.send(answer(refusal, "refused", headers, "r1"));
+    test::runFor(world.base.get(), std::chrono::milliseconds { 50 });
+    CHECK(world.b.peers.empty());
+    CHECK_FALSE(second.has(" 503 "));
+    server.send(answer("200 OK", "two", "X-Seal: s\r\n", "r2"));
+    world.waitFor([&] { return second.has("two"); });
+    CHECK(world.b.peers.empty());
+    CHECK_FALSE(second.has("refused"));
+}
+
+TEST_CASE("a refusal of an earlier request is no refusal of an order, though nothing else comes", "[proxy]")
+{
+    World world;
+    auto& client = world.client("/order/1");
+    world.nextRequest().send(answer("503 Service Unavailable", "", "X-Not-Run: 1\r\n", "r0"));
+    world.waitFor([&] { return client.has("\r\n\r\n"); });
+    CHECK(client.has("HTTP/1.1 502 "));
+    CHECK(world.requests().size() == 1);
+}
+
 TEST_CASE("bytes behind an answer close the connection to the server", "[proxy]")
 {
     World world;
