Continue a stream only by events that have ids

Cause: an event without an id was passed on as if it belonged to any stream, and an answer that ended in order was complete whatever it had brought. Change: the rest of a stream has ids, and at least one event. Anything else is dropped, and the stream goes on elsewhere or is cut. Where a server answers a whole request, such bodies are its own and pass unchanged; a test states that.

--- a/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
@@ -118,6 +118,10 @@
     bool m_streaming { false };
     /// An answer to an earlier request has been skipped in this attempt.
     bool m_skipped { false };
+    /// The attempt is to bring the rest of a stream that has begun.
+    bool m_continues { false };
+    /// Events that the attempt brought.
+    std::uint64_t m_attemptEvents { 0 };
     /// The stream waits for a server to continue on, since this time.
     std::optional<Instant> m_waitingSince;
     EventBuffer m_events;
--- a/packages/runtime/include/rosemarymill/runtime/proxy/event_buffer.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/event_buffer.hpp
@@ -15,6 +15,16 @@
     void setLastId(std::optional<std::uint64_t> id) noexcept { m_lastId = id; }
     [[nodiscard]] std::optional<std::uint64_t> lastId() const noexcept { return m_lastId; }
 
+    /// Whether events from now on must have an id, as those of the rest of a stream. An event without one is dropped
+    /// with all that follows.
+    void requireIds(bool required) noexcept
+    {
+        m_idsRequired = required;
+        m_withoutId = false;
+    }
+    /// Whether an event had no id where it must have one.
+    [[nodiscard]] bool withoutId() const noexcept { return m_withoutId; }
+
     /// Takes bytes of the body and appends the whole events among them to `out`. Returns the number of events; those
     /// with neither id nor data, as comments that keep a connection open, do not count.
     std::size_t feed(std::string_view bytes, std::string& out);
@@ -37,6 +47,8 @@
     std::string m_rest;
     std::optional<std::uint64_t> m_lastId;
     std::uint64_t m_repeated { 0 };
+    bool m_idsRequired { false };
+    bool m_withoutId { false };
 };
 
 /// Event id of a Last-Event-Id header; empty when it is not a number.
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -187,6 +187,9 @@
     m_waitingSince.reset();
     m_headSeen = m_streaming = false;
     m_skipped = false;
+    m_continues = m_state.headSent;
+    m_events.requireIds(m_continues);
+    m_attemptEvents = 0;
     m_nextProgress = bodyProgressBytes;
     m_attemptAt = m_lastBytesAt = now;
     if (repeats) {
@@ -377,6 +380,7 @@
     std::string whole;
     const auto n = m_events.feed(parser.body(), whole);
     parser.body().clear();
+    m_attemptEvents += n;
     if (n > 0 || parser.complete()) {
         progressed(readClock());
         m_upstream->expect(maxEventBytes);
@@ -392,10 +396,14 @@
             m_upstream->setReading(false);
         }
     }
+    if (m_events.withoutId())
+        return endAttempt(AttemptEnd::Broken, "an event without an id instead of the rest");
     if (!parser.complete())
         return setCollected(m_events.partial() ? m_events.heldBytes() : 0);
     if (m_events.partial())
         return endAttempt(AttemptEnd::Broken, "the stream ended within an event");
+    if (m_continues && m_attemptEvents == 0)
+        return endAttempt(AttemptEnd::Broken, "an empty stream instead of the rest");
     finishStream();
 }
 
--- a/packages/runtime/src/proxy/event_buffer.cpp
+++ b/packages/runtime/src/proxy/event_buffer.cpp
@@ -63,8 +63,10 @@
 bool EventBuffer::take(std::string_view event)
 {
     const auto id = idOf(event);
-    if (!id)
-        return true;
+    if (!id) {
+        m_withoutId = m_withoutId || (m_idsRequired && hasContent(event));
+        return !m_withoutId;
+    }
     if (m_lastId && *id <= *m_lastId) {
         ++m_repeated;
         return false;
@@ -80,7 +82,7 @@
     std::size_t n = 0;
     for (auto end = endOfEvent(left); end != std::string_view::npos; end = endOfEvent(left)) {
         const auto event = left.substr(0, end);
-        if (take(event)) {
+        if (!m_withoutId && take(event)) {
             out.append(event);
             n += hasContent(event) ? 1 : 0;
         }
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -535,6 +535,39 @@
     CHECK_FALSE(client.received.ends_with("0\r\n\r\n"));
 }
 
+TEST_CASE("what is not the rest of a stream neither ends it nor comes into it", "[proxy]")
+{
+    World world;
+    const std::string other = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n";
+    const auto wrong = GENERATE_COPY(answer("500 Internal Server Error", "wrong"), answer("404 Not Found", "wrong"),
+        answer("302 Found", "wrong", "X-Seal: s\r\nLocation: /wrong\r\n"),
+        std::string("HTTP/1.1 204 No Content\r\nX-Id: r1\r\nX-Seal: s\r\n\r\n"), answer("200 OK", "wrong"),
+        other + "Content-Length: 0\r\n\r\n", streamHead + "0\r\n\r\n",
+        streamHead + chunk("event: error\ndata: wrong\n\n") + "0\r\n\r\n",
+        streamHead + chunk("data: wrong\n\n") + eventChunk(2) + "0\r\n\r\n");
+    CAPTURE(wrong);
+    auto& client = world.client("/stream/1");
+    auto& first = world.nextRequest();
+    first.send(streamHead + eventChunk(1));
+    world.waitFor([&] { return client.has("id: 1"); });
+    first.close();
+    world.nextRequest().send(wrong);
+    world.waitFor([&] { return client.closed; });
+    CHECK_FALSE(client.has("wrong"));
+    CHECK_FALSE(client.has("id: 2"));
+    CHECK_FALSE(client.received.ends_with("0\r\n\r\n"));
+    CHECK(client.received.find("HTTP/1.1") == client.received.rfind("HTTP/1.1"));
+}
+
+TEST_CASE("an empty stream and events without ids are passed on where a server answers all of the request", "[proxy]")
+{
+    World world;
+    const auto body = GENERATE(std::string {}, chunk("data: t\n\n"));
+    auto& client = world.client("/stream/1");
+    world.nextRequest().send(streamHead + body + "0\r\n\r\n");
+    world.waitFor([&] { return client.received.ends_with("0\r\n\r\n"); });
+}
+
 TEST_CASE("a client that stops reading holds little memory and loses nothing", "[proxy]")
 {
     World world;
