--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -1,6 +1,6 @@
 #include <rosemarymill/runtime/nodes/control_node.hpp>
 
-#include "crash_log.hpp"
+#include "crash_reports.hpp"
 
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
@@ -22,9 +22,6 @@
 /// Ticks between two looks at servers and groups: every 100 ms.
 constexpr unsigned decisionTicks = 2;
 
-/// Time for a server to show that it has not crashed, in which one that has crashed is not back.
-constexpr Duration crashProbeTimeout = 500ms;
-
 /// Ticks between two looks at servers at which requests were given up: every 250 ms.
 constexpr unsigned crashTicks = 5;
 
@@ -81,19 +78,6 @@
     return std::move(result.value());
 }
 
-/// Reports that one message carries at most, so that it fits into a frame.
-constexpr std::size_t maxReportsPerMessage = 64;
-
-/// Calls `send(CrashReports)` for the reports in parts.
-template <typename Send> void sendInParts(std::span<const quarantine::CrashReport> reports, Send&& send)
-{
-    while (!reports.empty()) {
-        const auto n = std::min(reports.size(), maxReportsPerMessage);
-        send(core::CrashReports { { reports.begin(), reports.begin() + static_cast<std::ptrdiff_t>(n) } });
-        reports = reports.subspan(n);
-    }
-}
-
 /// Process that carries a call.
 std::string carrierOf(const Subscriber& it)
 {
@@ -609,90 +593,6 @@
     });
 }
 
-void ControlNode::onCrashes(Subscriber& from, const core::CrashReports& crashes)
-{
-    if (!m_leads)
-        return;
-    quarantine::Outcome outcome;
-    for (const auto& it : crashes.reports) {
-        const auto* known = m_control.registry().find(it.crash.server);
-        const bool leaving = known && known->record.bootId() == it.crash.bootId && known->record.draining;
-        if (leaving && it.kind != quarantine::ReportKind::Cleared) {
-            writeDecision("quarantine", "crash ignored",
-                { { "server", it.crash.server.text() }, { "why", "it ends by plan" }, { "from", from.vm().text() } });
-            continue;
-        }
-        m_quarantine.report(it, readClock(), outcome);
-    }
-    carryOut(std::move(outcome), &from);
-}
-
-bool ControlNode::hasEnded(const quarantine::Crash& crash) const
-{
-    const auto* known = m_control.registry().find(crash.server);
-    if (!known)
-        return m_control.settled();
-    return known->record.bootId() != crash.bootId || m_control.isDead(*known);
-}
-
-void ControlNode::reviewCrashes(Instant now)
-{
-    quarantine::Outcome outcome;
-    m_quarantine.review([this](const quarantine::Crash& it) { return hasEnded(it); }, now, outcome);
-    const auto unstored = std::exchange(m_unstoredCrashes, {});
-    outcome.store.insert(outcome.store.end(), unstored.begin(), unstored.end());
-    carryOut(std::move(outcome));
-}
-
-void ControlNode::carryOut(quarantine::Outcome outcome, Subscriber* from)
-{
-    for (const auto& it : outcome.reply)
-        logCrashReport("trial granted", it);
-    if (from && !outcome.reply.empty())
-        m_subscribers.send(*from, core::CrashReports { std::move(outcome.reply) });
-    for (const auto& it : outcome.publish)
-        logCrashReport("crash published", it);
-    sendInParts(outcome.publish,
-        [this](const core::CrashReports& it) { m_subscribers.broadcast(it, SubscriberServer::Audience::EntryVms); });
-    if (!outcome.store.empty())
-        storeCrashes(std::move(outcome.store));
-    askServers();
-}
-
-void ControlNode::askServers()
-{
-    for (const auto& crash : m_quarantine.takeQuestions()) {
-        const auto* known = m_control.registry().find(crash.server);
-        if (!known || known->record.bootId() != crash.bootId) {
-            crashAnswered(crash, false);
-            continue;
-        }
-        m_servers.send(known->record.address, m_environment.encodeProbe(crash.server), crashProbeTimeout,
-            [this, crash](const ServerAnswer& answer) {
-                crashAnswered(crash,
-                    !answer.refused && m_environment.judgeProbe(answer.status) == core::event::ProbeResult::Alive);
-            });
-    }
-}
-
-void ControlNode::crashAnswered(const quarantine::Crash& crash, bool alive)
-{
-    if (!m_leads)
-        return;
-    quarantine::Outcome outcome;
-    m_quarantine.answered(crash, alive, readClock(), outcome);
-    carryOut(std::move(outcome));
-}
-
-void ControlNode::storeCrashes(std::vector<quarantine::CrashReport> reports)
-{
-    core::StoreCrashes command { nextSubmission(), reports };
-    propose(std::move(command), [this, reports = std::move(reports)](bool committed) {
-        if (!committed && m_leads)
-            m_unstoredCrashes.insert(m_unstoredCrashes.end(), reports.begin(), reports.end());
-    });
-}
-
 std::vector<core::VoterCandidate> ControlNode::voterCandidates() const
 {
     std::map<VmId, DataCentreId> dataCentres { { m_self.vm, m_self.dataCentre } };
--- a/packages/runtime/src/nodes/crash_log.hpp
+++ b/packages/runtime/src/nodes/crash_reports.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <rosemarymill/core/base/hash.hpp>
+#include <rosemarymill/core/fleet/message.hpp>
 #include <rosemarymill/core/quarantine/quarantine.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 
 #include <algorithm>
+#include <cstddef>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -26,4 +29,17 @@
             { "fingerprints", fingerprints } });
 }
 
+/// Reports that one message carries at most, so that it fits into a frame.
+inline constexpr std::size_t maxReportsPerMessage = 64;
+
+/// Calls `send(CrashReports)` for the reports in parts.
+template <typename Send> void sendInParts(std::span<const quarantine::CrashReport> reports, Send&& send)
+{
+    while (!reports.empty()) {
+        const auto n = std::min(reports.size(), maxReportsPerMessage);
+        send(fleet::CrashReports { { reports.begin(), reports.begin() + static_cast<std::ptrdiff_t>(n) } });
+        reports = reports.subspan(n);
+    }
+}
+
 } // namespace rosemarymill::runtime::nodes
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -1,6 +1,6 @@
 #include <rosemarymill/runtime/nodes/entry_node.hpp>
 
-#include "crash_log.hpp"
+#include "crash_reports.hpp"
 
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
