--- a/review/lib/mill.py
+++ b/review/lib/mill.py
@@ -314,8 +314,11 @@
         self.writers = set()
         self.changed = asyncio.Event()
 
-    async def start(self):
+    async def listen(self):
         self.listener = await asyncio.start_server(self.serve, self.ip, SERVER, limit=1 << 20)
+
+    async def start(self):
+        await self.listen()
         if self.beats:
             self.mill.tasks.append(asyncio.ensure_future(self.beat_forever()))
 
@@ -641,8 +644,10 @@
             mill.start()
             return await asyncio.wait_for(play(mill, record), 110)
         finally:
-            for it in mill.tasks:
+            tasks = [it for it in asyncio.all_tasks() if it is not asyncio.current_task()]
+            for it in tasks:
                 it.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
     code = 2
     try:
         code = 1 if asyncio.run(run()) else 0
