Use probe results of other domains until they are probed again

Callers saw streams that stalled for several seconds more than usual at a group whose head was lost, while other domains had lost servers too.

Cause: an unanswered probe makes a server dead only when the other fabric domains answer theirs. Their results expired after 500 ms, while a domain is probed again at the first evaluation after 500 ms and evaluations come every 400 ms. When two sets of domains were probed in turn, each evaluation found only one of them with results, the other counted as silent, and the dead server was kept for as long as this went on.

Change: results count until those of the next probes are due (ControlSettings::maxReferenceAge). No probe is added.

--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -42,9 +42,12 @@
     Duration reprobeAfter { 300ms };
     /// Consecutive unanswered probes after which a server counts as dead.
     unsigned deadProbes { 2 };
-    /// Maximum age of the probe results of other fabric domains that are used to check the leader's own network
+    /// Minimum interval at which servers of another fabric domain are probed to check the leader's own network
     /// connection.
     Duration referenceWindow { 500ms };
+    /// Maximum age of their results. A domain is probed again at the first unanswered probe after `referenceWindow`, and
+    /// its results are used until the next one.
+    [[nodiscard]] Duration maxReferenceAge() const noexcept { return referenceWindow + probeInterval; }
     /// Servers of each other domain that are probed for this check.
     unsigned referenceProbes { 3 };
     /// Share of the probes of other domains that has to be answered, with the same weight for each domain. Below it,
@@ -326,7 +329,7 @@
     /// Heads of groups that were closed because of a failure, until the next heartbeat of each. They are published as
     /// lost instead of withdrawn.
     std::set<ServerId> m_lostTargets;
-    /// Results of probes within the reference window.
+    /// Results of probes that are at most `ControlSettings::maxReferenceAge` old.
     struct ProbeResult {
         Instant at;
         FabricDomainId domain;
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -125,7 +125,7 @@
     auto* server = m_registry.find(event.server);
     if (!m_leads || !server)
         return;
-    while (!m_probeResults.empty() && m_now > m_probeResults.front().at + m_settings.referenceWindow)
+    while (!m_probeResults.empty() && m_now > m_probeResults.front().at + m_settings.maxReferenceAge())
         m_probeResults.pop_front();
     if (event.result == event::ProbeResult::Alive)
         server->probedAliveAt = m_now;
@@ -191,7 +191,7 @@
     }
     for (const auto& it : m_probeResults) {
         const auto results = others.find(it.domain);
-        if (results == others.end() || m_now > it.at + m_settings.referenceWindow)
+        if (results == others.end() || m_now > it.at + m_settings.maxReferenceAge())
             continue;
         results->second.answered += it.answered ? 1 : 0;
         ++results->second.all;
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -545,20 +545,25 @@
 
 TEST_CASE("failed servers in half of the domains do not prevent each other from counting as dead", "[fleet]")
 {
-    FleetOptions options;
-    options.domains = 6;
-    FakeFleet fleet(options);
-    fleet.lead(1);
-    fleet.run(90s);
-    std::set<FabricDomainId> domains;
-    for (const auto& id : fleet.openHeads()) {
-        if (domains.size() < 3 && domains.insert(fleet.servers.at(id).record.domain).second)
-            fleet.kill(id);
+    // The domains are probed at different times, so that each probe finds results of other ones.
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        FleetOptions options;
+        options.seed = seed;
+        options.domains = 6;
+        FakeFleet fleet(options);
+        fleet.lead(1);
+        fleet.run(90s);
+        std::set<FabricDomainId> domains;
+        for (const auto& id : fleet.openHeads()) {
+            if (domains.size() < 3 && domains.insert(fleet.servers.at(id).record.domain).second)
+                fleet.kill(id);
+        }
+        REQUIRE(domains.size() == 3);
+        fleet.run(6s);
+        for (const auto& [id, target] : fleet.control.targets())
+            CHECK(fleet.servers.at(id).alive);
     }
-    REQUIRE(domains.size() == 3);
-    fleet.run(6s);
-    for (const auto& [id, target] : fleet.control.targets())
-        CHECK(fleet.servers.at(id).alive);
 }
 
 TEST_CASE("a heartbeat of a service that is not in the document does not replace a server", "[fleet]")
