Store groups in the control log before servers are ordered to join or open them

`maxStartupSequence` let it pass because a young process cannot have left a group, but it can have joined one since. The waits (`formationDelay`, `reusableAt`) cannot order messages that may be late by any time.

Change: the control log holds each group with its members' processes and the sequence numbers of their last heartbeats (`GroupRecord`). It is committed before the first order to join, and again with the mark `mayBeOpen` before the order to open. A new leader rejects heartbeats up to the stored sequence numbers, restores a group at the first newer heartbeat of a member, and binds the members until the group is released, which erases the record. So an order between messages replaces the guess, and servers that are in no stored group are free at once: the wait of the stall time after each election is gone. A deposed leader cannot commit and therefore forms and opens nothing.

--- a/packages/core/include/rosemarymill/core/agreement/event.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/event.hpp
@@ -61,7 +61,7 @@
     std::uint64_t snapshotInterval { 256 };
     /// Entries before a snapshot that are kept, so that a voter that missed few entries needs no snapshot.
     std::uint64_t trailingEntries { 64 };
-    /// Largest total weight of the entries in one Append, in bytes. A frame holds at most 1 MiB.
+    /// Largest total weight of the entries in one Append, in bytes. A frame holds at most 1.375 MiB.
     std::size_t appendWeight { 256 * 1024 };
 };
 
--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/core/base/sink.hpp>
 #include <rosemarymill/core/fleet/group.hpp>
+#include <rosemarymill/core/fleet/group_records.hpp>
 #include <rosemarymill/core/fleet/registry.hpp>
 #include <rosemarymill/core/routes/table.hpp>
 
@@ -45,8 +46,8 @@
     /// Minimum interval at which servers of another fabric domain are probed to check the leader's own network
     /// connection.
     Duration referenceWindow { 500ms };
-    /// Maximum age of their results. A domain is probed again at the first unanswered probe after `referenceWindow`, and
-    /// its results are used until the next one.
+    /// Maximum age of their results. A domain is probed again at the first unanswered probe after `referenceWindow`,
+    /// and its results are used until the next one.
     [[nodiscard]] Duration maxReferenceAge() const noexcept { return referenceWindow + probeInterval; }
     /// Servers of each other domain that are probed for this check.
     unsigned referenceProbes { 3 };
@@ -101,6 +102,15 @@
     Instant now;
     bool leads { false };
     std::uint64_t term { 0 };
+    /// Groups in the control log.
+    GroupRecords groups {};
+};
+
+/// Outcome of `effect::StoreGroup`. When it is not committed, it may still be committed later.
+struct GroupStored {
+    Instant now;
+    GroupRecord group;
+    bool committed { false };
 };
 
 struct DocumentChanged {
@@ -168,7 +178,7 @@
 } // namespace event
 
 using ControlEvent = std::variant<event::HeartbeatReceived, event::ServerLeft, event::LeadershipChanged,
-    event::DocumentChanged, event::OutOfServiceChanged, event::OrderAnswered, event::ProbeAnswered,
+    event::DocumentChanged, event::OutOfServiceChanged, event::GroupStored, event::OrderAnswered, event::ProbeAnswered,
     event::ProgressReported, event::StallReported, event::TrafficStarted, event::Tick>;
 
 /// Effects of the control VM.
@@ -180,6 +190,17 @@
     Order order;
 };
 
+/// Stores a group in the control log; `event::GroupStored` has the outcome.
+struct StoreGroup {
+    GroupRecord group;
+};
+
+/// Removes a group from the control log.
+struct EraseGroup {
+    std::string name;
+    std::uint64_t epoch { 0 };
+};
+
 struct ProbeServer {
     ServerId server;
     std::string address;
@@ -200,7 +221,8 @@
 
 } // namespace effect
 
-using ControlEffect = std::variant<effect::SendOrder, effect::ProbeServer, effect::PublishTargets, effect::LogDecision>;
+using ControlEffect = std::variant<effect::SendOrder, effect::StoreGroup, effect::EraseGroup, effect::ProbeServer,
+    effect::PublishTargets, effect::LogDecision>;
 
 /// Reducer of the leading control VM.
 class Control {
@@ -232,6 +254,7 @@
     void handle(const event::LeadershipChanged& event, Effects& effects);
     void handle(const event::DocumentChanged& event, Effects& effects);
     void handle(const event::OutOfServiceChanged& event, Effects& effects);
+    void handle(const event::GroupStored& event, Effects& effects);
     void handle(const event::OrderAnswered& event, Effects& effects);
     void handle(const event::ProbeAnswered& event, Effects& effects);
     void handle(const event::ProgressReported& event, Effects& effects);
@@ -251,8 +274,18 @@
     [[nodiscard]] bool referencesAnswer(const FabricDomainId& domain) const;
 
     // Groups
+    /// Stored group of which the server is a member; null when there is none.
+    [[nodiscard]] const GroupRecord* recordOf(const ServerId& server) const;
+    /// Adds the group of an earlier leader that the control log holds, with those members that have sent a heartbeat.
+    void restoreGroup(const GroupRecord& record, Effects& effects);
+    /// Records that a member of a restored group has sent its first heartbeat to this leader.
+    static void addMember(Group& group, const GroupRecord& record, const ServerRecord& server);
     /// Adds a group that an earlier leader formed, or a member of it, from a member's heartbeat.
     void recoverGroup(const ServerRecord& record, Effects& effects);
+    /// Submits the group, with the last heartbeats of its members, to the control log.
+    void storeGroup(Group& group, bool mayBeOpen, Effects& effects);
+    /// Removes the group from the control log. None of its members is bound by it any more.
+    void eraseGroup(const Group& group, Effects& effects);
     /// Continues to form a recovered group that the earlier leader had not opened yet.
     void continueForming(Group& group);
     void reviewGroups(Effects& effects);
@@ -319,6 +352,8 @@
     std::uint64_t m_lastEpoch { 0 };
     Registry m_registry;
     std::map<std::string, Group> m_groups;
+    /// Groups in the control log, by name.
+    std::map<std::string, GroupRecord> m_groupRecords;
     /// Epochs of the groups that this leader has released, by group name.
     std::map<std::string, std::uint64_t> m_releasedEpochs;
     /// Loads outside the joins of a group: the model that each host loads, and since when.
--- a/packages/core/include/rosemarymill/core/fleet/fwd.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/fwd.hpp
@@ -8,6 +8,7 @@
 class Machine;
 class Registry;
 struct Group;
+struct GroupRecord;
 struct ServerRecord;
 struct Target;
 
--- a/packages/core/include/rosemarymill/core/fleet/group.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/group.hpp
@@ -9,7 +9,7 @@
 
 /// Stage of a group at the leader.
 enum class GroupPhase : std::uint8_t {
-    /// Members were ordered to join.
+    /// The group is stored in the control log, then members are ordered to join.
     Joining,
     /// The head was ordered to open.
     Opening,
@@ -40,6 +40,14 @@
     Instant readyBy;
     /// The group was formed by an earlier leader.
     bool recovered { false };
+    /// The control log holds the group, so members may be ordered to join.
+    bool stored { false };
+    /// The group was submitted to the control log, and the outcome is not known yet.
+    bool storing { false };
+    /// Member of a recovered group whose process has restarted since the group was stored.
+    ServerId restartedMember;
+    /// The head's process has restarted, so it does not serve.
+    bool headRestarted { false };
     /// An earlier order to open may still be executed, so the head has to leave before the members are reused.
     bool openUncertain { false };
     /// The head has closed and was ordered to leave.
--- a/packages/core/include/rosemarymill/core/fleet/machine.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/machine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rosemarymill/core/agreement/replica.hpp>
+#include <rosemarymill/core/fleet/group_records.hpp>
 #include <rosemarymill/core/quarantine/stored_record.hpp>
 
 #include <cstddef>
@@ -10,8 +11,8 @@
 #include <variant>
 #include <vector>
 
-/// Replicated state of the control VMs: the document, the data centres out of service, and the records of requests that
-/// crash servers.
+/// Replicated state of the control VMs: the document, the data centres out of service, the groups of model servers, and
+/// the records of requests that crash servers.
 namespace rosemarymill::fleet {
 
 /// Maximum size in bytes of a document as submitted.
@@ -63,7 +64,24 @@
     friend bool operator==(const StoreCrashes&, const StoreCrashes&) = default;
 };
 
-using Command = std::variant<StoreDocument, SetOutOfService, Barrier, StoreCrashes>;
+/// Stores a group before servers are ordered to join or open it.
+struct StoreGroup {
+    std::string submission;
+    GroupRecord group;
+
+    friend bool operator==(const StoreGroup&, const StoreGroup&) = default;
+};
+
+/// Removes a group whose members may join others.
+struct EraseGroup {
+    std::string submission;
+    std::string name;
+    std::uint64_t epoch { 0 };
+
+    friend bool operator==(const EraseGroup&, const EraseGroup&) = default;
+};
+
+using Command = std::variant<StoreDocument, SetOutOfService, Barrier, StoreCrashes, StoreGroup, EraseGroup>;
 
 /// Submission id of a command.
 [[nodiscard]] inline const std::string& submissionOf(const Command& command)
@@ -79,6 +97,7 @@
     Encoding encoding { Encoding::Plain };
     quarantine::StoredRecords crashes {};
     quarantine::StoredParts refusedParts {};
+    GroupRecords groups {};
 
     friend bool operator==(const Snapshot&, const Snapshot&) = default;
 };
--- a/packages/core/include/rosemarymill/core/fleet/registry.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/registry.hpp
@@ -24,8 +24,6 @@
     /// Last time that the server, as a spare, was ordered to load the weights of a model, and to start a model.
     Instant stageOrderedAt;
     Instant startOrderedAt;
-    /// Earliest time at which the server may join another group.
-    Instant reusableAt;
 
     [[nodiscard]] Instant aliveAt() const noexcept { return std::max(lastReceivedAt, probedAliveAt); }
 };
@@ -51,6 +49,9 @@
     /// Removes a server, and rejects later heartbeats of its present and earlier incarnations.
     void remove(const ServerId& id);
 
+    /// Rejects heartbeats of earlier incarnations, and those of this one up to a sequence number.
+    void rejectUpTo(const ServerId& id, std::int64_t startedAtMs, std::uint64_t sequence);
+
     [[nodiscard]] RegisteredServer* find(const ServerId& id);
     [[nodiscard]] const RegisteredServer* find(const ServerId& id) const;
 
@@ -66,6 +67,12 @@
     std::unordered_map<std::string, std::int64_t> m_startedAtByAddress;
     /// Start time of the last incarnation of each removed server.
     std::unordered_map<ServerId, std::int64_t> m_removedStartedAtMs;
+    struct Heartbeat {
+        std::int64_t startedAtMs { 0 };
+        std::uint64_t sequence { 0 };
+    };
+    /// Last heartbeat of each server that is known to be outdated.
+    std::unordered_map<ServerId, Heartbeat> m_outdated;
     /// Receipt time of leave notices from servers that were not registered.
     std::unordered_map<ServerId, Instant> m_leftUnregistered;
 };
--- a/packages/core/include/rosemarymill/core/ledger/replica.hpp
+++ b/packages/core/include/rosemarymill/core/ledger/replica.hpp
@@ -26,8 +26,8 @@
 /// Name of a home's log, in messages and in the data folder.
 [[nodiscard]] inline std::string logName(const DataCentreId& home) { return logNamePrefix + home.text(); }
 
-/// Applied entries after which a snapshot is taken. A snapshot must fit into one frame of 1 MiB to be sent, so voters
-/// that missed fewer entries than this catch up from the entries themselves.
+/// Applied entries after which a snapshot is taken. A snapshot must fit into one frame of 1.375 MiB to be sent, so
+/// voters that missed fewer entries than this catch up from the entries themselves.
 inline constexpr std::uint64_t snapshotInterval = 20'000;
 
 } // namespace rosemarymill::ledger
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -9,10 +9,6 @@
 
 std::string milliseconds(Duration it) { return std::to_string(it / 1ms) + " ms"; }
 
-/// Highest sequence number at which a server cannot have been a member of a group yet: joining, becoming ready and
-/// leaving are reported in a heartbeat each.
-constexpr std::uint64_t maxStartupSequence = 2;
-
 /// Minimum interval of the log lines about ignored probe timeouts.
 constexpr Duration ignoredLogInterval = 1s;
 
@@ -64,11 +60,8 @@
     if (event.record.draining && !wasDraining)
         log("started draining server", name, "announced by the server", effects);
     auto& server = *m_registry.find(event.record.id);
-    // An earlier leader may have ordered it to leave a group whose unreachable head may still serve until the stall
-    // time is over. Only a server whose host holds weights can have been a member.
-    if (!registered && !server.record.group && !server.record.staged.empty() && m_term > 1
-        && server.record.sequence > maxStartupSequence)
-        server.reusableAt = m_leadsSince + m_settings.stallTime + m_settings.stallMargin;
+    if (const auto* group = registered ? nullptr : recordOf(event.record.id))
+        restoreGroup(*group, effects);
     if (server.record.group && server.record.group->state != MemberState::Joining && !server.record.loaded.empty())
         server.lastModel = server.record.loaded.front();
     if (server.record.group)
@@ -97,6 +90,13 @@
     m_targetsComplete = false;
     m_registry.clear();
     m_groups.clear();
+    m_groupRecords.clear();
+    for (const auto& group : event.groups) {
+        m_lastEpoch = std::max(m_lastEpoch, group.epoch);
+        m_groupRecords.emplace(group.name, group);
+        for (const auto& it : group.members)
+            m_registry.rejectUpTo(it.server, it.startedAtMs, it.sequence);
+    }
     m_releasedEpochs.clear();
     m_staging.clear();
     m_published.clear();
--- a/packages/core/src/fleet/groups.cpp
+++ b/packages/core/src/fleet/groups.cpp
@@ -21,6 +21,100 @@
     return nullptr;
 }
 
+const GroupRecord* Control::recordOf(const ServerId& server) const
+{
+    const auto it = std::find_if(m_groupRecords.begin(), m_groupRecords.end(),
+        [&](const auto& record) { return record.second.find(server) != nullptr; });
+    return it == m_groupRecords.end() ? nullptr : &it->second;
+}
+
+void Control::addMember(Group& group, const GroupRecord& record, const ServerRecord& server)
+{
+    const auto* member = record.find(server.id);
+    const auto rank = static_cast<std::size_t>(member - record.members.data());
+    if (server.startedAtMs == member->startedAtMs) {
+        group.members[rank] = server.id;
+        return;
+    }
+    group.restartedMember = server.id;
+    group.headRestarted = group.headRestarted || rank == 0;
+}
+
+void Control::restoreGroup(const GroupRecord& record, Effects& effects)
+{
+    auto it = m_groups.find(record.name);
+    if (it == m_groups.end()) {
+        Group group;
+        group.name = record.name;
+        group.epoch = record.epoch;
+        group.service = record.service;
+        group.model = record.model;
+        group.members.resize(record.members.size());
+        group.orderedAt.resize(record.members.size());
+        group.phase = GroupPhase::Open;
+        group.since = m_now;
+        group.recovered = true;
+        group.stored = true;
+        group.openUncertain = record.mayBeOpen;
+        log("restored group", group.name,
+            "stored in the control log, " + std::string(record.mayBeOpen ? "may be open" : "was forming"), effects);
+        it = m_groups.emplace(group.name, std::move(group)).first;
+    }
+    for (const auto& member : record.members) {
+        if (const auto* server = m_registry.find(member.server))
+            addMember(it->second, record, server->record);
+    }
+}
+
+void Control::storeGroup(Group& group, bool mayBeOpen, Effects& effects)
+{
+    GroupRecord record { group.name, group.epoch, group.service, group.model, {}, mayBeOpen };
+    for (const auto& it : group.members) {
+        const auto* server = m_registry.find(it);
+        record.members.push_back(
+            server ? GroupMember { it, server->record.startedAtMs, server->record.sequence } : GroupMember { it });
+    }
+    group.storing = true;
+    effects(effect::StoreGroup { std::move(record) });
+}
+
+void Control::eraseGroup(const Group& group, Effects& effects)
+{
+    m_groupRecords.erase(group.name);
+    effects(effect::EraseGroup { group.name, group.epoch });
+}
+
+void Control::handle(const event::GroupStored& event, Effects& effects)
+{
+    if (!m_leads)
+        return;
+    const auto it = m_groups.find(event.group.name);
+    if (it == m_groups.end() || it->second.epoch != event.group.epoch || it->second.phase != GroupPhase::Joining) {
+        // It was cancelled meanwhile. The cancelled group was never opened.
+        if (event.committed && it == m_groups.end())
+            effects(effect::EraseGroup { event.group.name, event.group.epoch });
+        return;
+    }
+    auto& group = it->second;
+    group.storing = false;
+    if (!event.committed) {
+        log("failed to store group", group.name, "the commit was not confirmed, it is tried again", effects);
+        return;
+    }
+    m_groupRecords[group.name] = event.group;
+    group.stored = true;
+    if (!event.group.mayBeOpen) {
+        for (std::size_t rank = 0; rank < group.members.size(); ++rank)
+            orderMember(group, rank, OrderKind::Join, effects);
+        return;
+    }
+    log("ordered group to open", group.name, "all members are ready", effects);
+    group.phase = GroupPhase::Opening;
+    group.since = m_now;
+    if (failureOf(group).empty())
+        orderMember(group, 0, OrderKind::Open, effects);
+}
+
 void Control::recoverGroup(const ServerRecord& record, Effects& effects)
 {
     const auto& membership = *record.group;
@@ -32,6 +126,8 @@
         return;
     }
     m_lastEpoch = std::max(m_lastEpoch, membership.epoch);
+    if (const auto* stored = recordOf(record.id); stored && stored->epoch > membership.epoch)
+        return;
     if (it != m_groups.end() || record.loaded.empty() || !m_table || membership.isStandby() || isReleased(membership))
         return;
     const auto* service = m_table->service(record.service);
@@ -61,6 +157,8 @@
 std::string Control::failureOf(const Group& group) const
 {
     const bool progressing = m_now < group.progressAt + m_settings.progressWindow;
+    if (!group.restartedMember.empty())
+        return "member " + group.restartedMember.text() + " has restarted";
     for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
         const auto& id = group.members[rank];
         if (id.empty()) {
@@ -126,6 +224,8 @@
     if (state != MemberState::Joining && state != MemberState::Ready)
         return;
     group.phase = GroupPhase::Joining;
+    // The members were ordered to join by an earlier leader.
+    group.stored = true;
     group.since = m_now;
     group.readyBy = m_now;
     if (const auto* service = m_table->service(group.service); service && service->engine) {
@@ -144,6 +244,7 @@
 {
     m_releasedEpochs[group.name] = group.epoch;
     log("released group", group.name, reason, effects);
+    eraseGroup(group, effects);
 }
 
 void Control::trackRemainingLoads(const Group& group)
@@ -166,7 +267,7 @@
 
 void Control::reviewJoining(Group& group, Effects& effects)
 {
-    bool ready = true;
+    bool ready = group.stored;
     for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
         const auto* server = m_registry.find(group.members[rank]);
         if (!server || isDead(*server) || server->record.draining || m_now > group.readyBy + m_settings.joinMargin) {
@@ -176,6 +277,7 @@
                 effects);
             trackRemainingLoads(group);
             m_releasedEpochs[group.name] = group.epoch;
+            eraseGroup(group, effects);
             group.members.clear();
             return;
         }
@@ -185,15 +287,11 @@
         if (memberReady)
             std::erase(group.loading, record.id);
         ready = ready && memberReady;
-        if (!joined && orderDue(group, rank))
+        if (group.stored && !joined && orderDue(group, rank))
             orderMember(group, rank, OrderKind::Join, effects);
     }
-    if (!ready)
-        return;
-    log("ordered group to open", group.name, "all members are ready", effects);
-    group.phase = GroupPhase::Opening;
-    group.since = m_now;
-    orderMember(group, 0, OrderKind::Open, effects);
+    if (!group.storing && (ready || !group.stored))
+        storeGroup(group, ready, effects);
 }
 
 void Control::reviewOpening(Group& group, Effects& effects)
@@ -232,7 +330,7 @@
 bool Control::reviewClosing(Group& group, Effects& effects)
 {
     const auto* head = group.head().empty() ? nullptr : m_registry.find(group.head());
-    if (head && (head->gone || !head->record.isMemberOf(group.name, group.epoch)))
+    if (group.headRestarted || (head && (head->gone || !head->record.isMemberOf(group.name, group.epoch))))
         return true;
     const auto state = head ? head->record.group->state : MemberState::Joining;
     const bool closed = head && (state == MemberState::Broken || (group.reportedOpen && state == MemberState::Ready));
@@ -278,7 +376,7 @@
 bool Control::reviewHeadUnreachable(Group& group, Effects& effects)
 {
     const auto* head = group.head().empty() ? nullptr : m_registry.find(group.head());
-    if (head && (head->gone || !head->record.isMemberOf(group.name, group.epoch)))
+    if (group.headRestarted || (head && (head->gone || !head->record.isMemberOf(group.name, group.epoch))))
         return true;
     if (head && isAlive(*head) && !isDead(*head)) {
         startClosing(group, true, "the head answers again", effects);
--- a/packages/core/src/fleet/machine.cpp
+++ b/packages/core/src/fleet/machine.cpp
@@ -20,6 +20,10 @@
             answer.changed = quarantine::reduce(m_state.crashes, report) || answer.changed;
             answer.changed = quarantine::reduce(m_state.refusedParts, report) || answer.changed;
         }
+    } else if (const auto* group = std::get_if<StoreGroup>(&command)) {
+        answer.changed = store(m_state.groups, group->group);
+    } else if (const auto* erased = std::get_if<EraseGroup>(&command)) {
+        answer.changed = erase(m_state.groups, erased->name, erased->epoch);
     }
     return answer;
 }
@@ -30,6 +34,8 @@
     std::size_t bytes = smallCommand;
     if (const auto* document = std::get_if<StoreDocument>(&command))
         bytes += document->bytes.size();
+    if (const auto* group = std::get_if<StoreGroup>(&command))
+        bytes += fleet::estimatedBytes(group->group);
     if (const auto* crashes = std::get_if<StoreCrashes>(&command)) {
         for (const auto& it : crashes->reports)
             bytes += smallCommand + it.fingerprints.size() * sizeof(Fingerprint)
--- a/packages/core/src/fleet/placement.cpp
+++ b/packages/core/src/fleet/placement.cpp
@@ -67,7 +67,7 @@
 bool Control::isFree(const RegisteredServer& server) const
 {
     const auto& record = server.record;
-    if (!isAlive(server) || isDead(server) || record.draining || m_now < server.reusableAt)
+    if (!isAlive(server) || isDead(server) || record.draining)
         return false;
     if (record.group && !record.group->isStandby() && !m_groups.contains(record.group->group)
         && !isReleased(*record.group))
@@ -231,9 +231,7 @@
     }
     for (const auto& it : group.members)
         m_staging.erase(it);
-    auto& formed = m_groups.emplace(group.name, std::move(group)).first->second;
-    for (std::size_t rank = 0; rank < formed.members.size(); ++rank)
-        orderMember(formed, rank, OrderKind::Join, effects);
+    storeGroup(m_groups.emplace(group.name, std::move(group)).first->second, false, effects);
 }
 
 bool Control::stage(RegisteredServer& server, const ModelName& model, const routes::Engine& engine, Effects& effects)
--- a/packages/core/src/fleet/registry.cpp
+++ b/packages/core/src/fleet/registry.cpp
@@ -1,5 +1,7 @@
 #include <rosemarymill/core/fleet/registry.hpp>
 
+#include <utility>
+
 namespace rosemarymill::fleet {
 
 namespace {
@@ -19,6 +21,12 @@
             return HeartbeatResult::FromEarlierIncarnation;
         m_removedStartedAtMs.erase(it);
     }
+    if (const auto it = m_outdated.find(record.id); it != m_outdated.end()) {
+        if (record.startedAtMs < it->second.startedAtMs)
+            return HeartbeatResult::FromEarlierIncarnation;
+        if (record.startedAtMs == it->second.startedAtMs && record.sequence <= it->second.sequence)
+            return HeartbeatResult::Outdated;
+    }
     auto& latestStart = m_startedAtByAddress[record.address];
     if (record.startedAtMs < latestStart)
         return HeartbeatResult::FromEarlierIncarnation;
@@ -75,6 +83,13 @@
     m_servers.erase(it);
 }
 
+void Registry::rejectUpTo(const ServerId& id, std::int64_t startedAtMs, std::uint64_t sequence)
+{
+    auto& it = m_outdated[id];
+    if (std::pair(startedAtMs, sequence) > std::pair(it.startedAtMs, it.sequence))
+        it = { startedAtMs, sequence };
+}
+
 RegisteredServer* Registry::find(const ServerId& id)
 {
     const auto it = m_servers.find(id);
@@ -93,6 +108,7 @@
     m_byAddress.clear();
     m_startedAtByAddress.clear();
     m_removedStartedAtMs.clear();
+    m_outdated.clear();
     m_leftUnregistered.clear();
 }
 
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -336,12 +336,13 @@
         m_entryVms.setLeads(leads, readClock());
         m_learners.clear();
         m_review = {};
-        decide(core::event::LeadershipChanged { readClock(), leads, m_replica->term() });
+        const auto& state = m_replica->machine().state();
+        decide(core::event::LeadershipChanged {
+            readClock(), leads, m_replica->term(), leads ? state.groups : core::GroupRecords {} });
         if (leads) {
             if (m_documentVersion > 0 && loadTable())
                 publishDocument();
             decide(core::event::OutOfServiceChanged { readClock(), m_outOfService });
-            const auto& state = m_replica->machine().state();
             m_quarantine.start(state.crashes, state.refusedParts, readClock());
             for (auto& it : m_subscribers.subscribers()) {
                 if (it.subscribed)
@@ -401,6 +402,16 @@
 {
     std::visit(Overloaded {
                    [&](core::effect::SendOrder& it) { sendOrder(it); },
+                   [&](core::effect::StoreGroup& it) {
+                       propose(
+                           core::StoreGroup { nextSubmission(), it.group }, [this, group = it.group](bool committed) {
+                               decide(core::event::GroupStored { readClock(), group, committed });
+                           });
+                   },
+                   [&](core::effect::EraseGroup& it) {
+                       // A group that stays stored is restored by the next leader, which closes it again.
+                       propose(core::EraseGroup { nextSubmission(), it.name, it.epoch }, [](bool) {});
+                   },
                    [&](core::effect::ProbeServer& it) { probe(it); },
                    [&](core::effect::PublishTargets& it) {
                        m_subscribers.broadcast(
--- a/packages/wire/include/rosemarymill/wire/frame/frame.hpp
+++ b/packages/wire/include/rosemarymill/wire/frame/frame.hpp
@@ -32,7 +32,7 @@
 inline constexpr std::size_t frameHeaderBytes = 16;
 
 /// Maximum payload in bytes. A link that receives a longer frame is closed.
-inline constexpr std::size_t maxFramePayloadBytes = 1024 * 1024;
+inline constexpr std::size_t maxFramePayloadBytes = 1408 * 1024;
 
 /// Errors of a received frame. The link is closed on each of them.
 enum class FrameError { PayloadTooLarge = 1, VersionMismatch, UnknownKind, ChecksumMismatch };
--- a/packages/wire/include/rosemarymill/wire/manifest/manifest.hpp
+++ b/packages/wire/include/rosemarymill/wire/manifest/manifest.hpp
@@ -12,7 +12,7 @@
 /// The manifest as JSON text. The schema is published in docs/manifest.schema.json.
 namespace rosemarymill::wire {
 
-/// Maximum length of a manifest text in bytes. A submission, with its envelope, has to fit into one frame of 1 MiB.
+/// Maximum length of a manifest text in bytes. A submission, with its envelope, has to fit into one frame of 1.375 MiB.
 inline constexpr std::size_t maxManifestBytes = 512 * 1024;
 
 /// Result of parsing a manifest. The manifest is present if there are no faults.
--- a/packages/wire/src/fleet/codec.cpp
+++ b/packages/wire/src/fleet/codec.cpp
@@ -20,7 +20,7 @@
 namespace quarantine = rosemarymill::quarantine;
 
 /// Bytes of a frame that are reserved for message fields other than the document, such as data centres and voters.
-constexpr std::size_t messageFieldsBytes = 48 * 1024;
+constexpr std::size_t messageFieldsBytes = 48 * 1024 + core::maxGroupRecordsBytes;
 
 static_assert(core::maxStoredDocumentBytes + messageFieldsBytes <= maxFramePayloadBytes);
 static_assert(static_cast<core::Encoding>(fb::Encoding::Zstd) == core::Encoding::Zstd);
@@ -134,6 +134,49 @@
     return asUnion<fb::AnyCommandUnion>(std::move(packed));
 }
 
+std::unique_ptr<fb::GroupT> packGroup(const core::GroupRecord& it)
+{
+    auto packed = std::make_unique<fb::GroupT>();
+    packed->name = it.name;
+    packed->epoch = it.epoch;
+    packed->service = it.service.text();
+    packed->model = it.model.text();
+    packed->may_be_open = it.mayBeOpen;
+    for (const auto& from : it.members) {
+        auto& member = *packed->members.emplace_back(std::make_unique<fb::GroupMemberT>());
+        member.server = from.server.text();
+        member.started_at_ms = from.startedAtMs;
+        member.sequence = from.sequence;
+    }
+    return packed;
+}
+
+core::GroupRecord unpack(const fb::GroupT& it)
+{
+    core::GroupRecord group { it.name, it.epoch, ServiceName { it.service }, ModelName { it.model }, {},
+        it.may_be_open };
+    for (const auto& member : it.members)
+        group.members.push_back({ ServerId { member->server }, member->started_at_ms, member->sequence });
+    return group;
+}
+
+fb::AnyCommandUnion pack(const core::StoreGroup& it)
+{
+    fb::StoreGroupT packed;
+    packed.submission = it.submission;
+    packed.group = packGroup(it.group);
+    return asUnion<fb::AnyCommandUnion>(std::move(packed));
+}
+
+fb::AnyCommandUnion pack(const core::EraseGroup& it)
+{
+    fb::EraseGroupT packed;
+    packed.submission = it.submission;
+    packed.name = it.name;
+    packed.epoch = it.epoch;
+    return asUnion<fb::AnyCommandUnion>(std::move(packed));
+}
+
 fb::AnyMessageUnion pack(const core::Subscribe& it)
 {
     fb::SubscribeT packed;
@@ -384,6 +427,8 @@
         part.part = packFingerprint(it.part);
         part.trials = it.trials;
     }
+    for (const auto& it : snapshot.groups)
+        packed.groups.push_back(packGroup(it));
     packTable(packed, buf);
 }
 
@@ -401,6 +446,13 @@
         return core::SetOutOfService { it->submission, DataCentreId { it->data_centre }, it->out_of_service };
     if (const auto* it = any.AsStoreCrashes())
         return core::StoreCrashes { it->submission, unpackReports(it->reports) };
+    if (const auto* it = any.AsStoreGroup()) {
+        if (it->group->members.empty())
+            return DecodeError::UnexpectedKind;
+        return core::StoreGroup { it->submission, unpack(*it->group) };
+    }
+    if (const auto* it = any.AsEraseGroup())
+        return core::EraseGroup { it->submission, it->name, it->epoch };
     if (const auto* it = any.AsBarrier())
         return core::Barrier { it->submission };
     return DecodeError::UnexpectedKind;
@@ -421,6 +473,10 @@
         if (it->part && snapshot.refusedParts.size() < quarantine::maxStoredParts)
             snapshot.refusedParts.push_back({ { it->part->high(), it->part->low() }, it->trials });
     }
+    for (const auto& it : packed.groups) {
+        if (!it->members.empty())
+            (void)core::store(snapshot.groups, unpack(*it));
+    }
     return snapshot;
 }
 
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -130,6 +130,76 @@
     CHECK(fleet.control.targets().size() == heads.size());
 }
 
+// Guards against a new leader that takes the head of an open group into another one because of an old heartbeat.
+TEST_CASE("a late heartbeat from before a group was formed does not free its head at a new leader", "[fleet]")
+{
+    FakeFleet fleet({ .domains = 1, .serversPerDomain = 5 });
+    fleet.lead(1);
+    fleet.run(30s);
+    REQUIRE(fleet.openHeads().size() == 1);
+    const auto head = anyOpenHead(fleet);
+    for (const std::uint64_t sequence : { 1, 2, 3 }) {
+        CAPTURE(sequence);
+        auto late = fleet.servers.at(head).record;
+        late.sequence = sequence;
+        late.group.reset();
+        late.loaded.clear();
+        fleet.stepDown();
+        fleet.run(300ms);
+        fleet.lead(1 + sequence);
+        fleet.decide(rosemarymill::fleet::event::HeartbeatReceived { fleet.now, late });
+        fleet.servers.at(head).nextHeartbeat = fleet.now + 4s;
+        for (int i = 0; i < 50; ++i) {
+            fleet.decide(rosemarymill::fleet::event::ProgressReported { fleet.now, head });
+            fleet.run(100ms);
+        }
+        CHECK(fleet.violations.empty());
+        CHECK(fleet.openHeads() == std::vector<ServerId> { head });
+        fleet.run(5s);
+    }
+}
+
+TEST_CASE("a new leader releases a group whose head has restarted, and uses the head again", "[fleet]")
+{
+    FakeFleet fleet({ .domains = 1, .serversPerDomain = 3 });
+    fleet.lead(1);
+    fleet.run(30s);
+    REQUIRE(fleet.openHeads().size() == 1);
+    const auto head = anyOpenHead(fleet);
+    fleet.stepDown();
+    fleet.restart(head);
+    fleet.run(300ms);
+    fleet.lead(2);
+    fleet.run(8s);
+    CHECK(fleet.violations.empty());
+    REQUIRE(fleet.openHeads().size() == 1);
+    CHECK(fleet.control.targets().contains(anyOpenHead(fleet)));
+}
+
+TEST_CASE("no server is ordered to join or open a group that is not in the control log", "[fleet]")
+{
+    FakeFleet fleet({});
+    using namespace rosemarymill::fleet;
+    fleet.lead(1);
+    std::size_t orders = 0;
+    for (int i = 0; i < 600; ++i) {
+        fleet.run(50ms);
+        for (const auto& [id, server] : fleet.servers) {
+            const auto& group = server.record.group;
+            if (!group || group->isStandby())
+                continue;
+            ++orders;
+            const auto& stored = fleet.machine.state().groups;
+            const auto it
+                = std::find_if(stored.begin(), stored.end(), [&](const auto& g) { return g.name == group->group; });
+            REQUIRE(it != stored.end());
+            REQUIRE(it->find(id));
+            REQUIRE((group->state != MemberState::Open || it->mayBeOpen));
+        }
+    }
+    CHECK(orders > 0);
+}
+
 TEST_CASE("a new leader opens a group that its predecessor was forming", "[fleet]")
 {
     FakeFleet fleet({});
@@ -143,8 +213,9 @@
     // open.
     const auto forming = [&] {
         const auto& groups = fleet.control.groups();
-        return std::any_of(groups.begin(), groups.end(),
-            [](const auto& it) { return it.second.phase == rosemarymill::fleet::GroupPhase::Joining; });
+        return std::any_of(groups.begin(), groups.end(), [](const auto& it) {
+            return it.second.phase == rosemarymill::fleet::GroupPhase::Joining && it.second.stored;
+        });
     };
     for (int i = 0; i < 60 && !forming(); ++i)
         fleet.run(50ms);
@@ -466,6 +537,78 @@
     }
 }
 
+namespace {
+
+/// Runs a random sequence in which leaders change and are lost in series, servers restart under their ids, are lost and
+/// are partitioned, and a third of the heartbeats arrives late or twice. Returns the violations.
+std::vector<std::string> runReorderedSequence(FleetOptions options)
+{
+    options.lateHeartbeats = 0.3;
+    options.maxHeartbeatDelay = 12s;
+    options.repeatedHeartbeats = 0.1;
+    options.lostAnswers = 0.1;
+    options.lateOrders = 0.1;
+    options.domains = 2;
+    options.serversPerDomain = 7;
+    std::minstd_rand random(static_cast<std::minstd_rand::result_type>(options.seed * 15485863));
+    FakeFleet fleet(options);
+    std::uint64_t term = 1;
+    fleet.lead(term);
+    fleet.run(20s);
+    const auto any = [&] {
+        auto it = fleet.servers.begin();
+        std::advance(it, std::uniform_int_distribution<std::size_t>(0, fleet.servers.size() - 1)(random));
+        return it->first;
+    };
+    for (int i = 0; i < 40; ++i) {
+        const auto pick = std::uniform_int_distribution<int>(0, 9)(random);
+        if (pick < 3) {
+            fleet.restart(any());
+        } else if (pick < 4) {
+            fleet.kill(any());
+            fleet.addServer("domain-" + std::to_string(i % 2));
+        } else if (pick < 5) {
+            fleet.servers.at(any()).partitioned = true;
+        } else if (pick < 6) {
+            for (auto& [id, server] : fleet.servers)
+                server.partitioned = false;
+        } else {
+            fleet.stepDown();
+            fleet.run(Duration { std::uniform_int_distribution<Duration::rep>(0, Duration { 2s }.count())(random) });
+            fleet.lead(++term);
+        }
+        fleet.run(Duration { std::uniform_int_distribution<Duration::rep>(0, Duration { 6s }.count())(random) });
+    }
+    return fleet.violations;
+}
+
+} // namespace
+
+// Guards against leaders that order messages by the time at which they arrive.
+TEST_CASE("no order of heartbeats, orders and elections lets an incomplete group or two groups serve", "[fleet]")
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        CAPTURE(seed);
+        FleetOptions options;
+        options.seed = seed;
+        const auto violations = runReorderedSequence(options);
+        CAPTURE(violations);
+        CHECK(violations.empty());
+    }
+}
+
+TEST_CASE("the checks detect leaders that do not know the groups of earlier leaders", "[fleet]")
+{
+    std::size_t violationCount = 0;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        FleetOptions options;
+        options.seed = seed;
+        options.losesGroups = true;
+        violationCount += runReorderedSequence(options).size();
+    }
+    CHECK(violationCount > 0);
+}
+
 TEST_CASE("the checks detect a leader that is not notified of drains", "[fleet]")
 {
     std::size_t violationCount = 0;
--- a/tests/core/fleet/fake_fleet.hpp
+++ b/tests/core/fleet/fake_fleet.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rosemarymill/core/fleet/control.hpp>
+#include <rosemarymill/core/fleet/machine.hpp>
 
 #include <algorithm>
 #include <deque>
@@ -25,6 +26,12 @@
     /// Probability that the answer to an order is lost, and that an order is executed late.
     double lostAnswers { 0 };
     double lateOrders { 0 };
+    /// Probability that a heartbeat is delayed, by at most this time, and that a delayed one arrives twice.
+    double lateHeartbeats { 0.05 };
+    Duration maxHeartbeatDelay { 3s };
+    double repeatedHeartbeats { 0 };
+    /// A new leader does not get the stored groups.
+    bool losesGroups { false };
     /// Servers report that they are ready before they are.
     bool reportsTooEarly { false };
     /// Heartbeats of draining servers do not report it, and the leader is not notified of data centres taken out of
@@ -82,13 +89,20 @@
     void lead(std::uint64_t term)
     {
         m_drainsOfLeader.clear();
-        decide(fleet::event::LeadershipChanged { now, true, term });
+        electWithout(m_uncommitted.size());
+        decide(fleet::event::LeadershipChanged {
+            now, true, term, m_options.losesGroups ? fleet::GroupRecords {} : machine.state().groups });
         decide(fleet::event::DocumentChanged { now, table() });
         if (!m_options.hidesDrains)
             decide(fleet::event::OutOfServiceChanged { now, outOfService });
     }
 
-    void stepDown() { decide(fleet::event::LeadershipChanged { now, false, 0 }); }
+    /// The leader is lost. Of the commands that it had not committed, the log keeps some of the first.
+    void stepDown()
+    {
+        electWithout(std::uniform_int_distribution<std::size_t>(0, m_uncommitted.size())(m_random));
+        decide(fleet::event::LeadershipChanged { now, false, 0 });
+    }
 
     void run(Duration time)
     {
@@ -98,6 +112,21 @@
 
     void kill(const ServerId& id) { servers.at(id).alive = false; }
 
+    /// The server's process starts again under the same id. Its host keeps the staged weights.
+    void restart(const ServerId& id)
+    {
+        auto& server = servers.at(id);
+        auto record = server.record;
+        server = {};
+        record.startedAtMs = now.time_since_epoch() / 1ms;
+        record.sequence = 0;
+        record.draining = false;
+        record.group.reset();
+        record.loaded.clear();
+        server.record = std::move(record);
+        server.nextHeartbeat = now;
+    }
+
     /// The server announces that it drains, and the leader acknowledges.
     void drain(const ServerId& id)
     {
@@ -163,6 +192,12 @@
         for (auto& effect : effects) {
             if (auto* order = std::get_if<fleet::effect::SendOrder>(&effect))
                 deliver(order->server, order->order);
+            else if (auto* stored = std::get_if<fleet::effect::StoreGroup>(&effect))
+                propose(fleet::StoreGroup { {}, stored->group }, [this, group = stored->group] {
+                    decide(fleet::event::GroupStored { now, group, true });
+                });
+            else if (auto* erased = std::get_if<fleet::effect::EraseGroup>(&effect))
+                propose(fleet::EraseGroup { {}, erased->name, erased->epoch }, [] {});
             else if (auto* probe = std::get_if<fleet::effect::ProbeServer>(&effect))
                 answerProbe(probe->server, probe->timeout);
             else if (auto* targets = std::get_if<fleet::effect::PublishTargets>(&effect))
@@ -188,6 +223,37 @@
     std::set<ServerId> m_acknowledgedDrains;
     std::set<ServerId> m_drainsOfLeader;
 
+    struct Proposal {
+        fleet::Command command;
+        std::function<void()> committed;
+    };
+    std::deque<Proposal> m_uncommitted;
+
+    void propose(fleet::Command command, std::function<void()> committed)
+    {
+        m_uncommitted.push_back({ std::move(command), std::move(committed) });
+    }
+
+    /// Commits what the leader has proposed.
+    void commit()
+    {
+        while (!m_uncommitted.empty()) {
+            const auto proposal = std::move(m_uncommitted.front());
+            m_uncommitted.pop_front();
+            machine.apply(0, proposal.command);
+            proposal.committed();
+        }
+    }
+
+    /// Ends the leader's term. The last `lost` of its uncommitted commands are not in the log of the next leader.
+    void electWithout(std::size_t lost)
+    {
+        m_uncommitted.resize(m_uncommitted.size() - lost);
+        for (const auto& it : m_uncommitted)
+            machine.apply(0, it.command);
+        m_uncommitted.clear();
+    }
+
     Duration randomUpTo(Duration most)
     {
         return Duration { std::uniform_int_distribution<Duration::rep>(0, most.count())(m_random) };
@@ -199,6 +265,7 @@
 
     void advance()
     {
+        commit();
         while (!m_scheduled.empty() && m_scheduled.begin()->first <= now) {
             const auto action = std::move(m_scheduled.begin()->second);
             m_scheduled.erase(m_scheduled.begin());
@@ -259,10 +326,17 @@
     {
         server.nextHeartbeat = now + 1200ms;
         ++server.record.sequence;
-        if (!server.partitioned)
-            schedule(chance(0.05) ? randomUpTo(3s) : networkDelay, [this, record = server.record] {
+        if (server.partitioned)
+            return;
+        const auto deliverAfter = [&](Duration delay) {
+            schedule(delay, [this, record = server.record] {
                 decide(fleet::event::HeartbeatReceived { now, record });
             });
+        };
+        const bool late = chance(m_options.lateHeartbeats);
+        deliverAfter(late ? randomUpTo(m_options.maxHeartbeatDelay) : networkDelay);
+        if (m_options.repeatedHeartbeats > 0 && chance(m_options.repeatedHeartbeats))
+            deliverAfter(randomUpTo(m_options.maxHeartbeatDelay));
     }
 
     void answerProbe(const ServerId& id, Duration timeout)
@@ -416,6 +490,8 @@
     Instant now { 100s };
     std::map<ServerId, Server> servers;
     fleet::Control control;
+    /// State of the control log.
+    fleet::Machine machine;
     std::set<DataCentreId> outOfService;
     /// Probability that a probe is answered too late, as on a congested connection of the leader.
     double lostProbes { 0 };
--- a/tests/runtime/link/peer_links.cpp
+++ b/tests/runtime/link/peer_links.cpp
@@ -111,7 +111,7 @@
     REQUIRE(a.send("b", b, wire::maxFramePayloadBytes));
     REQUIRE(a.send("b", b, 0));
     REQUIRE(runUntil(*base, [&] { return b.received.size() == 3; }));
-    CHECK(b.received == std::vector<std::string> { "a 1", "a 1048576", "a 0" });
+    CHECK(b.received == std::vector<std::string> { "a 1", "a " + std::to_string(wire::maxFramePayloadBytes), "a 0" });
     const auto slot = runtime::LinkCounters::slot(FrameKind::Forward);
     CHECK(a.links->counters().sent[slot].messages == 3);
     CHECK(a.links->counters().sent[slot].bytes == b.links->counters().received[slot].bytes);
--- a/tests/wire/fleet/codec.cpp
+++ b/tests/wire/fleet/codec.cpp
@@ -1,5 +1,6 @@
 #include <rosemarymill/wire/fleet/codec.hpp>
 
+#include <rosemarymill/wire/frame/frame.hpp>
 #include <rosemarymill/wire/generated/fleet_generated.hpp>
 
 #include <catch2/catch.hpp>
@@ -145,12 +146,19 @@
     const fleet::StoreCrashes parts { "s5",
         { quarantine::partReport(quarantine::ReportKind::PartRefused, std::vector { Fingerprint { 5, 6 } }) } };
     CHECK(roundTripCommand(parts) == parts);
+    const fleet::GroupRecord group { "g7", 7, ServiceName { "llm" }, ModelName { "m" },
+        { { ServerId { "a" }, 1'700'000'000'000, 5 }, { ServerId { "b" }, 1'700'000'000'001, 9 } }, true };
+    const fleet::StoreGroup storeGroup { "s6", group };
+    CHECK(roundTripCommand(storeGroup) == storeGroup);
+    const fleet::EraseGroup eraseGroup { "s7", "g7", 7 };
+    CHECK(roundTripCommand(eraseGroup) == eraseGroup);
 
     fleet::Snapshot snapshot { 7, "{}", { DataCentreId { "y" }, DataCentreId { "z" } } };
     const quarantine::Crash first { ServerId { "a" }, BootId { "1" } };
     const quarantine::Crash second { ServerId { "a" }, BootId { "2" } };
     snapshot.crashes = { { { 9, 9 }, { second } }, { { 1, 2 }, { first, second } } };
     snapshot.refusedParts = { { { 5, 6 }, 1 }, { { 7, 8 } } };
+    snapshot.groups = { group };
     wire::Buffer buf;
     Codec::encodeSnapshot(snapshot, buf);
     CHECK(Codec::decodeSnapshot(buf).value() == snapshot);
@@ -191,6 +199,28 @@
     CHECK(Codec::decodeSnapshot(buf).error() == wire::DecodeError::UnexpectedKind);
 }
 
+TEST_CASE("a stored group without members is rejected", "[fleet]")
+{
+    wire::Buffer buf;
+    Codec::encodeCommand(fleet::StoreGroup { "s1", { "g1", 1, {}, {}, {}, false } }, buf);
+    CHECK(Codec::decodeCommand(buf).error() == wire::DecodeError::UnexpectedKind);
+}
+
+TEST_CASE("a snapshot with the largest document and all groups fits into a frame", "[fleet]")
+{
+    fleet::Snapshot snapshot { 7, std::string(fleet::maxStoredDocumentBytes, 'x'), {} };
+    for (std::uint64_t epoch = 1; epoch <= 1000; ++epoch) {
+        fleet::GroupRecord group { "g" + std::to_string(epoch), epoch, ServiceName { "s" }, ModelName { "m" }, {} };
+        for (std::uint64_t member = 0; member < 12; ++member)
+            group.members.push_back({ ServerId { std::to_string(epoch) + '/' + std::to_string(member) }, 1, 1 });
+        static_cast<void>(store(snapshot.groups, group));
+    }
+    CHECK(snapshot.groups.size() < 1000);
+    wire::Buffer buf;
+    Codec::encodeSnapshot(snapshot, buf);
+    CHECK(buf.size() <= wire::maxFramePayloadBytes - 32 * 1024);
+}
+
 TEST_CASE("truncated and empty control messages are rejected", "[fleet]")
 {
     wire::Buffer buf;
