Commit departures of servers before they are acknowledged

Cause: the 2xx to DELETE, and to a heartbeat that reports draining, promises that the process gets no new requests, but only the leader's registry knew of it. The next leader started empty and took a late heartbeat for that of a healthy server. `maxRestartSequence` and `maxHeartbeatDelay` guessed by sequence number and age whether a heartbeat came from before the notice.

Change: the control log holds the departures (`DepartureTable`), by server and start of the process. Repeated heartbeats of a stored departure cost no entry. A leave notice names no process: it means the registered one, or each that has started until now when the leader has not heard of the server yet. A process that starts later under the same id is used at once. A group whose member has departed is closed by a new leader also before that member's heartbeat.

--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -93,17 +93,19 @@
     ServerRecord record;
 };
 
+/// A server announced that it ends. `Registry::departureOf` tells which of its processes.
 struct ServerLeft {
     Instant now;
-    ServerId server;
+    Departure departure;
 };
 
 struct LeadershipChanged {
     Instant now;
     bool leads { false };
     std::uint64_t term { 0 };
-    /// Groups in the control log.
+    /// Groups and departures in the control log.
     GroupRecords groups {};
+    DepartureTable departures {};
 };
 
 /// Outcome of `effect::StoreGroup`. When it is not committed, it may still be committed later.
--- a/packages/core/include/rosemarymill/core/fleet/fwd.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/fwd.hpp
@@ -4,9 +4,11 @@
 namespace rosemarymill::fleet {
 
 class Control;
+class DepartureTable;
 class EntryVmRegistry;
 class Machine;
 class Registry;
+struct Departure;
 struct Group;
 struct GroupRecord;
 struct ServerRecord;
--- a/packages/core/include/rosemarymill/core/fleet/machine.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/machine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <rosemarymill/core/agreement/replica.hpp>
+#include <rosemarymill/core/fleet/departure_table.hpp>
 #include <rosemarymill/core/fleet/group_records.hpp>
 #include <rosemarymill/core/quarantine/stored_record.hpp>
 
@@ -11,8 +12,8 @@
 #include <variant>
 #include <vector>
 
-/// Replicated state of the control VMs: the document, the data centres out of service, the groups of model servers, and
-/// the records of requests that crash servers.
+/// Replicated state of the control VMs: the document, the data centres out of service, the groups of model servers, the
+/// servers that have departed, and the records of requests that crash servers.
 namespace rosemarymill::fleet {
 
 /// Maximum size in bytes of a document as submitted.
@@ -81,7 +82,16 @@
     friend bool operator==(const EraseGroup&, const EraseGroup&) = default;
 };
 
-using Command = std::variant<StoreDocument, SetOutOfService, Barrier, StoreCrashes, StoreGroup, EraseGroup>;
+/// Stores that a server drains or ends.
+struct StoreDeparture {
+    std::string submission;
+    Departure departure;
+
+    friend bool operator==(const StoreDeparture&, const StoreDeparture&) = default;
+};
+
+using Command
+    = std::variant<StoreDocument, SetOutOfService, Barrier, StoreCrashes, StoreGroup, EraseGroup, StoreDeparture>;
 
 /// Submission id of a command.
 [[nodiscard]] inline const std::string& submissionOf(const Command& command)
@@ -98,6 +108,7 @@
     quarantine::StoredRecords crashes {};
     quarantine::StoredParts refusedParts {};
     GroupRecords groups {};
+    DepartureTable departures {};
 
     friend bool operator==(const Snapshot&, const Snapshot&) = default;
 };
--- a/packages/core/include/rosemarymill/core/fleet/registry.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/registry.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <rosemarymill/core/fleet/departure_table.hpp>
 #include <rosemarymill/core/fleet/server.hpp>
 
 #include <map>
@@ -44,7 +45,20 @@
 
     /// Applies a server's leave notice. The server drains for the rest of its incarnation. This also holds if it is not
     /// registered yet, since a delayed heartbeat of that incarnation may still arrive.
-    void markLeft(Instant now, const ServerId& id);
+    void markLeft(Instant now, const Departure& departure);
+
+    /// Incarnation that a leave notice refers to, which does not name it: the registered one, or otherwise each that
+    /// has started until now. `nowMs` is the wall clock in milliseconds.
+    [[nodiscard]] Departure departureOf(const ServerId& id, std::int64_t nowMs) const;
+
+    /// Whether this incarnation has announced that it drains or ends.
+    [[nodiscard]] bool hasDeparted(const ServerId& id, std::int64_t startedAtMs) const
+    {
+        return m_departures.contains(id, startedAtMs);
+    }
+
+    /// Removes all servers, and takes over the departures that the control log holds.
+    void reset(DepartureTable departures);
 
     /// Removes a server, and rejects later heartbeats of its present and earlier incarnations.
     void remove(const ServerId& id);
@@ -58,9 +72,10 @@
     [[nodiscard]] std::map<ServerId, RegisteredServer>& servers() noexcept { return m_servers; }
     [[nodiscard]] const std::map<ServerId, RegisteredServer>& servers() const noexcept { return m_servers; }
 
-    void clear();
-
 private:
+    /// The server drains for the rest of the incarnation.
+    void markDrained(const Departure& departure);
+
     std::map<ServerId, RegisteredServer> m_servers;
     std::unordered_map<std::string, ServerId> m_byAddress;
     /// Start time of the latest incarnation at each address, also of removed servers.
@@ -73,8 +88,7 @@
     };
     /// Last heartbeat of each server that is known to be outdated.
     std::unordered_map<ServerId, Heartbeat> m_outdated;
-    /// Receipt time of leave notices from servers that were not registered.
-    std::unordered_map<ServerId, Instant> m_leftUnregistered;
+    DepartureTable m_departures;
 };
 
 } // namespace rosemarymill::fleet
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -75,9 +75,10 @@
 {
     if (!m_leads)
         return;
-    log("received leave notice", event.server.text(), "the server is leaving", effects);
+    log("received leave notice", event.departure.server.text(),
+        "incarnations up to " + std::to_string(event.departure.startedAtMs) + " are leaving", effects);
     // The process continues to serve while it drains, so its group is closed without dropping queued requests.
-    m_registry.markLeft(m_now, event.server);
+    m_registry.markLeft(m_now, event.departure);
     reviewGroups(effects);
     publish(false, effects);
 }
@@ -88,7 +89,7 @@
     m_term = event.term;
     m_leadsSince = m_now;
     m_targetsComplete = false;
-    m_registry.clear();
+    m_registry.reset(event.departures);
     m_groups.clear();
     m_groupRecords.clear();
     for (const auto& group : event.groups) {
--- a/packages/core/src/fleet/groups.cpp
+++ b/packages/core/src/fleet/groups.cpp
@@ -162,6 +162,10 @@
     for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
         const auto& id = group.members[rank];
         if (id.empty()) {
+            const auto record = m_groupRecords.find(group.name);
+            const auto* member = record == m_groupRecords.end() ? nullptr : &record->second.members[rank];
+            if (member && m_registry.hasDeparted(member->server, member->startedAtMs))
+                return "member " + member->server.text() + " drains";
             // Some servers may keep sending heartbeats to a lost leader for longer than `settle`.
             const bool serves
                 = progressing || (rank == 0 && m_now < m_unregisteredProgressAt + m_settings.progressWindow);
--- a/packages/core/src/fleet/machine.cpp
+++ b/packages/core/src/fleet/machine.cpp
@@ -24,6 +24,8 @@
         answer.changed = store(m_state.groups, group->group);
     } else if (const auto* erased = std::get_if<EraseGroup>(&command)) {
         answer.changed = erase(m_state.groups, erased->name, erased->epoch);
+    } else if (const auto* departure = std::get_if<StoreDeparture>(&command)) {
+        answer.changed = m_state.departures.add(departure->departure);
     }
     return answer;
 }
--- a/packages/core/src/fleet/registry.cpp
+++ b/packages/core/src/fleet/registry.cpp
@@ -4,18 +4,12 @@
 
 namespace rosemarymill::fleet {
 
-namespace {
-
-/// Highest sequence number at which a heartbeat after a leave notice is taken for that of a new incarnation.
-constexpr std::uint64_t maxRestartSequence = 2;
-
-/// Maximum delay of a heartbeat on its way.
-constexpr Duration maxHeartbeatDelay = 30s;
-
-} // namespace
-
 HeartbeatResult Registry::apply(Instant now, ServerRecord record)
 {
+    // Draining is final for an incarnation, also when a heartbeat from before it started arrives later.
+    if (record.draining)
+        markDrained({ record.id, record.startedAtMs });
+    record.draining = m_departures.contains(record.id, record.startedAtMs);
     if (const auto it = m_removedStartedAtMs.find(record.id); it != m_removedStartedAtMs.end()) {
         if (record.startedAtMs <= it->second)
             return HeartbeatResult::FromEarlierIncarnation;
@@ -37,16 +31,9 @@
             return HeartbeatResult::FromEarlierIncarnation;
         if (record.startedAtMs == current.startedAtMs && record.sequence <= current.sequence)
             return HeartbeatResult::Outdated;
-        // Draining is final for an incarnation. A delayed heartbeat may have been sent before draining started.
-        record.draining = record.draining || (record.startedAtMs == current.startedAtMs && current.draining);
         if (record.startedAtMs > current.startedAtMs || record.address != current.address)
             m_servers.erase(existing);
     }
-    if (const auto it = m_leftUnregistered.find(record.id); it != m_leftUnregistered.end()) {
-        record.draining
-            = record.draining || (record.sequence > maxRestartSequence && now < it->second + maxHeartbeatDelay);
-        m_leftUnregistered.erase(it);
-    }
     latestStart = record.startedAtMs;
     // The process that used the address before has ended.
     if (const auto it = m_byAddress.find(record.address); it != m_byAddress.end() && it->second != record.id)
@@ -60,15 +47,25 @@
     return HeartbeatResult::Accepted;
 }
 
-void Registry::markLeft(Instant now, const ServerId& id)
+void Registry::markDrained(const Departure& departure)
 {
-    auto* server = find(id);
-    if (!server) {
-        m_leftUnregistered[id] = now;
-        return;
-    }
-    server->record.draining = true;
-    server->lastReceivedAt = now;
+    m_departures.add(departure);
+    auto* server = find(departure.server);
+    if (server && m_departures.contains(departure.server, server->record.startedAtMs))
+        server->record.draining = true;
+}
+
+void Registry::markLeft(Instant now, const Departure& departure)
+{
+    markDrained(departure);
+    if (auto* server = find(departure.server); server && server->record.draining)
+        server->lastReceivedAt = now;
+}
+
+Departure Registry::departureOf(const ServerId& id, std::int64_t nowMs) const
+{
+    const auto* server = find(id);
+    return { id, server ? server->record.startedAtMs : nowMs };
 }
 
 void Registry::remove(const ServerId& id)
@@ -102,14 +99,14 @@
     return it == m_servers.end() ? nullptr : &it->second;
 }
 
-void Registry::clear()
+void Registry::reset(DepartureTable departures)
 {
     m_servers.clear();
     m_byAddress.clear();
     m_startedAtByAddress.clear();
     m_removedStartedAtMs.clear();
     m_outdated.clear();
-    m_leftUnregistered.clear();
+    m_departures = std::move(departures);
 }
 
 } // namespace rosemarymill::fleet
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -89,9 +89,11 @@
     /// Calls of operators, which any control VM accepts. Their executor has to be set before the event loop runs.
     [[nodiscard]] ControlCalls& calls() noexcept { return m_calls; }
 
-    /// Handles a server's announcement. Only for the leader.
-    void heartbeat(fleet::ServerRecord record);
-    void serverLeft(const ServerId& server);
+    /// Handles a server's heartbeat. Only for the leader. `done` tells whether it may be acknowledged: one that reports
+    /// draining only after that is committed.
+    void heartbeat(fleet::ServerRecord record, CommitHandler done);
+    /// Handles a server's leave notice. Only for the leader. `done` tells whether it is committed.
+    void serverLeft(const ServerId& server, CommitHandler done);
 
     /// Replicates a valid document and its text as it was submitted, which is compressed here once. `done` is not
     /// called after an error: a text longer than fleet::maxDocumentBytes, or fleet::maxStoredDocumentBytes once it is
@@ -149,6 +151,8 @@
     [[nodiscard]] std::string nextSubmission();
     /// Proposes a command, which contains its submission id.
     void propose(fleet::Command command, CommitHandler done);
+    /// Commits a departure unless the control log holds it already.
+    void storeDeparture(const fleet::Departure& departure, CommitHandler done);
     void finishProposal(const std::string& submission, bool committed);
     /// Text of the stored document. The errors are those of wire::decompress.
     [[nodiscard]] Result<std::string> documentText() const;
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -8,6 +8,7 @@
 #include <rosemarymill/wire/fleet/codec.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <stdexcept>
 
 namespace rosemarymill::runtime::nodes {
@@ -337,8 +338,8 @@
         m_learners.clear();
         m_review = {};
         const auto& state = m_replica->machine().state();
-        decide(core::event::LeadershipChanged {
-            readClock(), leads, m_replica->term(), leads ? state.groups : core::GroupRecords {} });
+        decide(
+            core::event::LeadershipChanged { readClock(), leads, m_replica->term(), state.groups, state.departures });
         if (leads) {
             if (m_documentVersion > 0 && loadTable())
                 publishDocument();
@@ -444,22 +445,44 @@
         });
 }
 
-void ControlNode::heartbeat(core::ServerRecord record)
+void ControlNode::heartbeat(core::ServerRecord record, CommitHandler done)
 {
     const auto now = readClock();
+    const bool draining = record.draining;
+    const core::Departure departure { record.id, record.startedAtMs };
     const auto server = record.id;
     const auto bootId = record.bootId();
     const auto sequence = record.sequence;
     decide(core::event::HeartbeatReceived { now, std::move(record) });
     const auto* registered = m_control.registry().find(server);
-    if (!registered || registered->record.bootId() != bootId || registered->record.sequence != sequence)
-        return;
-    quarantine::Outcome outcome;
-    m_quarantine.announced(server, bootId, sequence, now, outcome);
-    executeOutcome(std::move(outcome));
+    if (registered && registered->record.bootId() == bootId && registered->record.sequence == sequence) {
+        quarantine::Outcome outcome;
+        m_quarantine.announced(server, bootId, sequence, now, outcome);
+        executeOutcome(std::move(outcome));
+    }
+    if (draining)
+        storeDeparture(departure, std::move(done));
+    else
+        done(m_leads);
 }
 
-void ControlNode::serverLeft(const ServerId& server) { decide(core::event::ServerLeft { readClock(), server }); }
+void ControlNode::serverLeft(const ServerId& server, CommitHandler done)
+{
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto wallClock = std::chrono::system_clock::now().time_since_epoch();
+    const auto departure = m_control.registry().departureOf(server, duration_cast<milliseconds>(wallClock).count());
+    decide(core::event::ServerLeft { readClock(), departure });
+    storeDeparture(departure, std::move(done));
+}
+
+void ControlNode::storeDeparture(const core::Departure& departure, CommitHandler done)
+{
+    if (m_replica->machine().state().departures.contains(departure.server, departure.startedAtMs))
+        done(true);
+    else
+        propose(core::StoreDeparture { nextSubmission(), departure }, std::move(done));
+}
 
 std::string ControlNode::nextSubmission()
 {
--- a/packages/wire/src/fleet/codec.cpp
+++ b/packages/wire/src/fleet/codec.cpp
@@ -20,7 +20,7 @@
 namespace quarantine = rosemarymill::quarantine;
 
 /// Bytes of a frame that are reserved for message fields other than the document, such as data centres and voters.
-constexpr std::size_t messageFieldsBytes = 48 * 1024 + core::maxGroupRecordsBytes;
+constexpr std::size_t messageFieldsBytes = 48 * 1024 + core::maxGroupRecordsBytes + core::maxDeparturesBytes;
 
 static_assert(core::maxStoredDocumentBytes + messageFieldsBytes <= maxFramePayloadBytes);
 static_assert(static_cast<core::Encoding>(fb::Encoding::Zstd) == core::Encoding::Zstd);
@@ -177,6 +177,24 @@
     return asUnion<fb::AnyCommandUnion>(std::move(packed));
 }
 
+std::unique_ptr<fb::DepartureT> packDeparture(const core::Departure& it)
+{
+    auto packed = std::make_unique<fb::DepartureT>();
+    packed->server = it.server.text();
+    packed->started_at_ms = it.startedAtMs;
+    return packed;
+}
+
+core::Departure unpack(const fb::DepartureT& it) { return { ServerId { it.server }, it.started_at_ms }; }
+
+fb::AnyCommandUnion pack(const core::StoreDeparture& it)
+{
+    fb::StoreDepartureT packed;
+    packed.submission = it.submission;
+    packed.departure = packDeparture(it.departure);
+    return asUnion<fb::AnyCommandUnion>(std::move(packed));
+}
+
 fb::AnyMessageUnion pack(const core::Subscribe& it)
 {
     fb::SubscribeT packed;
@@ -429,6 +447,8 @@
     }
     for (const auto& it : snapshot.groups)
         packed.groups.push_back(packGroup(it));
+    for (const auto& it : snapshot.departures.entries())
+        packed.departures.push_back(packDeparture(it));
     packTable(packed, buf);
 }
 
@@ -453,6 +473,8 @@
     }
     if (const auto* it = any.AsEraseGroup())
         return core::EraseGroup { it->submission, it->name, it->epoch };
+    if (const auto* it = any.AsStoreDeparture())
+        return core::StoreDeparture { it->submission, unpack(*it->departure) };
     if (const auto* it = any.AsBarrier())
         return core::Barrier { it->submission };
     return DecodeError::UnexpectedKind;
@@ -477,6 +499,8 @@
         if (!it->members.empty())
             (void)core::store(snapshot.groups, unpack(*it));
     }
+    for (const auto& it : packed.departures)
+        (void)snapshot.departures.add(unpack(*it));
     return snapshot;
 }
 
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -159,6 +159,54 @@
     }
 }
 
+// Guards against a new leader that uses a server whose departure its predecessor had acknowledged.
+TEST_CASE("a late heartbeat does not bring back a server whose departure was acknowledged", "[fleet]")
+{
+    for (const bool drains : { false, true }) {
+        CAPTURE(drains);
+        FakeFleet fleet({ .domains = 0, .plainServers = 3 });
+        fleet.lead(1);
+        fleet.run(5s);
+        REQUIRE(fleet.control.targets().size() == 3);
+        const auto leaving = fleet.servers.begin()->first;
+        const auto late = fleet.servers.at(leaving).record;
+        if (drains)
+            fleet.drain(leaving);
+        fleet.leave(leaving);
+        fleet.run(100ms);
+        fleet.stepDown();
+        fleet.run(1s);
+        fleet.lead(2);
+        fleet.decide(rosemarymill::fleet::event::HeartbeatReceived { fleet.now, late });
+        fleet.run(5s);
+        CHECK(fleet.control.targets().size() == 2);
+        CHECK(fleet.violations.empty());
+
+        fleet.restart(leaving);
+        fleet.run(200ms);
+        CHECK(fleet.control.targets().contains(leaving));
+    }
+}
+
+TEST_CASE("a server that leaves before a new leader has heard of it is not used by later leaders", "[fleet]")
+{
+    FakeFleet fleet({ .domains = 0, .plainServers = 3 });
+    fleet.lead(1);
+    fleet.run(5s);
+    const auto leaving = fleet.servers.begin()->first;
+    const auto late = fleet.servers.at(leaving).record;
+    fleet.stepDown();
+    fleet.lead(2);
+    fleet.leave(leaving);
+    fleet.run(100ms);
+    fleet.stepDown();
+    fleet.lead(3);
+    fleet.decide(rosemarymill::fleet::event::HeartbeatReceived { fleet.now, late });
+    fleet.run(3s);
+    CHECK(fleet.violations.empty());
+    CHECK_FALSE(fleet.control.targets().contains(leaving));
+}
+
 TEST_CASE("a new leader releases a group whose head has restarted, and uses the head again", "[fleet]")
 {
     FakeFleet fleet({ .domains = 1, .serversPerDomain = 3 });
@@ -539,8 +587,9 @@
 
 namespace {
 
-/// Runs a random sequence in which leaders change and are lost in series, servers restart under their ids, are lost and
-/// are partitioned, and a third of the heartbeats arrives late or twice. Returns the violations.
+/// Runs a random sequence in which leaders change and are lost in series, servers drain, leave, restart under their
+/// ids, are lost and are partitioned, and a third of the heartbeats arrives late or twice. Returns the violations, and
+/// the servers that are not used at the end although they could be.
 std::vector<std::string> runReorderedSequence(FleetOptions options)
 {
     options.lateHeartbeats = 0.3;
@@ -550,6 +599,7 @@
     options.lateOrders = 0.1;
     options.domains = 2;
     options.serversPerDomain = 7;
+    options.plainServers = 4;
     std::minstd_rand random(static_cast<std::minstd_rand::result_type>(options.seed * 15485863));
     FakeFleet fleet(options);
     std::uint64_t term = 1;
@@ -561,8 +611,12 @@
         return it->first;
     };
     for (int i = 0; i < 40; ++i) {
-        const auto pick = std::uniform_int_distribution<int>(0, 9)(random);
-        if (pick < 3) {
+        const auto pick = std::uniform_int_distribution<int>(0, 11)(random);
+        if (pick == 10) {
+            fleet.drain(any());
+        } else if (pick == 11) {
+            fleet.leave(any());
+        } else if (pick < 3) {
             fleet.restart(any());
         } else if (pick < 4) {
             fleet.kill(any());
@@ -579,13 +633,21 @@
         }
         fleet.run(Duration { std::uniform_int_distribution<Duration::rep>(0, Duration { 6s }.count())(random) });
     }
+    for (auto& [id, server] : fleet.servers)
+        server.partitioned = false;
+    fleet.run(15s);
+    for (const auto& [id, server] : fleet.servers) {
+        if (server.record.service == ServiceName { "desk" } && fleet.stays(id) && !fleet.control.targets().contains(id))
+            fleet.violations.push_back(id.text() + " is not used");
+    }
     return fleet.violations;
 }
 
 } // namespace
 
 // Guards against leaders that order messages by the time at which they arrive.
-TEST_CASE("no order of heartbeats, orders and elections lets an incomplete group or two groups serve", "[fleet]")
+TEST_CASE(
+    "no order of heartbeats, notices, orders and elections has two groups serve or a drained server used", "[fleet]")
 {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
         CAPTURE(seed);
@@ -597,16 +659,19 @@
     }
 }
 
-TEST_CASE("the checks detect leaders that do not know the groups of earlier leaders", "[fleet]")
+TEST_CASE("the checks detect leaders that do not know the groups or departures of earlier leaders", "[fleet]")
 {
-    std::size_t violationCount = 0;
-    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-        FleetOptions options;
-        options.seed = seed;
-        options.losesGroups = true;
-        violationCount += runReorderedSequence(options).size();
+    for (const bool departures : { false, true }) {
+        CAPTURE(departures);
+        std::size_t violationCount = 0;
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            FleetOptions options;
+            options.seed = seed;
+            (departures ? options.losesDepartures : options.losesGroups) = true;
+            violationCount += runReorderedSequence(options).size();
+        }
+        CHECK(violationCount > 0);
     }
-    CHECK(violationCount > 0);
 }
 
 TEST_CASE("the checks detect a leader that is not notified of drains", "[fleet]")
--- a/tests/core/fleet/fake_fleet.hpp
+++ b/tests/core/fleet/fake_fleet.hpp
@@ -23,6 +23,8 @@
     std::uint64_t seed { 1 };
     unsigned domains { 2 };
     unsigned serversPerDomain { 11 };
+    /// Servers of a plain service.
+    unsigned plainServers { 0 };
     /// Probability that the answer to an order is lost, and that an order is executed late.
     double lostAnswers { 0 };
     double lateOrders { 0 };
@@ -30,8 +32,9 @@
     double lateHeartbeats { 0.05 };
     Duration maxHeartbeatDelay { 3s };
     double repeatedHeartbeats { 0 };
-    /// A new leader does not get the stored groups.
+    /// A new leader does not get the stored groups, or departures.
     bool losesGroups { false };
+    bool losesDepartures { false };
     /// Servers report that they are ready before they are.
     bool reportsTooEarly { false };
     /// Heartbeats of draining servers do not report it, and the leader is not notified of data centres taken out of
@@ -47,6 +50,8 @@
         bool alive { true };
         /// Partitioned from the control VM, but still running.
         bool partitioned { false };
+        /// Has sent a leave notice and sends no more heartbeats.
+        bool left { false };
         std::vector<ServerId> members;
         ModelName model;
         ModelName lastModel;
@@ -70,6 +75,11 @@
             for (unsigned i = 0; i < m_options.serversPerDomain; ++i)
                 addServer("domain-" + std::to_string(domain));
         }
+        for (unsigned i = 0; i < m_options.plainServers; ++i) {
+            auto& record = servers.at(addServer({})).record;
+            record.service = ServiceName { "desk" };
+            record.dataCentre = DataCentreId { "centre" };
+        }
     }
 
     ServerId addServer(const std::string& domain)
@@ -77,7 +87,7 @@
         ServerId id { "server-" + std::to_string(++m_created) };
         auto& server = servers[id];
         server.record.id = id;
-        server.record.startedAtMs = now.time_since_epoch() / 1ms;
+        server.record.startedAtMs = nowMs();
         server.record.service = ServiceName { "llm" };
         server.record.address = id.text();
         server.record.dataCentre = DataCentreId { "centre-of-" + domain };
@@ -90,8 +100,9 @@
     {
         m_drainsOfLeader.clear();
         electWithout(m_uncommitted.size());
-        decide(fleet::event::LeadershipChanged {
-            now, true, term, m_options.losesGroups ? fleet::GroupRecords {} : machine.state().groups });
+        decide(fleet::event::LeadershipChanged { now, true, term,
+            m_options.losesGroups ? fleet::GroupRecords {} : machine.state().groups,
+            m_options.losesDepartures ? fleet::DepartureTable {} : machine.state().departures });
         decide(fleet::event::DocumentChanged { now, table() });
         if (!m_options.hidesDrains)
             decide(fleet::event::OutOfServiceChanged { now, outOfService });
@@ -118,7 +129,8 @@
         auto& server = servers.at(id);
         auto record = server.record;
         server = {};
-        record.startedAtMs = now.time_since_epoch() / 1ms;
+        // A server that has just left is not back within the same millisecond.
+        record.startedAtMs = nowMs() + 1;
         record.sequence = 0;
         record.draining = false;
         record.group.reset();
@@ -136,10 +148,25 @@
         auto record = server.record;
         record.draining = !m_options.hidesDrains;
         decide(fleet::event::HeartbeatReceived { now, record });
-        if (control.leads()) {
-            m_acknowledgedDrains.insert(id);
-            m_drainsOfLeader.insert(id);
-        }
+        acknowledgeOnceStored({ id, record.startedAtMs });
+    }
+
+    /// The server announces that it ends, and the leader acknowledges. It serves on and sends no more heartbeats.
+    void leave(const ServerId& id)
+    {
+        servers.at(id).left = true;
+        if (!control.leads())
+            return;
+        const auto departure = control.registry().departureOf(id, nowMs());
+        decide(fleet::event::ServerLeft { now, departure });
+        acknowledgeOnceStored({ id, servers.at(id).record.startedAtMs }, departure);
+    }
+
+    /// Whether the server runs, and has not announced that it drains or ends.
+    [[nodiscard]] bool stays(const ServerId& id) const
+    {
+        const auto& server = servers.at(id);
+        return server.alive && !server.left && !server.record.draining;
     }
 
     void setOutOfService(std::set<DataCentreId> dataCentres)
@@ -182,6 +209,9 @@
         engine.formation = 300ms;
         service.engine = engine;
         document.services.push_back(service);
+        routes::Service plain;
+        plain.name = ServiceName { "desk" };
+        document.services.push_back(plain);
         return std::make_shared<routes::Table>(std::move(document));
     }
 
@@ -219,9 +249,21 @@
     std::multimap<Instant, std::function<void()>> m_scheduled;
     /// Members that were ready, by group and epoch.
     std::map<std::pair<std::string, std::uint64_t>, std::set<ServerId>> m_wereReady;
-    /// Draining servers acknowledged by any leader, and by the current one.
-    std::set<ServerId> m_acknowledgedDrains;
-    std::set<ServerId> m_drainsOfLeader;
+    /// Processes of draining servers acknowledged by any leader, and by the current one.
+    std::set<std::pair<ServerId, std::int64_t>> m_acknowledgedDrains;
+    std::set<std::pair<ServerId, std::int64_t>> m_drainsOfLeader;
+
+    [[nodiscard]] std::int64_t nowMs() const { return now.time_since_epoch() / 1ms; }
+
+    void acknowledgeOnceStored(const fleet::Departure& process, std::optional<fleet::Departure> stored = {})
+    {
+        if (!control.leads())
+            return;
+        propose(fleet::StoreDeparture { {}, stored.value_or(process) }, [this, process] {
+            m_acknowledgedDrains.emplace(process.server, process.startedAtMs);
+            m_drainsOfLeader.emplace(process.server, process.startedAtMs);
+        });
+    }
 
     struct Proposal {
         fleet::Command command;
@@ -296,7 +338,7 @@
         }
         if (group && group->rank == 0 && group->state == State::Open)
             checkMembers(server);
-        if (now >= server.nextHeartbeat)
+        if (now >= server.nextHeartbeat && !server.left)
             sendHeartbeat(server);
     }
 
@@ -465,12 +507,15 @@
         for (const auto& [id, target] : control.targets()) {
             if (outOfService.contains(target.dataCentre))
                 violations.push_back(id.text() + " is used in " + target.dataCentre.text());
+            if (m_acknowledgedDrains.contains({ id, std::stoll(target.bootId.text()) }))
+                violations.push_back(id.text() + " is used although it drains");
             const auto& head = servers.at(id);
             const auto& group = head.record.group;
             for (const auto& it : head.members) {
-                const bool uses = group && servers.at(it).record.isMemberOf(group->group, group->epoch);
+                const auto& member = servers.at(it).record;
+                const bool uses = group && member.isMemberOf(group->group, group->epoch);
                 const auto& drains = it == id ? m_acknowledgedDrains : m_drainsOfLeader;
-                if (uses && drains.contains(it))
+                if (uses && drains.contains({ it, member.startedAtMs }))
                     violations.push_back(id.text() + " is used while " + it.text() + " drains");
             }
         }
--- a/tests/core/fleet/registry.cpp
+++ b/tests/core/fleet/registry.cpp
@@ -61,19 +61,29 @@
 TEST_CASE("a late heartbeat does not bring back a server that left before a new leader registered it", "[fleet]")
 {
     Registry registry;
-    registry.markLeft(now, ServerId { "a" });
-    static_cast<void>(registry.apply(now + 2s, record("a", 100, 6, "x")));
+    registry.markLeft(now, registry.departureOf(ServerId { "a" }, 150));
+    static_cast<void>(registry.apply(now + 2s, record("a", 100, 1, "x")));
     CHECK(registry.find(ServerId { "a" })->record.draining);
-    static_cast<void>(registry.apply(now + 2s, record("a", 100, 7, "x")));
+    static_cast<void>(registry.apply(now + 60s, record("a", 100, 7, "x")));
     CHECK(registry.find(ServerId { "a" })->record.draining);
     static_cast<void>(registry.apply(now + 4s, record("a", 200, 1, "x")));
     CHECK_FALSE(registry.find(ServerId { "a" })->record.draining);
 }
 
+TEST_CASE("a reordered heartbeat that reports draining ends the use of its incarnation", "[fleet]")
+{
+    Registry registry;
+    static_cast<void>(registry.apply(now, record("a", 100, 6, "x")));
+    auto draining = record("a", 100, 5, "x");
+    draining.draining = true;
+    CHECK(registry.apply(now, draining) == HeartbeatResult::Outdated);
+    CHECK(registry.find(ServerId { "a" })->record.draining);
+}
+
 TEST_CASE("a server that starts again after it left is used", "[fleet]")
 {
     Registry registry;
-    registry.markLeft(now, ServerId { "a" });
+    registry.markLeft(now, registry.departureOf(ServerId { "a" }, 150));
     static_cast<void>(registry.apply(now + 1s, record("a", 200, 1, "x")));
     CHECK_FALSE(registry.find(ServerId { "a" })->record.draining);
     static_cast<void>(registry.apply(now + 2s, record("a", 200, 5, "x")));
--- a/tests/runtime/nodes/control_node.cpp
+++ b/tests/runtime/nodes/control_node.cpp
@@ -99,6 +99,41 @@
     CHECK(world.read() == documentText(8, 1000));
 }
 
+TEST_CASE("a departure is acknowledged only once a majority of the control VMs has stored it", "[nodes]")
+{
+    World world;
+    auto& leader = world.waitForLeader();
+    fleet::ServerRecord record;
+    record.id = ServerId { "a" };
+    record.startedAtMs = 100;
+    record.draining = true;
+    std::optional<bool> acknowledged;
+    const auto done = [&](bool it) { acknowledged = it; };
+    leader.node->heartbeat(record, done);
+    CHECK_FALSE(acknowledged);
+    REQUIRE(test::runUntil(world.base.get(), [&] { return acknowledged.has_value(); }));
+    CHECK(*acknowledged);
+
+    for (auto& it : world.vms) {
+        if (&it != &leader)
+            it.node.reset();
+    }
+    // The log holds this departure already.
+    acknowledged.reset();
+    leader.node->heartbeat(record, done);
+    CHECK(acknowledged == true);
+    for (const bool leaves : { false, true }) {
+        acknowledged.reset();
+        record.id = ServerId { leaves ? "b" : "c" };
+        if (leaves)
+            leader.node->serverLeft(record.id, done);
+        else
+            leader.node->heartbeat(record, done);
+        REQUIRE(test::runUntil(world.base.get(), [&] { return acknowledged.has_value(); }));
+        CHECK_FALSE(*acknowledged);
+    }
+}
+
 TEST_CASE("control VMs do not decode a document that they have decoded already or do not use", "[nodes]")
 {
     World world;
--- a/tests/wire/fleet/codec.cpp
+++ b/tests/wire/fleet/codec.cpp
@@ -152,6 +152,8 @@
     CHECK(roundTripCommand(storeGroup) == storeGroup);
     const fleet::EraseGroup eraseGroup { "s7", "g7", 7 };
     CHECK(roundTripCommand(eraseGroup) == eraseGroup);
+    const fleet::StoreDeparture departure { "s8", { ServerId { "a" }, 1'700'000'000'000 } };
+    CHECK(roundTripCommand(departure) == departure);
 
     fleet::Snapshot snapshot { 7, "{}", { DataCentreId { "y" }, DataCentreId { "z" } } };
     const quarantine::Crash first { ServerId { "a" }, BootId { "1" } };
@@ -159,6 +161,8 @@
     snapshot.crashes = { { { 9, 9 }, { second } }, { { 1, 2 }, { first, second } } };
     snapshot.refusedParts = { { { 5, 6 }, 1 }, { { 7, 8 } } };
     snapshot.groups = { group };
+    snapshot.departures.add({ ServerId { "b" }, 2 });
+    snapshot.departures.add({ ServerId { "a" }, 1 });
     wire::Buffer buf;
     Codec::encodeSnapshot(snapshot, buf);
     CHECK(Codec::decodeSnapshot(buf).value() == snapshot);
@@ -206,7 +210,7 @@
     CHECK(Codec::decodeCommand(buf).error() == wire::DecodeError::UnexpectedKind);
 }
 
-TEST_CASE("a snapshot with the largest document and all groups fits into a frame", "[fleet]")
+TEST_CASE("a snapshot with the largest document, all groups and all departures fits into a frame", "[fleet]")
 {
     fleet::Snapshot snapshot { 7, std::string(fleet::maxStoredDocumentBytes, 'x'), {} };
     for (std::uint64_t epoch = 1; epoch <= 1000; ++epoch) {
@@ -216,6 +220,10 @@
         static_cast<void>(store(snapshot.groups, group));
     }
     CHECK(snapshot.groups.size() < 1000);
+    constexpr std::int64_t departures = 10'000;
+    for (std::int64_t it = 1; it <= departures; ++it)
+        snapshot.departures.add({ ServerId { std::to_string(it) }, it });
+    CHECK(snapshot.departures.entries().size() < departures);
     wire::Buffer buf;
     Codec::encodeSnapshot(snapshot, buf);
     CHECK(buf.size() <= wire::maxFramePayloadBytes - 32 * 1024);
