Test that unfinished events of many streams share one memory limit

An operator of a similar system reported a server that sends bytes without end, whose caller kept them all and ran out of memory. Here each answer has a limit (4 MiB, 256 KiB for an event, 32 KiB for a head), and all buffered answers of an entry VM share 16 MiB; answers to orders and probes end at 64 KiB. What had no test were many streams at once, each below its own limit.

--- a/tests/runtime/proxy/endless_responses.cpp
+++ b/tests/runtime/proxy/endless_responses.cpp
@@ -236,6 +236,25 @@
     CHECK(fixture.othersAnswered > 0);
 }
 
+TEST_CASE("unfinished events of many streams share one memory limit", "[proxy]")
+{
+    // As many as the server's listen queue holds. Each event stays below its own limit.
+    constexpr std::size_t calls = 100;
+    constexpr std::size_t eventBytes = 240 * 1024;
+    constexpr std::size_t chunkBytes = 8 * 1024;
+    const auto chunk = "2000\r\n" + std::string(chunkBytes, 'a') + "\r\n";
+    Fixture fixture({ streamFirst, chunk, std::chrono::milliseconds { 20 } });
+    for (std::size_t i = 0; i < calls; ++i)
+        fixture.client("/stream/" + std::to_string(i));
+    fixture.run(3s, [&] { return fixture.bad.sent() > calls * eventBytes; });
+    CAPTURE(fixture.heapGrowth, fixture.othersAnswered, fixture.bad.closed(), fixture.bad.sent());
+    CHECK(fixture.bad.requests() >= calls);
+    CHECK(fixture.log.str().find("buffered responses exceed the memory limit") != std::string::npos);
+    // Each end of a connection reads and sends up to 64 KiB at once, outside of the limit.
+    CHECK(fixture.heapGrowth < maxHeapGrowth + calls * 2 * 64 * 1024);
+    CHECK(fixture.othersAnswered > 0);
+}
+
 TEST_CASE("a slow trickle of bytes that forms no response does not delay the retry of a lookup", "[proxy]")
 {
     for (auto& [name, flood] : endlessPlainResponses()) {
