Shorten replicated logs by bytes as well as by entries

Here the control log was shortened after 256 entries only. Documents of up to 960 KiB that hardly compress let it grow to 240 MB, beyond the disks of 128 MB (and the entries in memory beyond the 256 MB) of all control VMs.

Test: 24 documents of the largest size.

--- a/packages/core/include/rosemarymill/core/agreement/event.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/event.hpp
@@ -59,8 +59,13 @@
     Duration bootstrapDelay {};
     /// Applied entries after which a snapshot is taken.
     std::uint64_t snapshotInterval { 256 };
+    /// Estimated size in bytes of the applied commands after which a snapshot is taken. The log, a snapshot and its
+    /// replacement have to fit several times into a disk of 128 MB and half the memory of a control VM.
+    std::size_t snapshotBytes { 8 * 1024 * 1024 };
     /// Entries before a snapshot that are kept, so that a voter that missed few entries needs no snapshot.
     std::uint64_t trailingEntries { 64 };
+    /// Estimated size in bytes of these entries: about that of the largest snapshot, which would be sent instead.
+    std::size_t trailingBytes { 2 * 1024 * 1024 };
     /// Largest total weight of the entries in one Append, in bytes. A frame holds at most 1.375 MiB.
     std::size_t appendWeight { 256 * 1024 };
 };
--- a/packages/core/include/rosemarymill/core/agreement/replica.hpp
+++ b/packages/core/include/rosemarymill/core/agreement/replica.hpp
@@ -642,6 +642,7 @@
             const auto& entry = m_log.at(++m_applied);
             if (!entry.command)
                 continue;
+            m_appliedBytes += M::estimatedBytes(*entry.command);
             auto answer = m_machine.apply(entry.index, *entry.command);
             if (effects)
                 (*effects)(Applied<Command, Answer> { entry.index, entry.term, *entry.command, std::move(answer) });
@@ -649,7 +650,9 @@
         const bool leads = m_role == Role::Leader && m_log.termAt(m_applied) == m_hard.term;
         if (leads || (m_caughtUpAt && m_applied >= m_caughtUpAt))
             m_caughtUp = true;
-        if (effects && m_applied >= m_log.snapshotIndex() + m_settings.snapshotInterval)
+        if (effects
+            && (m_applied >= m_log.snapshotIndex() + m_settings.snapshotInterval
+                || m_appliedBytes >= m_settings.snapshotBytes))
             takeSnapshot();
     }
 
@@ -658,7 +661,22 @@
         LogSnapshot<Snapshot> snapshot { m_applied, *m_log.termAt(m_applied), m_machine.snapshot(),
             m_voters.at(m_log, m_applied) };
         m_record.snapshot = snapshot;
-        m_log.compact(std::move(snapshot), m_settings.trailingEntries);
+        m_appliedBytes = 0;
+        m_log.compact(std::move(snapshot), trailingEntries());
+    }
+
+    /// Number of applied entries that are kept before a snapshot.
+    [[nodiscard]] std::uint64_t trailingEntries() const
+    {
+        std::uint64_t n = 0;
+        std::size_t bytes = 0;
+        for (auto index = m_applied; index > m_log.base() && n < m_settings.trailingEntries; --index, ++n) {
+            const auto& command = m_log.at(index).command;
+            bytes += command ? M::estimatedBytes(*command) : 0;
+            if (bytes > m_settings.trailingBytes)
+                break;
+        }
+        return n;
     }
 
     // Output
@@ -741,6 +759,8 @@
     std::map<VmId, bool> m_grants;
     std::map<VmId, Peer> m_peers;
     Index m_applied { 0 };
+    /// Estimated size in bytes of the commands applied since the last snapshot.
+    std::size_t m_appliedBytes { 0 };
     Index m_durableIndex { 0 };
     Index m_caughtUpAt { 0 };
     bool m_caughtUp { false };
--- a/packages/core/src/node/ledger_homes.cpp
+++ b/packages/core/src/node/ledger_homes.cpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/core/base/hash.hpp>
 
+#include <limits>
 #include <utility>
 
 namespace rosemarymill::node {
@@ -125,6 +126,7 @@
         settings.bootNonce = hash64(state.settings.bootId.text());
         settings.snapshotInterval = ledger::snapshotInterval;
         settings.trailingEntries = ledger::snapshotInterval;
+        settings.snapshotBytes = settings.trailingBytes = std::numeric_limits<std::size_t>::max();
         const auto persistedState = std::exchange(home.persistedState, std::nullopt).value_or(ledger::PersistedLog {});
         home.replica.emplace(settings, persistedState);
         if (persistedState.damaged)
--- a/tests/runtime/nodes/control_node.cpp
+++ b/tests/runtime/nodes/control_node.cpp
@@ -70,6 +70,31 @@
     CHECK(world.read() == text);
 }
 
+// Guards against a log that fills the disks of all control VMs and then accepts no command that would shorten it.
+TEST_CASE("large documents that hardly compress do not fill the disks of control VMs", "[nodes]")
+{
+    // An eighth of a disk of 128 MB, for a log with as many entries as are kept at most without a snapshot.
+    constexpr std::size_t maxLogBytes = 16'000'000;
+    constexpr std::uint64_t versions = 24;
+    World world;
+    std::string text;
+    std::uintmax_t largest = 0;
+    for (std::uint64_t version = 1; version <= versions; ++version) {
+        text = randomText(version, fleet::maxStoredDocumentBytes - 8 * 1024);
+        REQUIRE(world.store(version, text));
+        REQUIRE(world.waitForVersion(version));
+        for (const auto& it : world.vms)
+            largest = std::max(largest, std::filesystem::file_size(it.folder + "/fleet.log"));
+    }
+    CHECK(largest < maxLogBytes);
+    CHECK(world.read() == text);
+    // A voter that has lost its disk receives the state by a snapshot.
+    auto& lost = world.vms.front();
+    world.loseDisk(lost);
+    world.start(lost, false);
+    CHECK(world.waitForVersion(versions));
+}
+
 TEST_CASE("a read returns the submitted bytes also after all control VMs have restarted", "[nodes]")
 {
     World world;
