Use servers again that return from a long partition in the same incarnation

Cause: `Registry::remove` kept the start of the removed process and rejected all heartbeats of it, to keep late ones from bringing back a server that has ended.

Change: the last heartbeat of a removed server is kept, and only those up to its sequence number are rejected. A late heartbeat that is newer makes the server a target until two probes fail, as at any other time.

--- a/packages/core/include/rosemarymill/core/fleet/registry.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/registry.hpp
@@ -60,7 +60,7 @@
     /// Removes all servers, and takes over the departures that the control log holds.
     void reset(DepartureTable departures);
 
-    /// Removes a server, and rejects later heartbeats of its present and earlier incarnations.
+    /// Removes a server. It is accepted again with a heartbeat later than the last one, as after a long partition.
     void remove(const ServerId& id);
 
     /// Rejects heartbeats of earlier incarnations, and those of this one up to a sequence number.
@@ -80,8 +80,6 @@
     std::unordered_map<std::string, ServerId> m_byAddress;
     /// Start time of the latest incarnation at each address, also of removed servers.
     std::unordered_map<std::string, std::int64_t> m_startedAtByAddress;
-    /// Start time of the last incarnation of each removed server.
-    std::unordered_map<ServerId, std::int64_t> m_removedStartedAtMs;
     struct Heartbeat {
         std::int64_t startedAtMs { 0 };
         std::uint64_t sequence { 0 };
--- a/packages/core/src/fleet/registry.cpp
+++ b/packages/core/src/fleet/registry.cpp
@@ -10,11 +10,6 @@
     if (record.draining)
         markDrained({ record.id, record.startedAtMs });
     record.draining = m_departures.contains(record.id, record.startedAtMs);
-    if (const auto it = m_removedStartedAtMs.find(record.id); it != m_removedStartedAtMs.end()) {
-        if (record.startedAtMs <= it->second)
-            return HeartbeatResult::FromEarlierIncarnation;
-        m_removedStartedAtMs.erase(it);
-    }
     if (const auto it = m_outdated.find(record.id); it != m_outdated.end()) {
         if (record.startedAtMs < it->second.startedAtMs)
             return HeartbeatResult::FromEarlierIncarnation;
@@ -74,7 +69,7 @@
     if (it == m_servers.end())
         return;
     const auto& record = it->second.record;
-    m_removedStartedAtMs[id] = record.startedAtMs;
+    rejectUpTo(id, record.startedAtMs, record.sequence);
     if (const auto at = m_byAddress.find(record.address); at != m_byAddress.end() && at->second == id)
         m_byAddress.erase(at);
     m_servers.erase(it);
@@ -104,7 +99,6 @@
     m_servers.clear();
     m_byAddress.clear();
     m_startedAtByAddress.clear();
-    m_removedStartedAtMs.clear();
     m_outdated.clear();
     m_departures = std::move(departures);
 }
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -188,6 +188,22 @@
     }
 }
 
+// Guards against leaders that never use a server again that was unreachable for longer than `removeAfter`.
+TEST_CASE("a server that returns from a long partition in the same incarnation is used again", "[fleet]")
+{
+    FakeFleet fleet({ .domains = 0, .plainServers = 3 });
+    fleet.lead(1);
+    fleet.run(5s);
+    for (auto& [id, server] : fleet.servers)
+        server.partitioned = true;
+    fleet.run(35s);
+    CHECK(fleet.control.registry().servers().empty());
+    for (auto& [id, server] : fleet.servers)
+        server.partitioned = false;
+    fleet.run(2s);
+    CHECK(fleet.control.targets().size() == 3);
+}
+
 TEST_CASE("a server that leaves before a new leader has heard of it is not used by later leaders", "[fleet]")
 {
     FakeFleet fleet({ .domains = 0, .plainServers = 3 });
