Form no groups of a model whose group size is 0

Cause: `Control::formGroup` formed a group without members, and `startGroup` takes the slowest of them.

Change: placement skips such models. The document is still accepted: the list of what makes one invalid does not name it, and its other models and services are served.

--- a/packages/core/src/fleet/placement.cpp
+++ b/packages/core/src/fleet/placement.cpp
@@ -166,6 +166,8 @@
     const FabricDomainId& domain, const routes::Service& service) const
 {
     auto models = service.engine->models;
+    // A document may state a group size of 0; no group can serve such a model.
+    std::erase_if(models, [](const auto& it) { return it.groupSize == 0; });
     std::stable_sort(models.begin(), models.end(),
         [&](const auto& a, const auto& b) { return need(service, a) > need(service, b); });
     if (models.empty())
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -67,6 +67,19 @@
     CHECK(fleet.control.targets().size() == 4);
 }
 
+// Guards against leaders that end with a signal because of a document with a model whose groups have no member.
+TEST_CASE("a model with a group size of 0 gets no group and does not keep others from theirs", "[fleet]")
+{
+    FakeFleet fleet({});
+    fleet.lead(1);
+    fleet.decide(rosemarymill::fleet::event::DocumentChanged {
+        fleet.now, FakeFleet::table({ { ModelName { "empty" }, 0, 1.0, 1.0, 1s, 1s } }) });
+    fleet.run(40s);
+    CHECK(fleet.openGroups("large") == 2);
+    CHECK(fleet.openGroups("small") == 2);
+    CHECK(fleet.violations.empty());
+}
+
 TEST_CASE("a group that lost a member is replaced within 4 s by means of a spare that holds the model", "[fleet]")
 {
     FakeFleet fleet({});
--- a/tests/core/fleet/fake_fleet.hpp
+++ b/tests/core/fleet/fake_fleet.hpp
@@ -195,7 +195,8 @@
             heads.begin(), heads.end(), [&](const auto& it) { return servers.at(it).model == ModelName { model }; }));
     }
 
-    static std::shared_ptr<const routes::Table> table()
+    /// Routing table with a large and a small model, and further ones.
+    static std::shared_ptr<const routes::Table> table(const std::vector<routes::EngineModel>& furtherModels = {})
     {
         routes::Document document;
         routes::Service service;
@@ -204,6 +205,7 @@
         engine.slots = 26;
         engine.models = { { ModelName { "large" }, 6, 0.67, 1.0, 16s, 1600ms },
             { ModelName { "small" }, 3, 0.33, 0.6, 12s, 1100ms } };
+        engine.models.insert(engine.models.end(), furtherModels.begin(), furtherModels.end());
         engine.loadsPerSecond = 5.5;
         engine.concurrentLoads = 8;
         engine.formation = 300ms;
