Do not cut off clients that are still reading a response

Cause: once a response was in the buffer of a connection that closes after it, `ClientConnection::timedOut` closed it after the timeout of a request's head (3 s), whether or not the client was reading.

Change: bytes that the client reads restart the time, and what ends a response is the idle timeout without any such byte. A small response that the kernel takes at once closes its connection as before.

--- a/packages/runtime/include/rosemarymill/runtime/proxy/client_connection.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/client_connection.hpp
@@ -43,9 +43,9 @@
     /// Whether the connection closes after the response: the client asked for it, or the proxy is shutting down.
     [[nodiscard]] bool closing() const noexcept;
 
-    /// Whether the connection is to be closed: its request or the last bytes of its response took longer than the
-    /// header timeout, or it was idle for longer than the idle timeout.
-    [[nodiscard]] bool timedOut(Instant now) const;
+    /// Whether the connection is to be closed: its request took longer than the header timeout, or it was idle, or read
+    /// nothing of its response, for longer than the idle timeout. Called regularly, since it observes what was read.
+    [[nodiscard]] bool timedOut(Instant now);
     [[nodiscard]] bool busy() const noexcept { return m_call != nullptr; }
     /// Whether neither a request nor a response is in progress.
     [[nodiscard]] bool idle() const noexcept;
@@ -69,7 +69,10 @@
     bool m_continueSent { false };
     bool m_closeAfterWrite { false };
     bool m_parsing { false };
+    /// Start of the current phase: the request, or the time since the client last read bytes of a response.
     Instant m_phaseStartedAt;
+    /// Unsent bytes when the timeout was last checked.
+    std::size_t m_unsentBytes { 0 };
 };
 
 } // namespace rosemarymill::runtime::proxy
--- a/packages/runtime/src/proxy/client_connection.cpp
+++ b/packages/runtime/src/proxy/client_connection.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdio>
+#include <utility>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -164,13 +165,14 @@
         && unsentBytes() == 0;
 }
 
-bool ClientConnection::timedOut(Instant now) const
+bool ClientConnection::timedOut(Instant now)
 {
     const auto& limits = m_proxy.limits();
     if (m_call)
         return false;
-    if (m_closeAfterWrite)
-        return now > m_phaseStartedAt + limits.headerTimeout;
+    // A client that reads slowly gets the whole response, also when the connection closes after it.
+    if (const auto unsent = unsentBytes(); unsent != std::exchange(m_unsentBytes, unsent) && !m_parser.started())
+        m_phaseStartedAt = now;
     return now > m_phaseStartedAt + (m_parser.started() ? limits.headerTimeout : limits.idleTimeout);
 }
 
