--- a/tests/core/fleet/fake_fleet.hpp
+++ b/tests/core/fleet/fake_fleet.hpp
@@ -148,7 +148,8 @@
         auto record = server.record;
         record.draining = !m_options.hidesDrains;
         decide(fleet::event::HeartbeatReceived { now, record });
-        acknowledgeOnceStored({ id, record.startedAtMs });
+        const fleet::Departure departure { id, record.startedAtMs };
+        acknowledgeOnceStored(departure, departure);
     }
 
     /// The server announces that it ends, and the leader acknowledges. It serves on and sends no more heartbeats.
@@ -257,11 +258,12 @@
 
     [[nodiscard]] std::int64_t nowMs() const { return now.time_since_epoch() / 1ms; }
 
-    void acknowledgeOnceStored(const fleet::Departure& process, std::optional<fleet::Departure> stored = {})
+    /// Acknowledges the departure of a process to it, once the leader has stored what it takes for this departure.
+    void acknowledgeOnceStored(const fleet::Departure& process, const fleet::Departure& stored)
     {
         if (!control.leads())
             return;
-        propose(fleet::StoreDeparture { {}, stored.value_or(process) }, [this, process] {
+        propose(fleet::StoreDeparture { {}, stored }, [this, process] {
             m_acknowledgedDrains.emplace(process.server, process.startedAtMs);
             m_drainsOfLeader.emplace(process.server, process.startedAtMs);
         });
