End the scripts of the second review in their loop

One run of review/10 hung after its result: at its end asyncio waited for a task of a stand-in that had swallowed its cancellation. The process ends with the result now, and a timer ends it at the latest before 120 s.

--- a/review/lib2/site2.py
+++ b/review/lib2/site2.py
@@ -12,8 +12,10 @@
 import shutil
 import signal
 import tempfile
+import threading
 import time
 import tomllib
+import traceback
 
 REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
 ZONES = ["mixco", "villa-nueva", "antigua"]
@@ -582,18 +584,27 @@
             self.writer.close()
 
 
-def main(case, folder, limit=115):
-    """Runs `case(record, trouble)`, which returns whether the rule held. Exits with 0, 1 or 2."""
+def main(case, folder, limit=112):
+    """Runs `case(record, trouble)`, which returns whether the rule held. Exits with 0, 1 or 2.
+
+    The process ends in the loop: tasks that are left at the end needn't be waited for, and the daemons end with it.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(folder) / "record.txt")
     record("trouble", "on" if trouble else "off")
-    try:
-        held = asyncio.run(asyncio.wait_for(case(record, trouble), limit))
-    except Exception as error:  # The case could not run.
-        import traceback
-        record("could not run:", traceback.format_exc())
-        print("could not run:", error)
-        os._exit(2)
-    record("held" if held else "broken")
-    print("held" if held else "broken")
-    os._exit(0 if held else 1)
+
+    async def run():
+        try:
+            held = await asyncio.wait_for(case(record, trouble), limit)
+        except BaseException as error:  # The case could not run.
+            record("could not run:", traceback.format_exc())
+            print("could not run:", repr(error), flush=True)
+            os._exit(2)
+        record("held" if held else "broken")
+        print("held" if held else "broken", flush=True)
+        os._exit(0 if held else 1)
+
+    watchdog = threading.Timer(limit + 5, os._exit, (2,))
+    watchdog.daemon = True
+    watchdog.start()
+    asyncio.run(run())
