Test that processes withstand crowds of misbehaving clients

Cause: nothing bounds what all connections of a process hold together, neither their memory nor their number, so clients that send bodies and stop short of their end, never read their answers or only connect can end a process.

Crowds and bounds are fixed here, before the product changes.

--- a/tests/process/control_vms.hpp
+++ b/tests/process/control_vms.hpp
@@ -19,8 +19,10 @@
     static constexpr std::uint16_t port = 8229;
 
     /// Starts VMs that vote in the control log, and gateways, which have no data folder and only accept orders.
-    explicit ControlVms(std::size_t voters, std::size_t gateways = 0)
+    /// `limits` are those of each process.
+    explicit ControlVms(std::size_t voters, std::size_t gateways = 0, nlohmann::json limits = nlohmann::json::object())
         : m_voters(voters)
+        , m_limits(std::move(limits))
     {
         const auto pid = static_cast<unsigned>(getpid());
         m_network = "127." + std::to_string(1 + pid / 250 % 250) + '.' + std::to_string(pid % 250) + '.';
@@ -94,7 +96,7 @@
             { "listen", { { "control_plane", m_ips[i] + ':' + std::to_string(port) } } },
             { "internal_ports", { 7340, 7355 } }, { "seeds", seeds }, { "bootstrap", bootstrap },
             { "heartbeat_ms", 1200 }, { "fault_tolerance", { { "machine_count", (m_voters - 1) / 2 } } },
-            { "bounds", { { "catch_up_s", 4 }, { "contact_ms", 3000 }, { "ack_ms", 4000 } } } };
+            { "bounds", { { "catch_up_s", 4 }, { "contact_ms", 3000 }, { "ack_ms", 4000 } } }, { "limits", m_limits } };
         if (i < m_voters) {
             const auto data = m_daemons.folder() / name;
             std::filesystem::create_directories(data);
@@ -104,6 +106,7 @@
     }
 
     std::size_t m_voters;
+    nlohmann::json m_limits;
     std::string m_network;
     std::vector<std::string> m_ips;
     Daemons m_daemons;
--- a/tests/process/crashing_servers.hpp
+++ b/tests/process/crashing_servers.hpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <cstring>
+#include <deque>
 #include <list>
 #include <memory>
 #include <mutex>
@@ -41,9 +42,21 @@
         std::string request;
     };
 
-    /// Servers at `network` + 101 and the following addresses, which announce themselves to the control VMs.
+    /// How requests are answered that do not crash a server.
+    struct Answers {
+        std::chrono::milliseconds delay { 0 };
+        std::string body { "ok" };
+    };
+
     CrashingServers(const std::string& network, std::size_t n, std::vector<std::string> controls)
+        : CrashingServers(network, n, std::move(controls), Answers {})
+    {
+    }
+
+    /// Servers at `network` + 101 and the following addresses, which announce themselves to the control VMs.
+    CrashingServers(const std::string& network, std::size_t n, std::vector<std::string> controls, Answers answers)
         : m_controls(std::move(controls))
+        , m_answers(std::move(answers))
         , m_base(event_base_new())
     {
         for (std::size_t i = 0; i < n; ++i)
@@ -114,6 +127,7 @@
                     announce(*it);
                 it->peers.remove_if([](const auto& peer) { return peer.closed; });
             }
+            sendDelayedAnswers();
             runFor(m_base.get(), std::chrono::milliseconds { 5 });
         }
     }
@@ -205,10 +219,36 @@
             server.crashed = true;
             return;
         }
-        from.send("HTTP/1.1 200 OK\r\n" + echo + names.seal + ": s\r\nContent-Length: 2\r\n\r\nok");
+        auto answer = "HTTP/1.1 200 OK\r\n" + echo + names.seal
+            + ": s\r\nContent-Length: " + std::to_string(m_answers.body.size()) + "\r\n\r\n" + m_answers.body;
+        if (m_answers.delay.count() == 0)
+            return from.send(answer);
+        m_delayed.push_back({ Clock::now() + m_answers.delay, &server, &from, std::move(answer) });
     }
 
+    void sendDelayedAnswers()
+    {
+        while (!m_delayed.empty() && m_delayed.front().at <= Clock::now()) {
+            const auto it = std::move(m_delayed.front());
+            m_delayed.pop_front();
+            auto& peers = it.server->peers;
+            const auto peer
+                = std::find_if(peers.begin(), peers.end(), [&](const auto& other) { return &other == it.peer; });
+            if (peer != peers.end())
+                peer->send(it.text);
+        }
+    }
+
+    struct DelayedAnswer {
+        Clock::time_point at;
+        Server* server;
+        RawConnection* peer;
+        std::string text;
+    };
+
     std::vector<std::string> m_controls;
+    Answers m_answers;
+    std::deque<DelayedAnswer> m_delayed;
     EventBase m_base;
     std::vector<std::unique_ptr<Server>> m_servers;
     std::vector<std::unique_ptr<std::pair<CrashingServers*, Server*>>> m_contexts;
--- a/tests/process/entry_vms.hpp
+++ b/tests/process/entry_vms.hpp
@@ -14,8 +14,8 @@
     static constexpr std::uint16_t port = 8227;
     static constexpr std::uint16_t readyPort = 8220;
 
-    /// Starts VMs at the addresses from 51 on.
-    EntryVms(const ControlVms& controls, std::size_t n)
+    /// Starts VMs at the addresses from 51 on. `limits` are those of each process.
+    EntryVms(const ControlVms& controls, std::size_t n, const nlohmann::json& limits = nlohmann::json::object())
     {
         auto seeds = nlohmann::json::array();
         for (const auto& it : controls.ips())
@@ -28,7 +28,7 @@
                     { { "frontend", ip + ':' + std::to_string(port) },
                         { "ready", ip + ':' + std::to_string(readyPort) } } },
                 { "internal_ports", { 7340, 7355 } }, { "seeds", seeds }, { "heartbeat_ms", 1200 },
-                { "bounds", { { "retry_ratio", 0.2 }, { "retry_slack", 130 } } } });
+                { "bounds", { { "retry_ratio", 0.2 }, { "retry_slack", 130 } } }, { "limits", limits } });
         }
     }
 
