Limit the memory that all callers of a process hold together

Callers saw: with 60 callers whose bodies stop short of their end, an entry VM of 96 MB held 268 to 270 MB; with bodies that go on past the limit 406 to 410 MB, with whole bodies and slow servers up to 681 MB, with answers of 512 KB that are not read 229 MB, with heads of many small fields 223 MB, with chunks of one byte 253 MB. On the platform such a process is killed, with all requests that it executes.

Cause: each connection has limits of its own, and nothing bounds their sum. Responses were collected in strings that grow by doubling, and the memory of closed connections was freed only after all other events of an iteration.

Change: core/limits decides which connections a process closes when they hold too much together, and which requests it rejects; the runtime keeps the account. A third of an entry VM's memory may be held. Requests that are not complete are closed first, since none of their bytes is at a server and a 503 is true; a request in execution is never given up. A 503 is not lost by a reset: the rest of the request is received and dropped. Bodies of responses are collected in segments, and closed connections give back their memory at once.

--- a/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/entry_node.hpp
@@ -43,7 +43,8 @@
     /// Time before that in which requests that are still in progress are answered: two ticks.
     static constexpr Duration answerTime = 200ms;
 
-    EntryNode(event_base* base, EntryNodeSettings settings);
+    /// The budget must outlive the node.
+    EntryNode(event_base* base, EntryNodeSettings settings, ConnectionBudget& budget);
     EntryNode(const EntryNode&) = delete;
     EntryNode& operator=(const EntryNode&) = delete;
 
--- a/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
@@ -43,6 +43,8 @@
 
     /// Memory in bytes that the response received so far takes.
     [[nodiscard]] std::size_t bufferedBytes() const noexcept { return m_bufferedBytes; }
+    /// Memory in bytes that the request and the response received so far take.
+    [[nodiscard]] std::size_t heldBytes() const noexcept { return m_bufferedBytes + m_requestBytes; }
     /// Ends the attempt, because the buffered responses of all calls exceed their limit and this one is the largest.
     void dropBuffered();
 
@@ -63,7 +65,7 @@
     /// Response of a server that is held back while the call may be retried on another server.
     struct HeldResponse {
         MessageHead head;
-        std::string body;
+        BufferHandle body;
     };
 
     [[nodiscard]] bool admit();
@@ -79,6 +81,8 @@
     void onHead();
     void onStreamBytes();
     void onPlainBytes();
+    /// Moves parsed bytes of the response's body out of the parser.
+    void takeResponseBody();
     void onPlainComplete();
     /// The server sent a response head, an event or a complete response.
     void progressed(Instant now);
@@ -105,7 +109,7 @@
     void dropUpstream();
     void finishAttempt();
 
-    void forwardResponse(const MessageHead& head, std::string_view body);
+    void forwardResponse(const MessageHead& head, BufferHandle body);
     void beginStream(const MessageHead& head);
     void finishStream();
     void refuse(unsigned status, std::string_view why, Duration retryAfter);
@@ -120,6 +124,8 @@
     MessageHead m_head;
     /// Shared with the connections to servers, which reference its bytes.
     BufferHandle m_body;
+    /// Memory in bytes that the request takes.
+    std::size_t m_requestBytes { 0 };
     std::shared_ptr<const routes::Table> m_table;
     const routes::Route* m_route { nullptr };
     const routes::Account* m_account { nullptr };
@@ -167,6 +173,8 @@
     /// Body size in bytes at which the response next counts as having made progress.
     std::size_t m_nextProgress { 0 };
     HeldResponse m_heldResponse;
+    /// Body of a response that is not a stream, as far as it was received.
+    BufferHandle m_responseBody;
     bool m_readingPaused { false };
     bool m_done { false };
 };
--- a/packages/runtime/include/rosemarymill/runtime/proxy/message.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/message.hpp
@@ -41,6 +41,9 @@
     [[nodiscard]] bool has(std::string_view name) const noexcept;
 };
 
+/// Memory in bytes that a head takes.
+[[nodiscard]] std::size_t memoryOf(const MessageHead& head) noexcept;
+
 /// Whether a header applies to one connection only and is not forwarded.
 [[nodiscard]] bool isHopByHop(const MessageHead& head, std::string_view name) noexcept;
 
@@ -74,6 +77,10 @@
     [[nodiscard]] std::size_t headBytes() const noexcept;
     /// Body bytes that were parsed and not yet removed by the caller.
     [[nodiscard]] std::string& body() noexcept;
+    /// Bytes of the current chunk that have not been parsed yet.
+    [[nodiscard]] std::uint64_t chunkBytesLeft() const noexcept;
+    /// Memory in bytes that start line and headers take.
+    [[nodiscard]] std::size_t headMemory() const noexcept;
 
 private:
     struct Impl;
--- a/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
@@ -66,8 +66,8 @@
     /// Called with a server that is unreachable, stalled, misdirected or named as the cause of a rejection.
     using StallHandler = std::function<void(const ServerId&)>;
 
-    /// Listens on the address. Throws std::runtime_error when it cannot be bound.
-    Proxy(event_base* base, ProxySettings settings);
+    /// Listens on the address. Throws std::runtime_error when it cannot be bound. The budget must outlive the proxy.
+    Proxy(event_base* base, ProxySettings settings, ConnectionBudget& budget);
     ~Proxy();
     Proxy(const Proxy&) = delete;
     Proxy& operator=(const Proxy&) = delete;
@@ -114,6 +114,7 @@
         void operator()(evconnlistener* it) const noexcept;
     };
 
+    void accept(int socket);
     void tick();
     void remove(ClientConnection& client);
     void finish(std::unique_ptr<Call> call);
@@ -127,6 +128,7 @@
 
     event_base* m_base;
     ProxySettings m_settings;
+    ConnectionBudget& m_budget;
     Instant m_startedAt;
     std::shared_ptr<const routes::Table> m_table;
     dispatch::Balancer m_balancer;
@@ -155,6 +157,7 @@
     EventHandle m_tick;
     EventHandle m_cleanUp;
     std::unique_ptr<evconnlistener, FreeListener> m_listener;
+    std::optional<ListenerGuard> m_listenerGuard;
 };
 
 } // namespace rosemarymill::runtime::proxy
--- a/packages/runtime/src/nodes/entry_node.cpp
+++ b/packages/runtime/src/nodes/entry_node.cpp
@@ -23,10 +23,10 @@
 
 } // namespace
 
-EntryNode::EntryNode(event_base* base, EntryNodeSettings settings)
+EntryNode::EntryNode(event_base* base, EntryNodeSettings settings, ConnectionBudget& budget)
     : m_base(base)
     , m_settings(std::move(settings))
-    , m_proxy(base, m_settings.proxy)
+    , m_proxy(base, m_settings.proxy, budget)
     , m_link(base, { m_settings.vm, m_settings.dataCentre, BootId { std::to_string(m_settings.seed) } },
           { [this](const core::Message& message) { receive(message); },
               [this] {
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -124,6 +124,7 @@
     , m_client(client)
     , m_head(std::move(head))
     , m_body(std::move(body))
+    , m_requestBytes(memoryOf(m_head) + bodyBytes())
     , m_table(proxy.m_table)
     , m_startedAt(readClock())
 {
@@ -352,15 +353,25 @@
 
 void Call::onPlainBytes()
 {
-    const auto& body = m_upstream->parser().body();
+    takeResponseBody();
+    const auto n = evbuffer_get_length(m_responseBody.get());
     if (m_upstream->parser().head().length.value_or(0) > maxResponseBytes)
         return onUpstreamEnd(Upstream::End::TooLong);
     // Restarts only this call's stall timeout: the server counts as making progress once the response is complete.
-    if (body.size() >= m_nextProgress) {
-        m_nextProgress = body.size() + bodyProgressBytes;
+    if (n >= m_nextProgress) {
+        m_nextProgress = n + bodyProgressBytes;
         m_lastProgressAt = readClock();
     }
-    setBuffered(body.capacity());
+    setBuffered(n);
+}
+
+void Call::takeResponseBody()
+{
+    if (!m_responseBody)
+        m_responseBody.reset(evbuffer_new());
+    auto& parsed = m_upstream->parser().body();
+    evbuffer_add(m_responseBody.get(), parsed.data(), parsed.size());
+    parsed = {};
 }
 
 void Call::setBuffered(std::size_t bytes)
@@ -368,8 +379,10 @@
     m_proxy.m_bufferedBytes = m_proxy.m_bufferedBytes - m_bufferedBytes + bytes;
     const bool grew = bytes > m_bufferedBytes;
     m_bufferedBytes = bytes;
-    if (grew)
+    if (grew) {
+        m_client.updateUsage();
         m_proxy.limitBuffered();
+    }
 }
 
 void Call::dropBuffered()
@@ -418,6 +431,7 @@
 void Call::onPlainComplete()
 {
     progressed(readClock());
+    takeResponseBody();
     auto& parser = m_upstream->parser();
     const auto status = parser.head().status;
     // Clients take such a status as "not run", which the server has not stated here: its not-executed header is
@@ -429,17 +443,16 @@
         return endAttempt(
             AttemptOutcome::Broken, "status " + std::to_string(status) + " instead of the rest of the stream");
     if (status >= 500) {
-        m_heldResponse = { parser.head(), parser.body() };
+        m_heldResponse = { parser.head(), std::move(m_responseBody) };
         m_proxy.m_pool.release(*std::exchange(m_upstream, nullptr), readClock());
         return endAttempt(AttemptOutcome::ServerError, "status " + std::to_string(status));
     }
     if (status < 300)
         completed();
     const auto head = parser.head();
-    const auto body = std::move(parser.body());
     m_proxy.m_pool.release(*std::exchange(m_upstream, nullptr), readClock());
     finishAttempt();
-    forwardResponse(head, body);
+    forwardResponse(head, std::move(m_responseBody));
 }
 
 void Call::onStreamBytes()
@@ -619,6 +632,7 @@
     dropUpstream();
     finishAttempt();
     m_headReceived = m_streaming = m_readingPaused = false;
+    m_responseBody.reset();
     m_events.dropPartial();
     setBuffered(0);
     m_state.arrivals += end == AttemptOutcome::NotSent ? 0 : 1;
@@ -671,8 +685,8 @@
 {
     switch (step) {
     case Step::ForwardResponse: {
-        const auto held = std::move(m_heldResponse);
-        return forwardResponse(held.head, held.body);
+        auto held = std::move(m_heldResponse);
+        return forwardResponse(held.head, std::move(held.body));
     }
     case Step::Refuse:
         return refuse(503, why, 300ms);
@@ -712,13 +726,13 @@
         giveUp(Step::Abort, why);
 }
 
-void Call::forwardResponse(const MessageHead& head, std::string_view body)
+void Call::forwardResponse(const MessageHead& head, BufferHandle body)
 {
     setBuffered(0);
     m_done = true;
     ++m_proxy.m_counters.answered;
     log("answered", head.status, {});
-    m_client.sendResponse(head.status, head.reason, responseHeaders(head), body, m_client.closing());
+    m_client.sendResponse(head.status, head.reason, responseHeaders(head), body.get(), m_client.closing());
 }
 
 void Call::beginStream(const MessageHead& head)
@@ -755,7 +769,8 @@
     if (retryAfter > Duration::zero()) {
         appendHeader(headers, "Retry-After", formatNumber(std::chrono::duration<double>(retryAfter).count()));
     }
-    m_client.sendResponse(status, status == 503 ? "Service Unavailable" : "Failed", headers, {}, m_client.closing());
+    m_client.sendResponse(
+        status, status == 503 ? "Service Unavailable" : "Failed", headers, nullptr, m_client.closing());
 }
 
 void Call::clientDisconnected()
--- a/packages/runtime/src/proxy/client_connection.cpp
+++ b/packages/runtime/src/proxy/client_connection.cpp
@@ -5,6 +5,7 @@
 #include <rosemarymill/runtime/proxy/proxy.hpp>
 #include <rosemarymill/runtime/proxy/socket.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -12,6 +13,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/socket.h>
 
 namespace rosemarymill::runtime::proxy {
 
@@ -20,6 +22,13 @@
 /// Limit in bytes on input read ahead while the current request is in progress.
 constexpr std::size_t readAheadBytes = 64 * 1024;
 
+/// Memory in bytes of a connection without a request, with its buffers and its parser.
+constexpr std::size_t connectionBytes = 4 * 1024;
+
+/// Retry-After of a request that is rejected because of the memory that others take: the time in which servers answer
+/// some of them.
+constexpr std::string_view memoryRetryAfter = "Retry-After: 0.30\r\n";
+
 } // namespace
 
 ClientConnection::ClientConnection(Proxy& proxy, int socket)
@@ -27,16 +36,39 @@
     , m_buf(bufferevent_socket_new(proxy.m_base, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
     , m_parser(Parser::Side::Request)
     , m_phaseStartedAt(readClock())
+    , m_slot(proxy.m_budget, *this)
 {
     setClientSocketOptions(socket);
     bufferevent_setcb(m_buf.get(), onRead, onWrite, onEvent, this);
     bufferevent_setwatermark(m_buf.get(), EV_READ, 0, readAheadBytes);
     bufferevent_enable(m_buf.get(), EV_READ | EV_WRITE);
+    updateUsage();
 }
 
 ClientConnection::~ClientConnection() = default;
 
-void ClientConnection::onRead(bufferevent*, void* self) { static_cast<ClientConnection*>(self)->parse(); }
+void ClientConnection::close() noexcept
+{
+    // libevent would close the descriptor only in the next iteration of its loop, after further connections.
+    if (const auto socket = bufferevent_getfd(m_buf.get()); socket >= 0) {
+        bufferevent_setfd(m_buf.get(), -1);
+        evutil_closesocket(socket);
+    }
+    m_buf.reset();
+    // The object gives back its memory now, since it is destroyed only after other events of this iteration.
+    m_body.reset();
+    m_parser.reset();
+}
+
+void ClientConnection::onRead(bufferevent*, void* self)
+{
+    auto& it = *static_cast<ClientConnection*>(self);
+    it.m_slot.closeOthers();
+    if (it.m_discardBytes == 0)
+        return it.parse();
+    it.discardInput();
+    it.closeIfWritten();
+}
 
 void ClientConnection::onWrite(bufferevent*, void* self) { static_cast<ClientConnection*>(self)->drained(); }
 
@@ -48,10 +80,24 @@
 
 void ClientConnection::drained()
 {
-    if (m_closeAfterWrite && unsentBytes() == 0)
-        return m_proxy.remove(*this);
+    if (closeIfWritten())
+        return;
     if (m_call)
         m_call->clientDrained();
+    updateUsage();
+}
+
+bool ClientConnection::closeIfWritten()
+{
+    if (!m_closeAfterWrite || unsentBytes() > 0)
+        return false;
+    if (m_discardBytes == 0) {
+        m_proxy.remove(*this);
+        return true;
+    }
+    // The client closes the connection, or the header timeout does.
+    shutdown(bufferevent_getfd(m_buf.get()), SHUT_WR);
+    return false;
 }
 
 void ClientConnection::parse()
@@ -69,14 +115,9 @@
         if (!started && m_parser.started())
             m_phaseStartedAt = readClock();
         takeBody();
-        const auto& limits = m_proxy.limits();
-        if (m_parser.failed())
-            refuse(400, "Bad Request");
-        else if (m_parser.headBytes() > limits.headerBytes && !m_parser.headComplete())
-            refuse(431, "Request Header Fields Too Large");
-        else if (bodyBytes() > limits.bodyBytes || m_parser.head().length.value_or(0) > limits.bodyBytes)
-            refuse(413, "Content Too Large");
-        else if (m_parser.complete())
+        if (!withinLimits())
+            break;
+        if (m_parser.complete())
             requestComplete();
         else if (m_parser.headComplete() && !m_continueSent
             && listContains(m_parser.head().find("Expect"), "100-continue")) {
@@ -86,6 +127,25 @@
         }
     }
     m_parsing = false;
+    updateUsage();
+}
+
+bool ClientConnection::withinLimits()
+{
+    const auto& limits = m_proxy.limits();
+    const auto announced = m_parser.head().length.value_or(
+        bodyBytes() + std::min<std::uint64_t>(m_parser.chunkBytesLeft(), limits.bodyBytes + 1));
+    if (m_parser.failed())
+        refuse(400, "Bad Request");
+    else if (m_parser.headBytes() > limits.headerBytes && !m_parser.headComplete())
+        refuse(431, "Request Header Fields Too Large");
+    else if (bodyBytes() > limits.bodyBytes || announced > limits.bodyBytes)
+        refuse(413, "Content Too Large");
+    else if (m_parser.headComplete() && !m_proxy.m_budget.admits(announced))
+        refuseForMemory();
+    else
+        return true;
+    return false;
 }
 
 std::size_t ClientConnection::bodyBytes() const noexcept { return m_body ? evbuffer_get_length(m_body.get()) : 0; }
@@ -101,7 +161,61 @@
     parsed = {};
 }
 
-void ClientConnection::refuse(unsigned status, std::string_view reason) { sendResponse(status, reason, {}, {}, true); }
+void ClientConnection::refuse(unsigned status, std::string_view reason)
+{
+    // The rest of the request is not read.
+    bufferevent_disable(m_buf.get(), EV_READ);
+    m_body.reset();
+    sendResponse(status, reason, {}, nullptr, true);
+}
+
+void ClientConnection::refuseForMemory()
+{
+    const auto& names = m_proxy.m_settings.names;
+    std::string headers { memoryRetryAfter };
+    if (const auto id = m_parser.head().find(names.attemptId); !id.empty())
+        headers.append(names.attemptId).append(": ").append(id).append("\r\n");
+    m_body.reset();
+    m_discardBytes = m_proxy.limits().bodyBytes;
+    sendResponse(503, "Service Unavailable", headers, nullptr, true);
+    discardInput();
+}
+
+void ClientConnection::discardInput()
+{
+    auto* input = bufferevent_get_input(m_buf.get());
+    const auto n = evbuffer_get_length(input);
+    evbuffer_drain(input, n);
+    m_discardBytes -= std::min(n, m_discardBytes);
+    if (m_discardBytes == 0)
+        bufferevent_disable(m_buf.get(), EV_READ);
+}
+
+void ClientConnection::closeForOverload()
+{
+    // No byte of an unfinished request has been sent to a server.
+    if (!m_call && m_parser.started() && !m_closeAfterWrite)
+        trySend(bufferevent_getfd(m_buf.get()), overloadResponse);
+    abort();
+}
+
+void ClientConnection::updateUsage()
+{
+    using limits::Activity;
+    if (!m_buf)
+        return;
+    const auto unsent = unsentBytes();
+    auto activity = Activity::Idle;
+    if (m_call)
+        activity = unsent > 0 ? Activity::Streaming : Activity::Executing;
+    else if (unsent > 0)
+        activity = Activity::Sending;
+    else if (m_parser.started())
+        activity = Activity::Receiving;
+    m_slot.update(activity,
+        connectionBytes + unsent + evbuffer_get_length(bufferevent_get_input(m_buf.get())) + bodyBytes()
+            + m_parser.headMemory() + (m_call ? m_call->heldBytes() : 0));
+}
 
 void ClientConnection::requestComplete()
 {
@@ -118,14 +232,16 @@
 bool ClientConnection::closing() const noexcept { return !m_keepAlive || m_proxy.draining(); }
 
 void ClientConnection::sendResponse(
-    unsigned status, std::string_view reason, std::string_view headers, std::string_view body, bool close)
+    unsigned status, std::string_view reason, std::string_view headers, evbuffer* body, bool close)
 {
     auto* output = bufferevent_get_output(m_buf.get());
     evbuffer_add_printf(output, "HTTP/1.1 %u %.*s\r\nContent-Length: %zu\r\n%s", status,
-        static_cast<int>(reason.size()), reason.data(), body.size(), close ? "Connection: close\r\n" : "");
+        static_cast<int>(reason.size()), reason.data(), body ? evbuffer_get_length(body) : 0,
+        close ? "Connection: close\r\n" : "");
     evbuffer_add(output, headers.data(), headers.size());
     evbuffer_add(output, "\r\n", 2);
-    evbuffer_add(output, body.data(), body.size());
+    if (body)
+        evbuffer_add_buffer(output, body);
     responseWritten(close);
 }
 
@@ -137,6 +253,7 @@
     evbuffer_add_printf(output, "%zx\r\n", bytes.size());
     evbuffer_add(output, bytes.data(), bytes.size());
     evbuffer_add(output, "\r\n", 2);
+    updateUsage();
 }
 
 void ClientConnection::endChunked(bool close)
@@ -155,6 +272,8 @@
     // here.
     if (!m_parsing && !close && evbuffer_get_length(bufferevent_get_input(m_buf.get())) > 0)
         bufferevent_trigger(m_buf.get(), EV_READ, BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+    if (!m_parsing)
+        updateUsage();
 }
 
 void ClientConnection::dropCall()
@@ -181,6 +300,7 @@
 bool ClientConnection::timedOut(Instant now)
 {
     const auto& limits = m_proxy.limits();
+    updateUsage();
     if (m_call)
         return false;
     // A client that reads slowly gets the whole response, also when the connection closes after it.
--- a/packages/runtime/src/proxy/message.cpp
+++ b/packages/runtime/src/proxy/message.cpp
@@ -53,6 +53,14 @@
     return std::any_of(headers.begin(), headers.end(), [&](const auto& h) { return equalsIgnoreCase(h.name, name); });
 }
 
+std::size_t memoryOf(const MessageHead& head) noexcept
+{
+    auto bytes = head.target.capacity() + head.reason.capacity() + head.headers.capacity() * sizeof(Header);
+    for (const auto& it : head.headers)
+        bytes += it.name.capacity() + it.value.capacity();
+    return bytes;
+}
+
 bool isHopByHop(const MessageHead& head, std::string_view name) noexcept
 {
     return std::any_of(hopByHopNames.begin(), hopByHopNames.end(),
@@ -68,6 +76,7 @@
     MessageHead head;
     std::string body;
     std::size_t headBytes { 0 };
+    std::uint64_t chunkBytesLeft { 0 };
     bool started { false };
     bool headComplete { false };
     bool complete { false };
@@ -88,6 +97,7 @@
         head = {};
         body.clear();
         headBytes = 0;
+        chunkBytesLeft = 0;
         started = headComplete = complete = valueRead = false;
     }
 
@@ -163,7 +173,13 @@
     it.settings.on_header_value = Impl::onValue;
     it.settings.on_headers_complete = [](http_parser* parser) { return Impl::of(parser).onHeadersComplete(); };
     it.settings.on_body = [](http_parser* parser, const char* at, std::size_t n) {
-        Impl::of(parser).body.append(at, n);
+        auto& self = Impl::of(parser);
+        self.body.append(at, n);
+        self.chunkBytesLeft -= std::min<std::uint64_t>(n, self.chunkBytesLeft);
+        return 0;
+    };
+    it.settings.on_chunk_header = [](http_parser* parser) {
+        Impl::of(parser).chunkBytesLeft = parser->content_length;
         return 0;
     };
     it.settings.on_message_complete = [](http_parser* parser) { return Impl::of(parser).onComplete(); };
@@ -215,4 +231,8 @@
 std::size_t Parser::headBytes() const noexcept { return m_impl->headBytes; }
 std::string& Parser::body() noexcept { return m_impl->body; }
 
+std::uint64_t Parser::chunkBytesLeft() const noexcept { return m_impl->chunkBytesLeft; }
+
+std::size_t Parser::headMemory() const noexcept { return memoryOf(m_impl->head); }
+
 } // namespace rosemarymill::runtime::proxy
--- a/packages/runtime/src/proxy/proxy.cpp
+++ b/packages/runtime/src/proxy/proxy.cpp
@@ -26,9 +26,10 @@
 
 void Proxy::FreeListener::operator()(evconnlistener* it) const noexcept { evconnlistener_free(it); }
 
-Proxy::Proxy(event_base* base, ProxySettings settings)
+Proxy::Proxy(event_base* base, ProxySettings settings, ConnectionBudget& budget)
     : m_base(base)
     , m_settings(std::move(settings))
+    , m_budget(budget)
     , m_startedAt(readClock())
     , m_balancer(m_settings.balancer, m_settings.seed)
     , m_pool(base)
@@ -49,15 +50,13 @@
     m_listener.reset(evconnlistener_new_bind(
         base,
         [](evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
-            auto& proxy = *static_cast<Proxy*>(self);
-            auto client = std::make_unique<ClientConnection>(proxy, static_cast<int>(socket));
-            auto* it = client.get();
-            proxy.m_clients.emplace(it, std::move(client));
+            static_cast<Proxy*>(self)->accept(static_cast<int>(socket));
         },
         this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, listenBacklog, address.get(),
         static_cast<int>(address.length)));
     if (!m_listener)
         throw std::runtime_error("the address " + formatAddress(address) + " cannot be bound");
+    m_listenerGuard.emplace(base, m_listener.get(), m_budget);
     event_add(m_tick.get(), &tickInterval);
 }
 
@@ -68,6 +67,13 @@
     m_removed.clear();
 }
 
+void Proxy::accept(int socket)
+{
+    auto client = std::make_unique<ClientConnection>(*this, socket);
+    auto* it = client.get();
+    m_clients.emplace(it, std::move(client));
+}
+
 void Proxy::setTable(std::shared_ptr<const routes::Table> table) { m_table = std::move(table); }
 
 void Proxy::applyTargets(const fleet::TargetDelta& delta)
--- a/tests/platform/decode.cpp
+++ b/tests/platform/decode.cpp
@@ -262,6 +262,15 @@
     CHECK(it.stallTime == 5s);
     CHECK(it.catchUpTime == 6s);
     CHECK(it.retrySlack == 132);
+    CHECK(it.connections.bytes == limits::ConnectionLimits {}.bytes);
+    CHECK(it.connections.connections == limits::ConnectionLimits {}.connections);
+    write(R"({"node":"core-1","serves":["control"],"ip":"10.0.0.4","zone":"z","internal_ports":[7340,7355],
+        "data_dir":"/data","listen":{"control_plane":"10.0.0.4:80"},"limits":{"memory_mb":240,"max_fds":4200}})");
+    CHECK(platform::readSettings(path).connections.bytes == 40'000'000);
+    CHECK(platform::readSettings(path).connections.connections == 3500);
+    write(R"({"node":"entry-1","serves":["edge"],"ip":"10.0.0.5","zone":"z","internal_ports":[7340,7355],
+        "listen":{"frontend":"10.0.0.5:80"},"limits":{"memory_mb":240,"max_fds":4200}})");
+    CHECK(platform::readSettings(path).connections.bytes == 80'000'000);
     write(R"({"node":"x","serves":["control"],"ip":"1","zone":"z","internal_ports":[1,2],"listen":{}})");
     CHECK_THROWS_AS(platform::readSettings(path), platform::DecodeError);
     write("node = 1");
--- a/tests/runtime/nodes/document_feed.cpp
+++ b/tests/runtime/nodes/document_feed.cpp
@@ -180,7 +180,7 @@
         settings.seeds = { address };
         settings.proxy.address = runtime::parseAddress("127.0.0.1:0").value();
         settings.seed = 2;
-        return std::make_unique<EntryNode>(base.get(), std::move(settings));
+        return std::make_unique<EntryNode>(base.get(), std::move(settings), budget);
     }
 
     [[nodiscard]] std::uint64_t metric(const std::string& name) const
@@ -190,6 +190,7 @@
 
     Folder folder;
     test::EventBase base;
+    runtime::ConnectionBudget budget { base.get() };
     std::string address;
     std::optional<ControlNode> control;
 };
--- a/tests/runtime/nodes/entry_count.cpp
+++ b/tests/runtime/nodes/entry_count.cpp
@@ -49,7 +49,7 @@
         settings.vm = VmId { "entry" };
         settings.dataCentre = DataCentreId { "mixco" };
         settings.proxy.address = runtime::parseAddress("127.0.0.1:0").value();
-        node = std::make_unique<runtime::nodes::EntryNode>(base.get(), settings);
+        node = std::make_unique<runtime::nodes::EntryNode>(base.get(), settings, budget);
         node->setSeeds({ control.address() });
     }
 
@@ -67,6 +67,7 @@
     void waitFor(const std::function<bool()>& done) { REQUIRE(test::runUntil(base.get(), done)); }
 
     test::EventBase base;
+    runtime::ConnectionBudget budget { base.get() };
     RawListener control;
     std::unique_ptr<runtime::nodes::EntryNode> node;
 };
--- a/tests/runtime/nodes/entry_node.cpp
+++ b/tests/runtime/nodes/entry_node.cpp
@@ -36,7 +36,7 @@
         settings.seeds = { leader.address() };
         settings.proxy.address = runtime::parseAddress("127.0.0.1:0").value();
         settings.seed = 1;
-        entry.emplace(base.get(), std::move(settings));
+        entry.emplace(base.get(), std::move(settings), budget);
         connect();
     }
 
@@ -100,6 +100,7 @@
     }
 
     test::EventBase base;
+    runtime::ConnectionBudget budget { base.get() };
     test::RawListener leader;
     std::optional<EntryNode> entry;
 };
--- a/tests/runtime/nodes/reports.cpp
+++ b/tests/runtime/nodes/reports.cpp
@@ -50,7 +50,7 @@
         settings.proxy.balancer.dataCentre = settings.dataCentre;
         settings.proxy.names = { "X-Id", "X-Deadline", "Last-Event-Id", "X-Model", "X-Tokens", "X-Seal", "X-Not-Run",
             "X-Expect", "X-Account", "X-Rank", "X-Load", "At" };
-        entry = std::make_unique<EntryNode>(base.get(), settings);
+        entry = std::make_unique<EntryNode>(base.get(), settings, budget);
     }
 
     static routes::Document document()
@@ -107,6 +107,7 @@
     void waitFor(const std::function<bool()>& done) { REQUIRE(test::runUntil(base.get(), done)); }
 
     test::EventBase base;
+    runtime::ConnectionBudget budget { base.get() };
     std::ostringstream log;
     RawListener busy;
     RawListener silent;
--- a/tests/runtime/proxy/crashing_requests.cpp
+++ b/tests/runtime/proxy/crashing_requests.cpp
@@ -33,7 +33,7 @@
         settings.seed = 1;
         settings.names = { "X-Id", "X-Deadline", "Last-Event-Id", "X-Model", "X-Tokens", "X-Seal", "X-Not-Run",
             "X-Expect", "X-Account", "X-Rank", "X-Load", "At", "X-Parts" };
-        proxy = std::make_unique<Proxy>(base.get(), settings);
+        proxy = std::make_unique<Proxy>(base.get(), settings, budget);
         proxy->balancer().setEntryVms(1);
         setTable();
         fleet::TargetDelta delta;
@@ -127,6 +127,7 @@
     }
 
     test::EventBase base;
+    runtime::ConnectionBudget budget { base.get() };
     std::vector<std::unique_ptr<RawListener>> listeners;
     std::unique_ptr<Proxy> proxy;
     std::list<RawConnection> clients;
--- a/tests/runtime/proxy/endless_responses.cpp
+++ b/tests/runtime/proxy/endless_responses.cpp
@@ -101,7 +101,7 @@
         settings.seed = 1;
         settings.names = { "X-Id", "X-Deadline", "Last-Event-Id", "X-Model", "X-Tokens", "X-Seal", "X-Not-Run",
             "X-Expect", "X-Account", "X-Rank", "X-Load", "At" };
-        proxy = std::make_unique<Proxy>(base.get(), settings);
+        proxy = std::make_unique<Proxy>(base.get(), settings, budget);
         proxy->balancer().setEntryVms(1);
         routes::Document document;
         document.version = 1;
@@ -172,6 +172,7 @@
     bool reportsProgress() { return proxy->takeServersWithProgress().contains(ServerId { "bad" }); }
 
     test::EventBase base;
+    runtime::ConnectionBudget budget { base.get() };
     std::ostringstream log;
     EndlessResponseServer bad;
     RawListener good;
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -55,7 +55,7 @@
         auto& names = settings.names;
         names = { "X-Id", "X-Deadline", "Last-Event-Id", "X-Model", "X-Tokens", "X-Seal", "X-Not-Run", "X-Expect",
             "X-Account", "X-Rank", "X-Load", "At" };
-        proxy = std::make_unique<Proxy>(base.get(), settings);
+        proxy = std::make_unique<Proxy>(base.get(), settings, budget);
         proxy->balancer().setEntryVms(1);
         setTable(1s);
         fleet::TargetDelta delta;
@@ -139,6 +139,7 @@
     void waitFor(const std::function<bool()>& done) { REQUIRE(test::runUntil(base.get(), done)); }
 
     test::EventBase base;
+    runtime::ConnectionBudget budget { base.get() };
     std::ostringstream log;
     RawListener a;
     RawListener b;
--- a/tests/runtime/proxy/slow_clients.cpp
+++ b/tests/runtime/proxy/slow_clients.cpp
@@ -82,6 +82,7 @@
         CAPTURE(shutsDown);
         runtime::setUpLog(node::LogLevel::Error);
         const test::EventBase base(event_base_new());
+        runtime::ConnectionBudget budget(base.get());
         RawListener server(base.get());
         std::unique_ptr<Proxy> proxy;
         server.onReceived = [&](RawConnection& it) {
@@ -98,7 +99,7 @@
         settings.names.attemptId = "X-Id";
         settings.names.seal = "X-Seal";
         settings.retryLimits = { 0.2, 100, 10s };
-        proxy = std::make_unique<Proxy>(base.get(), settings);
+        proxy = std::make_unique<Proxy>(base.get(), settings, budget);
         proxy->balancer().setEntryVms(1);
         routes::Document document;
         document.version = 1;
