Close other connections while a head with many fields is parsed

Cause: other connections were closed when bytes of a connection arrived, but libevent delivers the bytes of many connections before libevhtp parses them, and 16 KB of small fields take 400 KB once they are parsed.

Change: memory is counted and other connections are closed while fields and bodies are parsed, every 64 fields.

--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -28,7 +28,10 @@
 Connection& connectionOf(void* arg) { return *static_cast<Connection*>(arg); }
 
 /// Memory in bytes of a connection without a request, with its buffers, its parser and the state of libevhtp.
-constexpr std::size_t connectionBytes = 8 * 1024;
+constexpr std::size_t connectionBytes = 12 * 1024;
+
+/// Number of headers after which their memory is counted.
+constexpr std::size_t headersPerUpdate = 64;
 
 /// Memory in bytes that libevhtp takes for a header besides its name and value.
 constexpr std::size_t headerOverheadBytes = 128;
@@ -57,8 +60,10 @@
 {
     auto& connection = connectionOf(arg);
     connection.headerBytes += header->klen + header->vlen;
-    ++connection.headerCount;
-    connection.updateUsage();
+    if (connection.headerCount++ % headersPerUpdate == 0) {
+        connection.slot.closeOthers();
+        connection.updateUsage();
+    }
     if (connection.headerBytes <= maxHeaderBytes)
         return EVHTP_RES_OK;
     // The hook's error result closes the connection.
@@ -191,6 +196,7 @@
 
 void Connection::appendBody(evbuffer* buf)
 {
+    slot.closeOthers();
     const auto size = evbuffer_get_length(buf);
     bodyBytes += size;
     if (exchange && !exchange->m_tooLarge && exchange->m_body.size() + size <= server.m_maxBody) {
