Execute a pipelined request only once the response before it is read

Callers saw: 60 callers that pipeline requests with answers of 256 KB and never read took an entry VM to 1,156 to 1,244 MB in 4 s, until responses counted towards the process's limit; since then such callers only wasted the servers' work.

Cause: a connection went on to its next request as soon as the response was handed to its output, read or not.

Change: a pipelined request waits while more than 64 KiB of responses are unsent.

--- a/packages/runtime/src/proxy/client_connection.cpp
+++ b/packages/runtime/src/proxy/client_connection.cpp
@@ -22,6 +22,9 @@
 /// Limit in bytes on input read ahead while the current request is in progress.
 constexpr std::size_t readAheadBytes = 64 * 1024;
 
+/// Unsent bytes of a response in bytes above which a pipelined request has to wait.
+constexpr std::size_t maxUnsentBytes = 64 * 1024;
+
 /// Memory in bytes of a connection without a request, with its buffers and its parser.
 constexpr std::size_t connectionBytes = 4 * 1024;
 
@@ -84,6 +87,9 @@
         return;
     if (m_call)
         m_call->clientDrained();
+    // Pipelined requests wait until the response before them is sent.
+    if (!m_call && evbuffer_get_length(bufferevent_get_input(m_buf.get())) > 0)
+        return parse();
     updateUsage();
 }
 
@@ -106,7 +112,7 @@
         return;
     m_parsing = true;
     auto* input = bufferevent_get_input(m_buf.get());
-    while (!m_call && !m_closeAfterWrite && evbuffer_get_length(input) > 0) {
+    while (!m_call && !m_closeAfterWrite && unsentBytes() <= maxUnsentBytes && evbuffer_get_length(input) > 0) {
         const auto n = evbuffer_get_contiguous_space(input);
         const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(n)));
         const bool started = m_parser.started();
