Limit the connections of a process

Callers saw: 1,500 clients that connect and send half a request line took any process with a limit of 1,200 descriptors, of which the platform reserves 200, to 1,513 to 1,517 of them.

Cause: every connection was accepted and kept until a timeout of seconds ended it.

Change: accepted connections and those to servers share a limit, seven eighths of the process's descriptors. A further connection takes the place of one that has not completed a request, the one without a change for the longest time first, then of an idle one. Where none can be closed, the connection or request gets a 503, which is true: nothing was sent.

An ordinary request is answered while the crowd holds all connections (new test).

--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -389,6 +389,12 @@
 evhtp_res Server::onAccept(evhtp_connection_t* connection, void* server)
 {
     auto& self = *static_cast<Server*>(server);
+    if (!self.m_budget.makeRoom()) {
+        auto* bev = evhtp_connection_get_bev(connection);
+        bufferevent_setfd(bev, -1);
+        ConnectionBudget::rejectAndClose(connection->sock);
+        return EVHTP_RES_ERROR;
+    }
     setsockopt(connection->sock, SOL_SOCKET, SO_SNDBUF, &sendBufferBytes, sizeof(sendBufferBytes));
     evhtp_connection_set_hook(
         connection, evhtp_hook_on_connection_fini, detail::asHook(onConnectionEnd), &self.m_connections);
--- a/packages/runtime/src/proxy/proxy.cpp
+++ b/packages/runtime/src/proxy/proxy.cpp
@@ -69,6 +69,10 @@
 
 void Proxy::accept(int socket)
 {
+    if (!m_budget.makeRoom()) {
+        ConnectionBudget::rejectAndClose(socket);
+        return;
+    }
     auto client = std::make_unique<ClientConnection>(*this, socket);
     auto* it = client.get();
     m_clients.emplace(it, std::move(client));
--- a/tests/runtime/base/connection_budget.cpp
+++ b/tests/runtime/base/connection_budget.cpp
@@ -50,6 +50,22 @@
 
 } // namespace
 
+TEST_CASE("An ordinary request is answered while clients without a request hold all connections", "[limits]")
+{
+    Fixture fixture({ 1'000'000, 8 });
+    for (int i = 0; i < 20; ++i)
+        fixture.connect("GET /pa");
+    test::runFor(fixture.base.get(), std::chrono::milliseconds { 50 });
+    CHECK(fixture.server.connections() <= 8);
+    auto& ordinary = fixture.connect(request);
+    CHECK(test::runUntil(fixture.base.get(), [&] { return ordinary.has("a page"); }));
+    CHECK(fixture.server.connections() <= 8);
+    std::ostringstream metrics;
+    fixture.budget.writeMetrics(metrics);
+    CHECK(metrics.str().find("rosemarymill_connections_closed_for_room_total 13\n") != std::string::npos);
+    CHECK(fixture.log.str().find("connections at their limit") != std::string::npos);
+}
+
 TEST_CASE("Unfinished requests are rejected when they hold too much memory together", "[limits]")
 {
     Fixture fixture({ 1'000'000, 100 });
