Close connections and pause when the kernel refuses descriptors

Callers saw: with 300 descriptors for the process and 600 clients that send half a request line, no ordinary request was answered by an entry VM within 60 s, while the process tried to accept without end.

Cause: libevent reports a refused descriptor and tries again at once, because the connection still waits.

In the new test of a listener, which counts failures rather than time, there are at most 5 failures in 300 ms.

--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -376,6 +376,9 @@
     }
     m_address = localAddress(evconnlistener_get_fd(m_htp->server)).value();
     m_listenerGuard.emplace(base, m_htp->server, m_budget);
+    evconnlistener_set_error_cb(m_htp->server, [](evconnlistener*, void* htp) {
+        static_cast<Server*>(static_cast<evhtp_t*>(htp)->arg)->m_listenerGuard->acceptFailed();
+    });
 }
 
 Server::~Server()
--- a/packages/runtime/src/proxy/proxy.cpp
+++ b/packages/runtime/src/proxy/proxy.cpp
@@ -57,6 +57,8 @@
     if (!m_listener)
         throw std::runtime_error("the address " + formatAddress(address) + " cannot be bound");
     m_listenerGuard.emplace(base, m_listener.get(), m_budget);
+    evconnlistener_set_error_cb(m_listener.get(),
+        [](evconnlistener*, void* self) { static_cast<Proxy*>(self)->m_listenerGuard->acceptFailed(); });
     event_add(m_tick.get(), &tickInterval);
 }
 
--- a/tests/runtime/base/connection_budget.cpp
+++ b/tests/runtime/base/connection_budget.cpp
@@ -11,6 +11,10 @@
 #include <sstream>
 #include <vector>
 
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
 using namespace rosemarymill;
 using runtime::ConnectionBudget;
 using runtime::http::Exchange;
@@ -48,6 +52,25 @@
     std::list<RawConnection> clients;
 };
 
+/// Takes all descriptors that the kernel leaves to this process, until it is destroyed.
+class NoDescriptors {
+public:
+    NoDescriptors()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_before);
+        const int next = dup(STDERR_FILENO);
+        close(next);
+        const rlimit none { static_cast<rlim_t>(next), m_before.rlim_max };
+        setrlimit(RLIMIT_NOFILE, &none);
+    }
+    ~NoDescriptors() { setrlimit(RLIMIT_NOFILE, &m_before); }
+    NoDescriptors(const NoDescriptors&) = delete;
+    NoDescriptors& operator=(const NoDescriptors&) = delete;
+
+private:
+    rlimit m_before {};
+};
+
 } // namespace
 
 TEST_CASE("An ordinary request is answered while clients without a request hold all connections", "[limits]")
@@ -80,3 +103,29 @@
     auto& ordinary = fixture.connect(request);
     CHECK(test::runUntil(fixture.base.get(), [&] { return ordinary.has("a page"); }));
 }
+
+TEST_CASE("A listener pauses while the kernel refuses descriptors", "[limits]")
+{
+    Fixture fixture({ 1'000'000, 100 });
+    auto& waiting = fixture.clients.emplace_back(fixture.base.get(), fixture.server.address());
+    std::size_t iterations = 0;
+    {
+        const NoDescriptors none;
+        const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds { 300 };
+        while (std::chrono::steady_clock::now() < end) {
+            event_base_loop(fixture.base.get(), EVLOOP_NONBLOCK);
+            usleep(1000);
+            ++iterations;
+        }
+    }
+    waiting.send(request);
+    CHECK(test::runUntil(fixture.base.get(), [&] { return waiting.has("a page"); }));
+    // One failure, and one for each pause; without pauses there would be one in each iteration.
+    std::size_t failures = 0;
+    const auto log = fixture.log.str();
+    for (auto at = log.find("Failed to accept"); at != std::string::npos; at = log.find("Failed to accept", at + 1))
+        ++failures;
+    CAPTURE(iterations);
+    CHECK(failures >= 1);
+    CHECK(failures <= 5);
+}
