Limit the number of values in a JSON document

Operators saw: 4 clients that send documents of 4 MiB with small values again and again took a control VM to 161 to 169 MB, 96 MB allowed.

Cause: the length and the depth of a document are limited, but a value of two bytes takes up to 100 bytes once parsed.

Change: documents and heartbeats of more than 262,144 values are rejected before they are parsed, with a rule that says so. Documents of the largest length with 16 bytes or more for each value are accepted as before.

The new test fails before.

--- a/packages/wire/include/rosemarymill/wire/json/parse.hpp
+++ b/packages/wire/include/rosemarymill/wire/json/parse.hpp
@@ -19,11 +19,18 @@
 /// recursion of copies and comparisons of values.
 inline constexpr std::size_t maxLenientJsonDepth = 64;
 
+/// Maximum number of values that parseLenientJson() accepts: a value of two bytes takes up to 100 bytes of memory, so
+/// the largest document of small values would take 200 MB. Documents have 20 bytes or more for each value.
+inline constexpr std::size_t maxLenientJsonValues = std::size_t { 256 } * 1024;
+
 /// Whether arrays and objects in a JSON text are nested deeper than `levels`.
 [[nodiscard]] bool nestsDeeper(std::string_view text, std::size_t levels) noexcept;
 
-/// Parses a JSON text and accepts duplicate members. Returns a value of type `discarded` if the text is malformed or
-/// nested deeper than maxLenientJsonDepth.
+/// Whether a JSON text has more than `n` values, counting each array, object, element and member.
+[[nodiscard]] bool hasMoreValues(std::string_view text, std::size_t n) noexcept;
+
+/// Parses a JSON text and accepts duplicate members. Returns a value of type `discarded` if the text is malformed,
+/// nested deeper than maxLenientJsonDepth or has more than maxLenientJsonValues values.
 [[nodiscard]] nlohmann::json parseLenientJson(std::string_view text);
 
 /// Parses a JSON text. Malformed text, duplicate object members and nesting beyond maxJsonDepth are faults. Returns
--- a/packages/wire/src/json/parse.cpp
+++ b/packages/wire/src/json/parse.cpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/wire/json/object_reader.hpp>
 
+#include <concepts>
 #include <functional>
 #include <set>
 #include <string>
@@ -104,34 +105,49 @@
     return text;
 }
 
-bool nestsDeeper(std::string_view text, std::size_t levels) noexcept
+namespace {
+
+/// Calls a function with each byte of a JSON text that is not in a string, until it returns false. Returns whether the
+/// text was scanned to its end.
+template <std::predicate<char> Function> bool scanOutsideStrings(std::string_view text, Function function)
 {
-    std::size_t depth = 0;
     for (std::size_t i = 0; i < text.size(); ++i) {
-        switch (text[i]) {
-        case '"':
+        if (text[i] == '"') {
             for (++i; i < text.size() && text[i] != '"'; ++i)
                 i += text[i] == '\\' ? 1 : 0;
-            break;
-        case '{':
-        case '[':
-            if (++depth > levels)
-                return true;
-            break;
-        case '}':
-        case ']':
-            depth -= depth > 0 ? 1 : 0;
-            break;
-        default:
-            break;
+        } else if (!function(text[i])) {
+            return false;
         }
     }
-    return false;
+    return true;
+}
+
+} // namespace
+
+bool nestsDeeper(std::string_view text, std::size_t levels) noexcept
+{
+    std::size_t depth = 0;
+    return !scanOutsideStrings(text, [&](char it) {
+        if (it == '{' || it == '[')
+            ++depth;
+        else if (it == '}' || it == ']')
+            depth -= depth > 0 ? 1 : 0;
+        return depth <= levels;
+    });
+}
+
+bool hasMoreValues(std::string_view text, std::size_t n) noexcept
+{
+    std::size_t values = 0;
+    return !scanOutsideStrings(text, [&](char it) {
+        values += it == '{' || it == '[' || it == ',' ? 1 : 0;
+        return values <= n;
+    });
 }
 
 json parseLenientJson(std::string_view text)
 {
-    if (nestsDeeper(text, maxLenientJsonDepth))
+    if (nestsDeeper(text, maxLenientJsonDepth) || hasMoreValues(text, maxLenientJsonValues))
         return json::value_t::discarded;
     return json::parse(text, nullptr, false);
 }
--- a/tests/platform/document.cpp
+++ b/tests/platform/document.cpp
@@ -177,3 +177,22 @@
     REQUIRE(decoder.decode(json.dump()).faults.empty());
     CHECK(decoder.parsedRoutes() == 101);
 }
+
+TEST_CASE("documents of too many values are rejected before they take memory", "[platform]")
+{
+    std::string body = R"({"version":2,"routes":[)";
+    for (std::size_t i = 0; i < 300'000; ++i)
+        body += "[],";
+    body += "0]}";
+    DocumentDecoder decoder;
+    for (const auto& result : { decoder.decode(body), platform::decodeDocument(body) }) {
+        REQUIRE(result.faults.size() == 1);
+        CHECK(result.faults[0].rule.find("values") != std::string::npos);
+    }
+    // Delimiters in names do not count.
+    std::mt19937 random { 5 };
+    auto json = documentOf(random, 8);
+    json["comment"] = std::string(300'000, ',');
+    CHECK(describe(decoder.decode(json.dump())) == describe(platform::decodeDocument(json.dump())));
+    CHECK(decoder.decode(json.dump()).document.routes.size() == 8);
+}
