--- a/tests/platform/document.cpp
+++ b/tests/platform/document.cpp
@@ -178,6 +178,21 @@
     CHECK(decoder.parsedRoutes() == 101);
 }
 
+TEST_CASE("routes of documents that were rejected are not kept", "[platform]")
+{
+    constexpr std::size_t routes = 200;
+    std::mt19937 random { 4 };
+    DocumentDecoder decoder;
+    REQUIRE(decoder.decode(documentOf(random, 8).dump()).faults.size() <= 1);
+    const auto before = decoder.cachedRoutes();
+    for (int i = 0; i < 10; ++i) {
+        auto json = documentOf(random, routes);
+        json["routes"].push_back({ { "name", "without a host" } });
+        CHECK_FALSE(decoder.decode(json.dump()).faults.empty());
+    }
+    CHECK(decoder.cachedRoutes() <= before);
+}
+
 TEST_CASE("documents of too many values are rejected before they take memory", "[platform]")
 {
     std::string body = R"({"version":2,"routes":[)";
