Do not take a reset during an upload for the end of a response

Cause: the write that fails after a reset takes the socket's error, so that the read in the same iteration of the loop finds an ordinary end. libevent reports both in one event, and the end of the connection was looked at first.

Change: a connection with an error has been reset, whatever else is reported with it. The answer is a 502, or the stream goes on at another server.

Evidence: the new test (3 MB upload, reset after 0, 50 and 500 ms, plain and stream) fails before and passes now.

--- a/packages/runtime/src/proxy/upstream.cpp
+++ b/packages/runtime/src/proxy/upstream.cpp
@@ -170,9 +170,12 @@
         if (call->upstream() != &it)
             return;
     }
-    if ((what & BEV_EVENT_EOF) && !it.m_skipping && it.m_parser.finish())
+    // A failed write clears the socket's error, so that a read after a reset finds an ordinary end of the connection.
+    // Both are reported together when they happen in one iteration of the loop.
+    const bool closed = (what & BEV_EVENT_EOF) && !(what & BEV_EVENT_ERROR);
+    if (closed && !it.m_skipping && it.m_parser.finish())
         return it.m_call->onResponse();
-    it.fail((what & BEV_EVENT_EOF) ? End::Closed : End::Reset);
+    it.fail(closed ? End::Closed : End::Reset);
 }
 
 void Upstream::fail(End end)
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -842,3 +842,35 @@
     }
     fixture.waitFor([&] { return client.has("done"); });
 }
+
+TEST_CASE("a response without a length that is reset while the request is sent is not complete", "[proxy]")
+{
+    const std::string body(3 * 1024 * 1024, 'a');
+    const auto wait = GENERATE(0, 50, 500);
+    const bool stream = GENERATE(false, true);
+    CAPTURE(wait, stream);
+    Fixture fixture;
+    fixture.setTable(5s);
+    fixture.a.setReceiveBuffer(4096);
+    fixture.b.setReceiveBuffer(4096);
+    auto& client = fixture.client(stream ? "/stream/1" : "/order/1", "POST", body);
+    auto& server = fixture.nextRequest();
+    server.setReading(false);
+    REQUIRE(server.received.size() < body.size());
+    server.send(std::string("HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\n")
+        + (stream ? "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: part\n\n" : "\r\npart"));
+    test::runFor(fixture.base.get(), std::chrono::milliseconds { wait });
+    server.closeWithReset();
+    if (stream) {
+        // The rest of the stream comes from another server.
+        auto& next = fixture.nextRequest();
+        CHECK_FALSE(client.received.ends_with("0\r\n\r\n"));
+        next.send(streamHead + eventChunk(2) + "0\r\n\r\n");
+        fixture.waitFor([&] { return client.received.ends_with("0\r\n\r\n"); });
+        CHECK(client.has("id: 2\n"));
+    } else {
+        fixture.waitFor([&] { return client.has("\r\n\r\n"); });
+        CHECK(client.has("HTTP/1.1 502 "));
+        CHECK_FALSE(client.has("part"));
+    }
+}
