End an attempt at once when its response has a status below 100

Callers saw: a server in trouble answered with status 000, and the caller got a 504 when its time was over, although nothing further could come.

Cause: any status below 200 was taken for an interim response, after which the final one is awaited.

Change: a status below 100 is no response: the attempt ends at once, a request that may be repeated is sent to another server, others get a 502.

Evidence: with statuses 000, 001, 099 and 42, orders and lookups whose time limit is 60 s get a 502 at once; before, the test waits in vain.

--- a/packages/runtime/src/proxy/upstream.cpp
+++ b/packages/runtime/src/proxy/upstream.cpp
@@ -1,5 +1,6 @@
 #include <rosemarymill/runtime/proxy/upstream.hpp>
 
+#include <rosemarymill/core/base/field_name.hpp>
 #include <rosemarymill/runtime/base/address.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/reset_on_close.hpp>
@@ -134,6 +135,8 @@
         m_hasReceived = true;
         if (m_parser.failed())
             return false;
+        if (m_parser.headComplete() && m_parser.head().status < lowestStatus)
+            return false;
         // Skip interim (1xx) responses before the final one.
         constexpr unsigned firstFinalStatus = 200;
         if (m_parser.complete() && m_parser.head().status < firstFinalStatus) {
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -874,3 +874,22 @@
         CHECK_FALSE(client.has("part"));
     }
 }
+
+TEST_CASE("a response with a status below 100 ends the attempt at once", "[proxy]")
+{
+    const auto* status = GENERATE("000", "001", "099", "42");
+    const auto* path = GENERATE("/order/1", "/lookup/1");
+    CAPTURE(status, path);
+    Fixture fixture;
+    // Far longer than the client waits here.
+    fixture.setTable(60s);
+    auto& client = fixture.client(path);
+    for (int i = 0; i < 2 && !client.has("\r\n\r\n"); ++i) {
+        fixture.nextRequest().send(makeResponse(std::string(status) + " None", "wrong"));
+        test::runUntil(fixture.base.get(),
+            [&] { return client.has("\r\n\r\n") || fixture.requests().size() > fixture.seen.size(); });
+    }
+    fixture.waitFor([&] { return client.has("\r\n\r\n"); });
+    CHECK(client.has("HTTP/1.1 502 "));
+    CHECK_FALSE(client.has("wrong"));
+}
