Use no response whose head has an invalid name or status

On other systems callers got answers in whose head the name of a field held a blank or a control byte, with that line passed on or with a body that was not the server's.

Cause: the proxy refused such names, but took a line that begins with a blank for the rest of the value before it, so that a caller got the answer with a changed field, such as the seal. Wherever evhttp reads answers, any name and statuses from 001 on were accepted, and a length whose name ends with a blank was not seen: model servers' answers, answers to orders, probes and cancellations, and answers to the operators' client.

Change: names must be tokens, lines that continue a field are refused (requests get a 400), and each evhttp reader ends a response with an invalid head as if its connection had closed.

--- a/packages/ctl/src/client.cpp
+++ b/packages/ctl/src/client.cpp
@@ -1,8 +1,11 @@
 #include <rosemarymill/ctl/client.hpp>
 
+#include <rosemarymill/core/base/field_name.hpp>
+
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 
 namespace rosemarymill::ctl {
 
@@ -21,6 +24,14 @@
     std::optional<Answer> answer;
 };
 
+/// Returns -1 for a response that must not be used, so that evhttp closes the connection.
+int onHead(evhttp_request* request, void*)
+{
+    const bool valid = evhttp_request_get_response_code(request) >= static_cast<int>(lowestStatus)
+        && haveValidNames(*evhttp_request_get_input_headers(request));
+    return valid ? 0 : -1;
+}
+
 void onResponse(evhttp_request* request, void* arg)
 {
     auto& pending = *static_cast<Pending*>(arg);
@@ -70,6 +81,7 @@
     evhttp_connection_set_timeout_tv(connection.get(), &timeout);
     Pending pending;
     auto* request = evhttp_request_new(&onResponse, &pending);
+    evhttp_request_set_header_cb(request, &onHead);
     auto* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", address.c_str());
     evhttp_add_header(headers, "Connection", "close");
--- a/packages/runtime/src/backend/client.cpp
+++ b/packages/runtime/src/backend/client.cpp
@@ -4,6 +4,7 @@
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/base/reset_on_close.hpp>
+#include <rosemarymill/runtime/base/response_head.hpp>
 #include <rosemarymill/runtime/base/response_watchdog.hpp>
 
 #include <nlohmann/json.hpp>
@@ -82,6 +83,11 @@
     /// Returns false to close the connection.
     bool readHead()
     {
+        if (!isValidHead(*request)) {
+            connected = true;
+            error = node::AttemptError::MalformedResponse;
+            return false;
+        }
         const auto* headers = evhttp_request_get_input_headers(request);
         const auto* responseId = evhttp_find_header(headers, "X-Request-Id");
         connected = true;
@@ -384,6 +390,7 @@
                 done->pool.discard(std::move(done->connection));
         },
         cancel);
+    evhttp_request_set_header_cb(request, rejectInvalidHead);
     const nlohmann::json document { { "request_id", requestIdOf(attempt) } };
     const auto text = document.dump();
     detail::addHeader(request, "Host", address);
--- a/packages/runtime/src/backend/order_sender.cpp
+++ b/packages/runtime/src/backend/order_sender.cpp
@@ -4,6 +4,7 @@
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/base/reset_on_close.hpp>
+#include <rosemarymill/runtime/base/response_head.hpp>
 #include <rosemarymill/runtime/base/response_watchdog.hpp>
 #include <rosemarymill/wire/backend/json.hpp>
 
@@ -59,6 +60,7 @@
             done.sender.finish(done, answer && evhttp_request_get_response_code(answer) == 200);
         },
         it);
+    evhttp_request_set_header_cb(request, rejectInvalidHead);
     const auto text = wire::encodeOrder(effect.order);
     auto* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Host", effect.address.c_str());
--- a/packages/runtime/src/nodes/server_client.cpp
+++ b/packages/runtime/src/nodes/server_client.cpp
@@ -3,6 +3,7 @@
 #include <rosemarymill/runtime/base/address.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/base/reset_on_close.hpp>
+#include <rosemarymill/runtime/base/response_head.hpp>
 #include <rosemarymill/runtime/base/response_watchdog.hpp>
 
 #include <cerrno>
@@ -94,6 +95,7 @@
             done.client.finish(done, { static_cast<unsigned>(status), status == 0 && error == ECONNREFUSED });
         },
         it);
+    evhttp_request_set_header_cb(message, rejectInvalidHead);
     auto* headers = evhttp_request_get_output_headers(message);
     evhttp_add_header(headers, "Host", address.c_str());
     evhttp_add_header(headers, "Connection", "close");
--- a/packages/runtime/src/proxy/message.cpp
+++ b/packages/runtime/src/proxy/message.cpp
@@ -1,5 +1,7 @@
 #include <rosemarymill/runtime/proxy/message.hpp>
 
+#include <rosemarymill/core/base/field_name.hpp>
+
 #include <algorithm>
 #include <array>
 #include <utility>
@@ -83,6 +85,9 @@
     bool failed { false };
     bool withoutBody { false };
     bool valueRead { false };
+    /// The head's last byte so far, other than carriage returns.
+    char lastByte { 0 };
+    bool startLineSeen { false };
 
     static Impl& of(http_parser* parser) { return *static_cast<Impl*>(parser->data); }
 
@@ -98,15 +103,33 @@
         body.clear();
         headBytes = 0;
         chunkBytesLeft = 0;
+        lastByte = 0;
+        startLineSeen = false;
         started = headComplete = complete = valueRead = false;
     }
 
+    /// Whether a line of the head begins with a blank, in these bytes of it and those before. http_parser appends such
+    /// a line to the value before it, which other parsers take for a field of its own.
+    [[nodiscard]] bool hasContinuation(std::string_view bytes) noexcept
+    {
+        for (const char it : bytes) {
+            if (it == '\r')
+                continue;
+            if (lastByte == '\n' && (it == ' ' || it == '\t'))
+                return true;
+            // The empty line ends the head, but http_parser skips empty lines before the start line.
+            if (lastByte == '\n' && it == '\n' && startLineSeen)
+                return false;
+            startLineSeen = startLineSeen || it != '\n';
+            lastByte = it;
+        }
+        return false;
+    }
+
     int onHeadersComplete()
     {
         // http_parser accepts blanks in header names, which other parsers interpret differently (request smuggling).
-        const bool blanks = std::any_of(head.headers.begin(), head.headers.end(),
-            [](const auto& it) { return it.name.find_first_of(" \t") != std::string::npos; });
-        if (blanks)
+        if (!std::all_of(head.headers.begin(), head.headers.end(), [](const auto& it) { return isFieldName(it.name); }))
             return -1;
         head.status = parser.status_code;
         if (side == Side::Request)
@@ -194,6 +217,10 @@
     if (it.failed || it.complete || bytes.empty())
         return 0;
     const bool headBefore = !it.headComplete;
+    if (headBefore && it.hasContinuation(bytes)) {
+        it.failed = true;
+        return 0;
+    }
     const auto n = http_parser_execute(&it.parser, &it.settings, bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&it.parser);
     if (headBefore)
--- a/tests/ctl/commands.cpp
+++ b/tests/ctl/commands.cpp
@@ -1,6 +1,8 @@
 #include <rosemarymill/ctl/commands.hpp>
 
 #include "support/http.hpp"
+#include "support/malformed_responses.hpp"
+#include "support/raw_server.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -209,3 +211,23 @@
         == "vm entry-1 in mixco, ready true\nrevision 3 from submission b\ncalls 2 active, 1 waiting\n"
            "group 7 planner@1 serving, 2 members\n");
 }
+
+TEST_CASE("A malformed answer counts as no answer", "[ctl]")
+{
+    const TemporaryFile file(validManifest);
+    for (const auto& response : test::malformedResponses()) {
+        CAPTURE(response);
+        const test::RawServer server(response);
+        CHECK(runCommand({ "apply", file.name.c_str(), "--address", server.address().c_str(), "--timeout-ms", "3000" })
+                  .code
+            == 6);
+    }
+}
+
+TEST_CASE("An answer without a length that is reset counts as no answer", "[ctl]")
+{
+    const TemporaryFile file(validManifest);
+    const test::RawServer server(std::string("HTTP/1.1 200 OK\r\n\r\n") + accepted, test::RawServer::Ending::Reset);
+    CHECK(runCommand({ "apply", file.name.c_str(), "--address", server.address().c_str(), "--timeout-ms", "3000" }).code
+        == 6);
+}
--- a/tests/runtime/nodes/server_client.cpp
+++ b/tests/runtime/nodes/server_client.cpp
@@ -5,6 +5,7 @@
 
 #include "support/endless_response_server.hpp"
 #include "support/http.hpp"
+#include "support/malformed_responses.hpp"
 #include "support/raw_connection.hpp"
 
 #include <catch2/catch.hpp>
@@ -128,3 +129,22 @@
     CHECK(peer.reset);
     CHECK(peer.received.size() < body.size());
 }
+
+TEST_CASE("a malformed answer to an order or probe is no answer", "[nodes]")
+{
+    for (const auto& response : test::malformedResponses()) {
+        CAPTURE(response);
+        const test::EventBase base(event_base_new());
+        test::RawListener server(base.get());
+        server.onReceived = [&](test::RawConnection& it) {
+            if (it.has("\r\n\r\n"))
+                it.send(response);
+        };
+        ServerClient client(base.get());
+        std::optional<ServerAnswer> answer;
+        client.send(server.address(), { "POST", "/api/order", {}, "{}" }, 5s, [&](const auto& it) { answer = it; });
+        REQUIRE(test::runUntil(base.get(), [&] { return answer.has_value(); }));
+        CHECK(answer->status == 0);
+        CHECK_FALSE(answer->refused);
+    }
+}
--- a/tests/runtime/proxy/message.cpp
+++ b/tests/runtime/proxy/message.cpp
@@ -100,3 +100,21 @@
     CHECK(isHopByHop(head, "Transfer-Encoding"));
     CHECK_FALSE(isHopByHop(head, "X-Public"));
 }
+
+TEST_CASE("a head with a continuation line is rejected, however its bytes are split", "[proxy]")
+{
+    const std::string before = "\r\n\nHTTP/1.1 200 OK\r\nX-A: 1\r\n";
+    const std::string after = "X-B: 2\r\nContent-Length: 6\r\n\r\n\n \n\tab";
+    for (const auto* line : { "", " folded\r\n", "\tX-C: 3\r\n", " Content-Length: 1\r\n" }) {
+        const auto text = before + line + after;
+        for (std::size_t step = 1; step <= text.size(); ++step) {
+            CAPTURE(line, step);
+            Parser parser(Parser::Side::Response);
+            for (std::size_t i = 0; i < text.size() && !parser.failed(); i += step)
+                (void)parser.feed(std::string_view { text }.substr(i, step));
+            const bool folded = *line != '\0';
+            CHECK(parser.failed() == folded);
+            CHECK(parser.complete() != folded);
+        }
+    }
+}
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -893,3 +893,21 @@
     CHECK(client.has("HTTP/1.1 502 "));
     CHECK_FALSE(client.has("wrong"));
 }
+
+TEST_CASE("a response with a blank or control byte in the name of a field does not reach the client", "[proxy]")
+{
+    for (const char byte : { ' ', '\t', '\x01', '\x08', '\x0b', '\x0c', '\x1f', '\x7f', '\0', '\x80' }) {
+        for (const auto& name :
+            { std::string("X-Na") + byte + "me", std::string("Content-Length") + byte, byte + std::string("X-Name") }) {
+            CAPTURE(static_cast<int>(byte), name);
+            Fixture fixture;
+            auto& client = fixture.client("/order/1");
+            auto& server = fixture.nextRequest();
+            server.send(
+                "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Seal: s\r\n" + name + ": 4\r\nContent-Length: 5\r\n\r\nwrong");
+            fixture.waitFor([&] { return client.has("\r\n\r\n"); });
+            CHECK(client.has("HTTP/1.1 502 "));
+            CHECK_FALSE(client.has("wrong"));
+        }
+    }
+}
