Do not mix a rejection with the response before it

Cause: a connection that is closed for memory gets a 503 if its request is unfinished. If the response to the request before it was not sent completely, the 503 would have stood within that response (MIXED).

Change: the 503 is sent only when nothing of an earlier response is unsent.

Evidence: by reading only.

--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -162,7 +162,8 @@
 
 void Connection::closeForOverload()
 {
-    if (receiving)
+    // The response to an earlier request must not be mixed with this one.
+    if (receiving && evbuffer_get_length(bufferevent_get_output(evhtp_connection_get_bev(htp))) == 0)
         trySend(htp->sock, overloadResponse);
     closeAtOnce(htp);
 }
--- a/packages/runtime/src/proxy/client_connection.cpp
+++ b/packages/runtime/src/proxy/client_connection.cpp
@@ -199,8 +199,9 @@
 
 void ClientConnection::closeForOverload()
 {
-    // No byte of an unfinished request has been sent to a server.
-    if (!m_call && m_parser.started() && !m_closeAfterWrite)
+    // No byte of an unfinished request has been sent to a server. The response to an earlier one must not be mixed with
+    // this one.
+    if (!m_call && m_parser.started() && !m_closeAfterWrite && unsentBytes() == 0)
         trySend(bufferevent_getfd(m_buf.get()), overloadResponse);
     abort();
 }
