--- a/tests/runtime/proxy/message.cpp
+++ b/tests/runtime/proxy/message.cpp
@@ -106,7 +106,8 @@
     const std::string before = "\r\n\nHTTP/1.1 200 OK\r\nX-A: 1\r\n";
     const std::string after = "X-B: 2\r\nContent-Length: 6\r\n\r\n\n \n\tab";
     for (const auto* line : { "", " folded\r\n", "\tX-C: 3\r\n", " Content-Length: 1\r\n" }) {
-        const auto text = before + line + after;
+        auto text = before;
+        text.append(line).append(after);
         for (std::size_t step = 1; step <= text.size(); ++step) {
             CAPTURE(line, step);
             Parser parser(Parser::Side::Response);
--- a/tests/support/malformed_responses.hpp
+++ b/tests/support/malformed_responses.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <initializer_list>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Responses that are no valid answers, for the tests of each place where answers are read.
@@ -12,11 +14,17 @@
 {
     const std::string end = "Content-Length: 2\r\n\r\n{}";
     std::vector<std::string> all;
+    const auto add = [&](std::initializer_list<std::string_view> parts) {
+        auto& response = all.emplace_back();
+        for (const auto it : parts)
+            response.append(it);
+    };
     for (const auto* status : { "000", "001", "099", "42" })
-        all.push_back(std::string("HTTP/1.1 ") + status + " None\r\n" + headers + end);
+        add({ "HTTP/1.1 ", status, " None\r\n", headers, end });
     for (const char byte : { ' ', '\t', '\x01', '\x0b', '\x1f', '\x7f' }) {
-        for (const auto& name : { std::string("X-Na") + byte + "me", std::string("Content-Length") + byte })
-            all.push_back("HTTP/1.1 200 OK\r\n" + headers + name + ": 1\r\n" + end);
+        const std::string_view text { &byte, 1 };
+        add({ "HTTP/1.1 200 OK\r\n", headers, "X-Na", text, "me: 1\r\n", end });
+        add({ "HTTP/1.1 200 OK\r\n", headers, "Content-Length", text, ": 1\r\n", end });
     }
     return all;
 }
