Log requests that are rejected for memory, and name their Retry-After once

Cause: a request that was rejected before it became a call left no log line, and the same time stood in four constants.

Change: such requests are logged with their id and size; the time is one constant.

--- a/packages/runtime/include/rosemarymill/runtime/base/connection_budget.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/base/connection_budget.hpp
@@ -16,8 +16,14 @@
 
 class ConnectionBudget;
 
-/// Response to a request that is rejected because too many connections are open or too much memory is in use. The
-/// Retry-After is about the time in which servers answer some of the requests in progress.
+/// Retry-After of a request that is rejected because too many connections are open or too much memory is in use: about
+/// the time in which servers answer some of the requests in progress.
+inline constexpr Duration overloadRetryAfter = 300ms;
+
+/// The same as a header line.
+inline constexpr std::string_view overloadRetryAfterLine = "Retry-After: 0.30\r\n";
+
+/// Response to such a request when its connection is closed at once.
 inline constexpr std::string_view overloadResponse
     = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.30\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -1,5 +1,6 @@
 #include <rosemarymill/runtime/http/server.hpp>
 
+#include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/http/problem.hpp>
 
 #include "connection.hpp"
@@ -14,13 +15,6 @@
 
 namespace rosemarymill::runtime::http {
 
-namespace {
-
-/// Retry-After of a request that is rejected because of the memory that others take.
-constexpr Duration overloadRetryAfter = 300ms;
-
-} // namespace
-
 namespace detail {
 
 namespace {
@@ -420,6 +414,9 @@
         return;
     }
     if (exchange.m_overloaded) {
+        writeDecision("limits", "rejected request",
+            { { "path", std::string(exchange.path()) }, { "why", "memory" },
+                { "bytes", std::to_string(exchange.body().size()) } });
         replyProblem(exchange,
             { 503, "Overloaded", "not_run", "the requests in progress take all of the memory", overloadRetryAfter });
         return;
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -51,9 +51,6 @@
 constexpr std::size_t highWaterBytes = 128 * 1024;
 constexpr std::size_t lowWaterBytes = 32 * 1024;
 
-/// Retry-After of a request for which no further connection can be opened.
-constexpr Duration noRoomRetryAfter = 300ms;
-
 /// Largest priority number that model servers accept.
 constexpr unsigned maxPriority = 9;
 
@@ -236,7 +233,7 @@
         return waitForServer(now, quarantineReason);
     m_proxy.m_budget.setOutgoing(m_proxy.m_pool.connections());
     if (!m_proxy.m_budget.makeRoom())
-        return refuseWithoutServer({ dispatch::NoServer::Full, noRoomRetryAfter });
+        return refuseWithoutServer({ dispatch::NoServer::Full, overloadRetryAfter });
     auto& budget = m_proxy.budget(m_service->name);
     const bool repeats = m_state.arrivals > 0;
     // The budget was checked when the stream began to wait, but other streams may have used it since.
--- a/packages/runtime/src/proxy/client_connection.cpp
+++ b/packages/runtime/src/proxy/client_connection.cpp
@@ -1,6 +1,7 @@
 #include <rosemarymill/runtime/proxy/client_connection.hpp>
 
 #include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
 #include <rosemarymill/runtime/proxy/call.hpp>
 #include <rosemarymill/runtime/proxy/proxy.hpp>
 #include <rosemarymill/runtime/proxy/socket.hpp>
@@ -22,16 +23,12 @@
 /// Limit in bytes on input read ahead while the current request is in progress.
 constexpr std::size_t readAheadBytes = 64 * 1024;
 
-/// Unsent bytes of a response in bytes above which a pipelined request has to wait.
+/// Unsent bytes of a response above which a pipelined request has to wait.
 constexpr std::size_t maxUnsentBytes = 64 * 1024;
 
 /// Memory in bytes of a connection without a request, with its buffers and its parser.
 constexpr std::size_t connectionBytes = 4 * 1024;
 
-/// Retry-After of a request that is rejected because of the memory that others take: the time in which servers answer
-/// some of them.
-constexpr std::string_view memoryRetryAfter = "Retry-After: 0.30\r\n";
-
 } // namespace
 
 ClientConnection::ClientConnection(Proxy& proxy, int socket)
@@ -178,9 +175,13 @@
 void ClientConnection::refuseForMemory()
 {
     const auto& names = m_proxy.m_settings.names;
-    std::string headers { memoryRetryAfter };
-    if (const auto id = m_parser.head().find(names.attemptId); !id.empty())
+    const auto id = m_parser.head().find(names.attemptId);
+    std::string headers { overloadRetryAfterLine };
+    if (!id.empty())
         headers.append(names.attemptId).append(": ").append(id).append("\r\n");
+    writeDecision("call", "refused",
+        { { "request", std::string(id) }, { "status", "503" },
+            { "why", "the requests in progress take all of the memory" }, { "bytes", std::to_string(bodyBytes()) } });
     m_body.reset();
     m_discardBytes = m_proxy.limits().bodyBytes;
     sendResponse(503, "Service Unavailable", headers, nullptr, true);
