Let servers reject orders that are older than one they have received

What callers saw: nothing by itself. An order that is carried out late, such as a repeated join or an open, can undo what newer orders of the same leader have done.

Cause: all orders of a leader had its term as their fencing number, so that a server could not tell a late order from a newer one.

PROTOCOL.md: "the response is 412 if the fence number is lower than one already seen".

Change: the fencing number rises with each order; its upper bits are the term, so that those of a later leader are above all earlier ones. This costs no message. Control VMs with and without this change must not run together: orders of an older version that leads after a newer one would be rejected until the servers restart.

--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -74,6 +74,7 @@
 /// Action that a server is ordered to perform.
 enum class OrderKind : std::uint8_t { Join, Open, Close, Leave, Stage };
 
+/// Order to a server.
 struct Order {
     OrderKind kind { OrderKind::Join };
     std::string group;
@@ -82,6 +83,7 @@
     std::vector<ServerId> members;
     /// Close: whether the head drops its queued requests.
     bool shed { false };
+    /// Higher than in all earlier orders, so that a server that has received a later order rejects this one.
     FencingNumber fencing;
 };
 
@@ -335,6 +337,10 @@
     [[nodiscard]] double need(const routes::Service& service, const routes::EngineModel& model) const;
     /// Epoch above all that this leader or an earlier one has used.
     [[nodiscard]] std::uint64_t nextEpoch() const;
+    /// Fencing number above all that this leader or an earlier one has used.
+    [[nodiscard]] FencingNumber nextFencingNumber();
+    /// Whether the fencing number is of the current term.
+    [[nodiscard]] bool isOfThisTerm(const FencingNumber& fencing) const noexcept;
     /// Counts `count` new loads against the limits of the weight store. Returns false when they exceed a limit.
     [[nodiscard]] bool reserveLoads(const routes::Engine& engine, unsigned count);
     [[nodiscard]] unsigned runningLoads() const;
@@ -352,6 +358,7 @@
     bool m_targetsComplete { false };
     bool m_traffic { false };
     std::uint64_t m_lastEpoch { 0 };
+    std::uint64_t m_lastFencingNumber { 0 };
     Registry m_registry;
     std::map<std::string, Group> m_groups;
     /// Groups in the control log, by name.
--- a/packages/core/src/fleet/groups.cpp
+++ b/packages/core/src/fleet/groups.cpp
@@ -10,6 +10,10 @@
 /// Time within which a head that was ordered to open has to report that it is open.
 constexpr Duration openMargin = 5s;
 
+/// Bits of a fencing number that count the orders of a term. With them, terms up to 2^21 fit into the 53 bits of an
+/// integer that every JSON implementation represents exactly.
+constexpr unsigned fencingCounterBits = 32;
+
 } // namespace
 
 Group* Control::groupOf(const ServerId& server)
@@ -188,12 +192,23 @@
     return {};
 }
 
+FencingNumber Control::nextFencingNumber()
+{
+    m_lastFencingNumber = std::max(m_lastFencingNumber + 1, m_term << fencingCounterBits);
+    return FencingNumber { m_lastFencingNumber };
+}
+
+bool Control::isOfThisTerm(const FencingNumber& fencing) const noexcept
+{
+    return fencing.value >> fencingCounterBits == m_term;
+}
+
 void Control::order(const ServerId& id, Order order, Effects& effects)
 {
     const auto* server = m_registry.find(id);
     if (!server)
         return;
-    order.fencing = FencingNumber { m_term };
+    order.fencing = nextFencingNumber();
     effects(effect::SendOrder { id, server->record.address, std::move(order) });
 }
 
@@ -445,7 +460,7 @@
 void Control::handle(const event::OrderAnswered& event, Effects& effects)
 {
     using event::OrderResult;
-    if (!m_leads || event.order.fencing.value != m_term)
+    if (!m_leads || !isOfThisTerm(event.order.fencing))
         return;
     auto* server = m_registry.find(event.server);
     if (event.order.kind == OrderKind::Stage) {
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -599,6 +599,31 @@
     CHECK(fleet.openHeads().size() == 1);
 }
 
+// Guards against late orders that a server takes for the newest ones, since all orders of a leader had one number.
+TEST_CASE("each order to a server has a higher fencing number than those before, also after an election", "[fleet]")
+{
+    FakeFleet fleet({ .lostAnswers = 0.2 });
+    std::uint64_t last = 0;
+    std::size_t orders = 0;
+    fleet.orderDelay = [&](const ServerId&, const rosemarymill::fleet::Order& order) -> std::optional<Duration> {
+        CHECK(order.fencing.value > last);
+        last = order.fencing.value;
+        ++orders;
+        return std::nullopt;
+    };
+    fleet.lead(1);
+    fleet.run(40s);
+    const auto ofFirstTerm = orders;
+    fleet.stepDown();
+    fleet.lead(7);
+    loseMember(fleet, anyOpenHead(fleet));
+    fleet.run(20s);
+    CHECK(ofFirstTerm > 22);
+    CHECK(orders > ofFirstTerm);
+    CHECK(fleet.violations.empty());
+    CHECK(last < std::uint64_t { 1 } << 53U);
+}
+
 TEST_CASE("no incomplete group is opened and no server is in two groups during failures", "[fleet]")
 {
     for (std::uint64_t seed = 1; seed <= 12; ++seed) {
