Do not use servers of a released group whose head reports that it serves

Cause: a server of a released group counted as free whatever state it reported after the release. Nothing ordered the head to close or leave.

Other paths to that state: a probe that was refused while the head lives, or a join and an open that are both carried out late.

Change: a head that reports, later than the release, that it is open or closing is ordered to leave until it has left. Meanwhile neither it nor the members that report its group are free, and an order to join that was decided before is held back.

--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -300,6 +300,13 @@
     void releaseGroup(const Group& group, const std::string& reason, Effects& effects);
     /// Whether the membership belongs to a released group, so that its members may join others.
     [[nodiscard]] bool isReleased(const Membership& membership) const;
+    /// Whether the server has reported, since its group was released, that it serves as the group's head.
+    [[nodiscard]] bool servesReleasedGroup(const RegisteredServer& server) const;
+    /// Whether the server reports a released group whose head serves, so that it must not join another one yet.
+    [[nodiscard]] bool isHeldByServingHead(const RegisteredServer& server) const;
+    /// Orders the head of a released group that serves to leave it.
+    void endReleasedGroup(RegisteredServer& head, Effects& effects);
+    void endReleasedGroups(Effects& effects);
     /// Keeps counting the loads of a cancelled group's members, which continue on their hosts.
     void trackRemainingLoads(const Group& group);
     /// Returns whether the group has ended and its members are free.
@@ -313,6 +320,8 @@
     [[nodiscard]] Group* groupOf(const ServerId& server);
     void order(const ServerId& server, Order order, Effects& effects);
     void orderMember(Group& group, std::size_t rank, OrderKind kind, Effects& effects);
+    /// Orders the member to join, unless the head of its last group serves; `reviewJoining` tries again.
+    void joinMember(Group& group, std::size_t rank, Effects& effects);
     void leaveMembers(Group& group, Effects& effects);
     [[nodiscard]] bool orderDue(const Group& group, std::size_t rank) const;
 
@@ -363,8 +372,12 @@
     std::map<std::string, Group> m_groups;
     /// Groups in the control log, by name.
     std::map<std::string, GroupRecord> m_groupRecords;
-    /// Epochs of the groups that this leader has released, by group name.
-    std::map<std::string, std::uint64_t> m_releasedEpochs;
+    struct ReleasedGroup {
+        std::uint64_t epoch { 0 };
+        Instant at;
+    };
+    /// Groups that this leader has released, by name.
+    std::map<std::string, ReleasedGroup> m_releasedGroups;
     /// Loads outside the joins of a group: the model that each host loads, and since when.
     std::map<ServerId, std::pair<ModelName, Instant>> m_staging;
     std::shared_ptr<const routes::Table> m_table;
--- a/packages/core/include/rosemarymill/core/fleet/registry.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/registry.hpp
@@ -25,6 +25,8 @@
     /// Last time that the server, as a spare, was ordered to load the weights of a model, and to start a model.
     Instant stageOrderedAt;
     Instant startOrderedAt;
+    /// Last time that the server, as the head of a released group, was ordered to leave it.
+    Instant leaveOrderedAt;
 
     [[nodiscard]] Instant aliveAt() const noexcept { return std::max(lastReceivedAt, probedAliveAt); }
 };
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -66,6 +66,8 @@
         server.lastModel = server.record.loaded.front();
     if (server.record.group)
         recoverGroup(server.record, effects);
+    if (servesReleasedGroup(server))
+        endReleasedGroup(server, effects);
     if (!registered || server.record.draining != wasDraining || server.record.group)
         reviewGroups(effects);
     publish(false, effects);
@@ -98,7 +100,7 @@
         for (const auto& it : group.members)
             m_registry.rejectUpTo(it.server, it.startedAtMs, it.sequence);
     }
-    m_releasedEpochs.clear();
+    m_releasedGroups.clear();
     m_staging.clear();
     m_published.clear();
     m_lostTargets.clear();
@@ -256,6 +258,7 @@
     probeOverdueServers(effects);
     probeSuspectGroups(effects);
     reviewGroups(effects);
+    endReleasedGroups(effects);
     formGroups(effects);
     publish(false, effects);
 }
--- a/packages/core/src/fleet/groups.cpp
+++ b/packages/core/src/fleet/groups.cpp
@@ -109,7 +109,7 @@
     group.stored = true;
     if (!event.group.mayBeOpen) {
         for (std::size_t rank = 0; rank < group.members.size(); ++rank)
-            orderMember(group, rank, OrderKind::Join, effects);
+            joinMember(group, rank, effects);
         return;
     }
     log("ordered group to open", group.name, "all members are ready", effects);
@@ -231,6 +231,13 @@
     order(group.members[rank], std::move(it), effects);
 }
 
+void Control::joinMember(Group& group, std::size_t rank, Effects& effects)
+{
+    const auto* server = m_registry.find(group.members[rank]);
+    if (server && !isHeldByServingHead(*server))
+        orderMember(group, rank, OrderKind::Join, effects);
+}
+
 bool Control::orderDue(const Group& group, std::size_t rank) const
 {
     return m_now >= group.orderedAt[rank] + m_settings.orderRetry;
@@ -259,13 +266,56 @@
 
 bool Control::isReleased(const Membership& membership) const
 {
-    const auto it = m_releasedEpochs.find(membership.group);
-    return it != m_releasedEpochs.end() && it->second >= membership.epoch;
+    const auto it = m_releasedGroups.find(membership.group);
+    return it != m_releasedGroups.end() && it->second.epoch >= membership.epoch;
+}
+
+bool Control::servesReleasedGroup(const RegisteredServer& server) const
+{
+    const auto& group = server.record.group;
+    if (!group || group->rank != 0 || server.gone
+        || (group->state != MemberState::Open && group->state != MemberState::Closing))
+        return false;
+    const auto it = m_releasedGroups.find(group->group);
+    return it != m_releasedGroups.end() && it->second.epoch >= group->epoch && server.lastReceivedAt > it->second.at;
+}
+
+bool Control::isHeldByServingHead(const RegisteredServer& server) const
+{
+    const auto& group = server.record.group;
+    if (!group || !isReleased(*group))
+        return false;
+    const auto& servers = m_registry.servers();
+    return std::any_of(servers.begin(), servers.end(), [&](const auto& it) {
+        return it.second.record.isMemberOf(group->group, group->epoch) && servesReleasedGroup(it.second);
+    });
+}
+
+void Control::endReleasedGroup(RegisteredServer& head, Effects& effects)
+{
+    if (m_now < head.leaveOrderedAt + m_settings.orderRetry)
+        return;
+    head.leaveOrderedAt = m_now;
+    const auto& group = *head.record.group;
+    log("ordered head to leave", head.record.id.text(), "it serves the released group " + group.group, effects);
+    Order it;
+    it.kind = OrderKind::Leave;
+    it.group = group.group;
+    it.epoch = group.epoch;
+    order(head.record.id, std::move(it), effects);
+}
+
+void Control::endReleasedGroups(Effects& effects)
+{
+    for (auto& [id, server] : m_registry.servers()) {
+        if (servesReleasedGroup(server))
+            endReleasedGroup(server, effects);
+    }
 }
 
 void Control::releaseGroup(const Group& group, const std::string& reason, Effects& effects)
 {
-    m_releasedEpochs[group.name] = group.epoch;
+    m_releasedGroups[group.name] = { group.epoch, m_now };
     log("released group", group.name, reason, effects);
     eraseGroup(group, effects);
 }
@@ -299,7 +349,7 @@
                     + (server && !isDead(*server) ? " drains or was not ready in time" : " failed"),
                 effects);
             trackRemainingLoads(group);
-            m_releasedEpochs[group.name] = group.epoch;
+            m_releasedGroups[group.name] = { group.epoch, m_now };
             eraseGroup(group, effects);
             group.members.clear();
             return;
@@ -311,7 +361,7 @@
             std::erase(group.loading, record.id);
         ready = ready && memberReady;
         if (group.stored && !joined && orderDue(group, rank))
-            orderMember(group, rank, OrderKind::Join, effects);
+            joinMember(group, rank, effects);
     }
     if (!group.storing && (ready || !group.stored))
         storeGroup(group, ready, effects);
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -624,6 +624,38 @@
     CHECK(last < std::uint64_t { 1 } << 53U);
 }
 
+// Guards against reuse of servers that report a state which contradicts the release of their group.
+TEST_CASE("servers of a released group whose head reports that it serves are not used until it has left", "[fleet]")
+{
+    const auto state = GENERATE(rosemarymill::fleet::MemberState::Open, rosemarymill::fleet::MemberState::Closing);
+    FakeFleet fleet({ .domains = 1, .serversPerDomain = 3, .checksFencing = false, .lateHeartbeats = 0 });
+    fleet.lead(1);
+    fleet.run(30s);
+    REQUIRE(fleet.openHeads().size() == 1);
+    const auto head = anyOpenHead(fleet);
+    const auto membership = *fleet.servers.at(head).record.group;
+    fleet.drain(fleet.servers.at(head).members.back());
+    fleet.run(3s);
+    REQUIRE(fleet.control.groups().empty());
+    auto& server = fleet.servers.at(head);
+    server.record.group = membership;
+    server.record.group->state = state;
+    server.nextHeartbeat = fleet.now;
+    unsigned leaves = 0;
+    fleet.orderDelay = [&](const ServerId& id, const rosemarymill::fleet::Order& order) -> std::optional<Duration> {
+        leaves += id == head && order.kind == rosemarymill::fleet::OrderKind::Leave ? 1 : 0;
+        // The first order to leave is lost for some seconds.
+        return leaves == 1 && order.kind == rosemarymill::fleet::OrderKind::Leave ? std::optional { Duration { 4s } }
+                                                                                  : std::nullopt;
+    };
+    fleet.run(100ms);
+    fleet.addServer("domain-0");
+    fleet.run(25s);
+    CHECK(leaves >= 2);
+    CHECK(fleet.violations.empty());
+    CHECK(fleet.openHeads().size() == 1);
+}
+
 TEST_CASE("no incomplete group is opened and no server is in two groups during failures", "[fleet]")
 {
     for (std::uint64_t seed = 1; seed <= 12; ++seed) {
@@ -632,6 +664,8 @@
         options.seed = seed;
         options.lostAnswers = 0.1;
         options.lateOrders = 0.1;
+        options.maxOrderDelay = 12s;
+        options.checksFencing = seed % 2 == 0;
         const auto violations = runFailureSequence(options, true);
         CAPTURE(violations);
         CHECK(violations.empty());
