Refuse a part of prompts whose crashes come close together

What callers saw: a part of prompts that crashes servers went on reaching them when two requests with it came at once.

Cause: crashes within 100 ms of each other counted as one, since servers that fail together do so within less, and the limit was doubled while nothing else was known to have survived. How close crashes are depends on how fast the part crashes a server and how many requests come at once; it does not tell a deadly part from a failed domain.

Change: a crash is isolated if the other servers of the fabric domain that announced themselves before it do so again after it, except those that crashed under requests themselves; one in eight may be missing. Four isolated crashes under different requests are enough, however close they are. When a domain, a data centre or all servers fail, the neighbours fail with them, so that none of their crashes is isolated; the new test plays this with late announcements. A part is suspected from its second crash on, whatever the time between them, so that the servers are probed before they restart.

A request that may have crashed its server is no longer sent to another one while it holds a suspected part of which the entry VM has seen no request survive: each attempt that broke before its first event was free, so that a pair of requests cost six servers.

It needs the domains of announcements, which the coordinator did not take before.

--- a/packages/core/include/rosemarymill/core/quarantine/coordinator.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/coordinator.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <rosemarymill/core/quarantine/neighbours.hpp>
 #include <rosemarymill/core/quarantine/part_evidence.hpp>
 #include <rosemarymill/core/quarantine/stored_record.hpp>
 
@@ -11,9 +12,6 @@
 
 namespace rosemarymill::quarantine {
 
-/// The end of a server counts as a crash for requests given up there only if it is detected within this time.
-inline constexpr Duration confirmationTimeout = 30s;
-
 /// Maximum number of servers with unanswered requests that are tracked.
 inline constexpr std::size_t maxUnansweredServers = 1024;
 
@@ -56,8 +54,10 @@
     void report(const CrashReport& report, Instant now, Outcome& outcome);
 
     /// Applies an announcement. Two announcements of one boot after a report show that the server has not crashed: the
-    /// first of them may have been in flight at the time of the report.
-    void announced(const ServerId& server, const BootId& bootId, std::uint64_t sequence, Instant now, Outcome& outcome);
+    /// first of them may have been in flight at the time of the report. An announcement also shows that the domain has
+    /// not failed in which other servers have crashed.
+    void announced(
+        const Crash& crash, const FabricDomainId& domain, std::uint64_t sequence, Instant now, Outcome& outcome);
 
     /// Unconfirmed crashes on which the refusal of a request depends, each returned once. The caller probes the servers
     /// and passes the results to applyProbeResult().
@@ -119,6 +119,7 @@
     /// Sequence number of the first announcement after the report of a crash.
     std::map<Crash, std::uint64_t> m_announcedAfter;
     PartEvidence m_parts;
+    Neighbours m_neighbours;
     Counters m_counters;
 };
 
--- a/packages/core/include/rosemarymill/core/quarantine/fwd.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/fwd.hpp
@@ -7,6 +7,7 @@
 enum class Verdict;
 class Coordinator;
 class CrashTracker;
+class Neighbours;
 class PartEvidence;
 struct CrashReport;
 struct Exposure;
--- /dev/null
+++ b/packages/core/include/rosemarymill/core/quarantine/neighbours.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <rosemarymill/core/quarantine/quarantine.hpp>
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace rosemarymill::quarantine {
+
+/// Time before a crash within which the server's neighbours announced themselves last: two announcement intervals and
+/// the jitter of connections. Those that failed together with the server did so too.
+inline constexpr Duration neighbourWindow { 2500ms };
+
+/// Shortest time from a crash until it counts as isolated, in which a sound part shows on other servers that requests
+/// with it survive: the time to the first event, `survivalTime` and the time to report it.
+inline constexpr Duration isolationDelay { 1s };
+
+/// Time for which a crash is observed. Neighbours that live announce themselves several times meanwhile.
+inline constexpr Duration isolationTimeout { 6s };
+
+/// Fewest neighbours by which a crash is judged, and the number of them for each of which one may be missing because
+/// it was lost for another reason or its announcement is late.
+inline constexpr std::size_t minNeighbours = 2;
+inline constexpr std::size_t neighboursPerMissing = 8;
+
+/// Tells the crash of a single server from the failure of its fabric domain: a crash is isolated if the other servers
+/// of the domain that lived before it announce themselves after it, except those that have crashed under requests too.
+/// Servers outside any domain count as one domain.
+class Neighbours {
+public:
+    /// Records the announcement of a server.
+    void announced(const Crash& process, const FabricDomainId& domain, Instant now);
+
+    /// Observes the neighbours of a server that crashed at `at`. Without an earlier announcement of the server its
+    /// domain is not known, and the crash never counts as isolated.
+    void crashed(const Crash& crash, Instant at);
+
+    /// Crashes that are now known to be isolated, each returned once.
+    [[nodiscard]] std::vector<Crash> takeIsolated(Instant now);
+
+    /// Forgets servers and crashes that are too old to matter.
+    void expire(Instant now);
+
+private:
+    struct Process {
+        BootId bootId;
+        FabricDomainId domain;
+        Instant announcedAt;
+    };
+
+    struct Observed {
+        Instant at;
+        std::vector<Crash> neighbours;
+        bool isolated { false };
+    };
+
+    [[nodiscard]] bool isIsolated(const Observed& crash) const;
+    [[nodiscard]] bool announcedSince(const Crash& process, Instant since) const;
+
+    std::map<ServerId, Process> m_processes;
+    std::map<Crash, Observed> m_crashes;
+};
+
+} // namespace rosemarymill::quarantine
--- a/packages/core/include/rosemarymill/core/quarantine/part_evidence.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/part_evidence.hpp
@@ -12,13 +12,14 @@
 
 namespace rosemarymill::quarantine {
 
-/// Separate crashes after which a part of a prompt is refused, if no request with it is known to have survived.
+/// Separate or isolated crashes after which a part of a prompt is refused, if no request with it is known to have
+/// survived.
 inline constexpr std::size_t partCrashLimit = 4;
 
 /// The same for a part of which a request survived earlier, for example before a release of new weights.
 inline constexpr std::size_t survivedPartCrashLimit = 6;
 
-/// Separate crashes from which on a part is suspected: entry VMs report survivals, and the servers are probed.
+/// Crashes from which on a part is suspected: entry VMs report survivals, and the servers are probed.
 inline constexpr std::size_t suspectedPartCrashes = 2;
 
 /// Different requests that must have been in flight at the crashes of a part; one request is judged by its fingerprint.
@@ -35,9 +36,6 @@
 /// retried at those which fail last.
 inline constexpr Duration minCrashSpacing = 100ms;
 
-/// Tolerance for comparing times that different entry VMs reported: the jitter of their connections.
-inline constexpr Duration reportJitter = 50ms;
-
 /// Maximum number of crashes, of parts, and of exposures of one part that are kept. The oldest crashes are dropped
 /// first, and the parts with the fewest exposures.
 inline constexpr std::size_t maxPartCrashes = 512;
@@ -45,8 +43,10 @@
 inline constexpr std::size_t maxExposuresPerPart = 128;
 
 /// Finds the parts of prompts that crash servers. A crash ends all requests at a server, so that each of their parts is
-/// a possible cause. A part is refused when it was in flight at several separate crashes, and no request with it has
-/// survived since. The crashes of a refused part no longer count for other parts.
+/// a possible cause. A part is refused when it was in flight at several separate or isolated crashes, and no request
+/// with it has survived since. Crashes are separate if some time passes between them, and isolated if the other servers
+/// of the domain live on: then the servers have not failed together, however little time passes. The crashes of a
+/// refused part no longer count for other parts.
 class PartEvidence {
 public:
     /// A refused part and the crashes that it accounts for.
@@ -61,6 +61,9 @@
     /// The crash has been verified; only verified ones count.
     void confirm(const Crash& crash);
 
+    /// The other servers of the crashed server's domain live on.
+    void isolate(const Crash& crash);
+
     /// The server has not crashed.
     void retract(const Crash& crash);
 
@@ -103,6 +106,7 @@
         Instant at;
         bool verified { false };
         bool toVerify { false };
+        bool isolated { false };
     };
 
     /// A request with the part that was in flight at a crash.
@@ -126,10 +130,13 @@
 
     /// Crashes of a part since its last survival that no refused part accounts for.
     struct Count {
+        std::size_t crashes { 0 };
         /// Separate crashes: servers that fail together count once, however many requests with the part they held.
         std::size_t separate { 0 };
         /// Those of them that follow one another.
         std::size_t successive { 0 };
+        /// Crashes of servers whose domains live on, whatever the time between them.
+        std::size_t isolated { 0 };
         std::size_t requests { 0 };
         /// Time of the first one.
         Instant first;
--- a/packages/core/include/rosemarymill/core/quarantine/quarantine.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/quarantine.hpp
@@ -46,6 +46,12 @@
 /// Maximum number of crashes kept for one fingerprint.
 inline constexpr std::size_t maxCrashes = 8;
 
+/// Tolerance for comparing times that different processes observed: the jitter of their connections.
+inline constexpr Duration reportJitter = 50ms;
+
+/// The end of a server counts as a crash for requests given up there only if it is detected within this time.
+inline constexpr Duration confirmationTimeout = 30s;
+
 /// A server that announces itself with the same boot id this long after a lost connection has not crashed. The time
 /// exceeds the announcement interval, so the announcement was sent after the connection broke.
 inline constexpr Duration survivalDelay = 1500ms;
--- a/packages/core/src/quarantine/coordinator.cpp
+++ b/packages/core/src/quarantine/coordinator.cpp
@@ -21,6 +21,7 @@
         }
     }
     m_parts = {};
+    m_neighbours = {};
     for (const auto& it : parts) {
         m_parts.refuse(it.part, now);
         m_trials[it.part] = { now, it.trials };
@@ -174,6 +175,8 @@
 void Coordinator::addCrash(const CrashReport& report, Instant now, Outcome& outcome)
 {
     m_parts.crashed(report.crash, report.parts, now - report.age);
+    if (!report.parts.empty())
+        m_neighbours.crashed(report.crash, now - report.age);
     if (counts(report.crash))
         m_parts.confirm(report.crash);
     judgeParts(now, outcome);
@@ -245,14 +248,14 @@
 }
 
 void Coordinator::announced(
-    const ServerId& server, const BootId& bootId, std::uint64_t sequence, Instant now, Outcome& outcome)
+    const Crash& crash, const FabricDomainId& domain, std::uint64_t sequence, Instant now, Outcome& outcome)
 {
-    const Crash crash { server, bootId };
+    m_neighbours.announced(crash, domain, now);
     const bool suspected = m_state.unconfirmed.contains(crash);
     if (!suspected && !m_unanswered.contains(crash))
         return;
     const auto [first, inserted] = m_announcedAfter.try_emplace(crash, sequence);
-    if (inserted || sequence <= first->second || (suspected && !disproves(m_state, server, bootId, now)))
+    if (inserted || sequence <= first->second || (suspected && !disproves(m_state, crash.server, crash.bootId, now)))
         return;
     m_announcedAfter.erase(first);
     m_unanswered.erase(crash);
@@ -271,6 +274,12 @@
         }
         it = ended || now >= it->second.at + confirmationTimeout ? m_unanswered.erase(it) : std::next(it);
     }
+    if (const auto isolated = m_neighbours.takeIsolated(now); !isolated.empty()) {
+        for (const auto& it : isolated)
+            m_parts.isolate(it);
+        judgeParts(now, outcome);
+    }
+    m_neighbours.expire(now);
     std::erase_if(m_announcedAfter,
         [this](const auto& it) { return !m_state.unconfirmed.contains(it.first) && !m_unanswered.contains(it.first); });
     std::erase_if(m_counted,
--- a/packages/core/src/quarantine/crash_tracker.cpp
+++ b/packages/core/src/quarantine/crash_tracker.cpp
@@ -113,6 +113,12 @@
     return it == traits.parts.end() ? nullptr : &*it;
 }
 
+bool CrashTracker::hasUnprovenSuspect(const Traits& traits) const
+{
+    return std::any_of(traits.parts.begin(), traits.parts.end(),
+        [this](const auto& it) { return m_watched.contains(it) && !lastSurvival(it); });
+}
+
 void CrashTracker::completed(const Fingerprint& fingerprint, Instant now)
 {
     if (reduce(m_state, { ReportKind::Cleared, {}, { fingerprint } }, now)) {
--- a/packages/core/src/quarantine/part_evidence.cpp
+++ b/packages/core/src/quarantine/part_evidence.cpp
@@ -33,6 +33,8 @@
 {
     Count result;
     std::set<std::uint64_t> requests;
+    std::set<std::uint64_t> crashes;
+    std::set<std::uint64_t> isolated;
     Instant lastSeparate {};
     Instant lastSuccessive {};
     for (const auto& it : part.seen) {
@@ -40,6 +42,9 @@
         if (!crash || (verifiedOnly && !crash->verified) || m_explained.contains(it.crash))
             continue;
         requests.insert(it.request);
+        crashes.insert(it.crash);
+        if (crash->isolated)
+            isolated.insert(it.crash);
         if (result.separate == 0)
             result.first = it.at;
         if (result.separate == 0 || it.at >= lastSeparate + minCrashSpacing) {
@@ -54,12 +59,16 @@
         }
     }
     result.requests = requests.size();
+    result.crashes = crashes.size();
+    result.isolated = isolated.size();
     return result;
 }
 
 bool PartEvidence::suffices(const PartState& part, const Count& count) const
 {
     const auto limit = part.hasSurvived ? survivedPartCrashLimit : partCrashLimit;
+    if (count.isolated >= limit && count.requests >= minRequestsWithPart)
+        return true;
     if (count.separate >= (m_lastSurvival > count.first ? limit : outageFactor * limit)
         && count.successive >= minSuccessiveCrashes && count.requests >= minRequestsWithPart)
         return true;
@@ -126,7 +135,7 @@
         return;
     auto [entry, inserted] = m_crashes.try_emplace(crash);
     if (inserted) {
-        entry->second = { ++m_lastNumber, at, false, false };
+        entry->second = { .number = ++m_lastNumber, .at = at };
         m_byNumber.emplace(m_lastNumber, crash);
         if (m_crashes.size() > maxPartCrashes)
             drop(Crash { m_byNumber.begin()->second });
@@ -146,7 +155,7 @@
         const auto position = std::upper_bound(
             part.seen.begin(), part.seen.end(), at, [](Instant time, const auto& other) { return time < other.at; });
         part.seen.insert(position, seen);
-        if (count(part, false).separate >= suspectedPartCrashes)
+        if (count(part, false).crashes >= suspectedPartCrashes)
             suspect(it.part, part);
     }
 }
@@ -171,6 +180,12 @@
         it->second.verified = true;
 }
 
+void PartEvidence::isolate(const Crash& crash)
+{
+    if (const auto it = m_crashes.find(crash); it != m_crashes.end())
+        it->second.isolated = true;
+}
+
 void PartEvidence::retract(const Crash& crash) { drop(crash); }
 
 void PartEvidence::drop(const Crash& crash)
@@ -247,7 +262,7 @@
             if (part.refused || part.seen.size() < partCrashLimit)
                 continue;
             const auto crashes = count(part, true);
-            const Rank rank { !part.hasSurvived, crashes.separate, part.position };
+            const Rank rank { !part.hasSurvived, std::max(crashes.separate, crashes.isolated), part.position };
             if (suffices(part, crashes) && (worst == m_parts.end() || rank > best)) {
                 best = rank;
                 worst = it;
--- a/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/call.hpp
@@ -103,6 +103,9 @@
     void reportEnd(quarantine::ReportKind kind);
     /// Whether the request may not be sent to any further server.
     [[nodiscard]] bool isRefused() const;
+    /// Whether the request must not be sent to another server now: it is refused, or may have crashed one with a part
+    /// that is suspected.
+    [[nodiscard]] bool isHeldBack() const;
     /// Whether the server has sent nothing for long enough that it may have crashed.
     [[nodiscard]] bool unanswered(Instant now) const;
     void endAttempt(dispatch::AttemptOutcome end, std::string_view why);
@@ -140,6 +143,8 @@
     dispatch::CallState m_state;
     /// The attempt's server survived the request.
     bool m_survived { false };
+    /// The last attempt's server closed its connection before the request was known not to crash it.
+    bool m_mayHaveCrashedServer { false };
     /// How the last attempt ended.
     dispatch::AttemptOutcome m_lastOutcome { dispatch::AttemptOutcome::NotSent };
     std::vector<ServerId> m_tried;
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -229,7 +229,7 @@
 void Call::attempt()
 {
     const auto now = readClock();
-    if (m_waitingSince && isRefused())
+    if (m_waitingSince && isHeldBack())
         return waitForServer(now, quarantineReason);
     m_proxy.m_budget.setOutgoing(m_proxy.m_pool.connections());
     if (!m_proxy.m_budget.makeRoom())
@@ -255,6 +255,7 @@
     m_events.requireIds(m_resumesStream);
     m_attemptEvents = 0;
     m_survived = false;
+    m_mayHaveCrashedServer = false;
     m_nextProgress = bodyProgressBytes;
     m_attemptAt = m_lastProgressAt = m_sentAt = now;
     if (repeats) {
@@ -525,6 +526,7 @@
     case Upstream::End::Reset:
         if (!m_upstream->reused())
             m_proxy.m_balancer.failed(m_server, now);
+        m_mayHaveCrashedServer = !m_survived;
         reportEnd(quarantine::ReportKind::Crashed);
         return endAttempt(
             AttemptOutcome::Broken, end == Upstream::End::Closed ? "connection closed" : "connection reset");
@@ -618,6 +620,11 @@
 
 bool Call::isRefused() const { return m_trial ? m_state.arrivals > 0 : refusedTrait() != nullptr; }
 
+bool Call::isHeldBack() const
+{
+    return isRefused() || (m_mayHaveCrashedServer && m_proxy.m_quarantine.hasUnprovenSuspect(m_traits));
+}
+
 void Call::endAttempt(AttemptOutcome end, std::string_view why)
 {
     const auto now = readClock();
@@ -657,7 +664,7 @@
     const auto entryVms = m_proxy.m_balancer.reportedEntryVms();
     const auto budget = m_proxy.budget(m_service->name).remaining(now, entryVms);
     const bool budgetLeft = budget >= 1;
-    m_state.quarantined = isRefused();
+    m_state.quarantined = isHeldBack();
     const auto step = dispatch::nextStep(m_state, end, budgetLeft, now);
     writeDecision("call", "ended attempt",
         { { "request", m_attemptId }, { "server", server.text() }, { "end", std::string(nameOf(end)) },
--- a/tests/core/quarantine/coordinator.cpp
+++ b/tests/core/quarantine/coordinator.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -100,7 +102,7 @@
     void announce(const std::string& server, std::uint64_t sequence, const std::string& boot = "boot")
     {
         Outcome outcome;
-        leader.announced(ServerId { server }, BootId { boot }, sequence, now, outcome);
+        leader.announced({ ServerId { server }, BootId { boot } }, {}, sequence, now, outcome);
         executeOutcome(outcome);
     }
 
@@ -587,6 +589,154 @@
     CHECK(fleet.partRefusedByAll(crashingPart));
 }
 
+namespace {
+
+/// Servers in fabric domains that announce themselves at intervals, in virtual time. Each has requests in flight.
+class Domains {
+public:
+    static constexpr Duration interval = 1200ms;
+    static constexpr Duration step = 10ms;
+
+    Domains(Fleet& fleet, std::size_t domains, std::size_t servers)
+        : m_fleet(fleet)
+        , m_random(1)
+    {
+        for (std::size_t i = 0; i < domains * servers; ++i) {
+            m_servers.push_back({ "server-" + std::to_string(i), "domain-" + std::to_string(i / servers) });
+            m_servers.back().nextAt = fleet.now + interval * (m_random() % 100) / 100;
+        }
+        run(2 * interval);
+    }
+
+    /// Announcements of this share of the servers are late by up to three seconds.
+    double late { 0 };
+
+    void run(Duration time)
+    {
+        for (const auto end = m_fleet.now + time; m_fleet.now < end; m_fleet.now += step) {
+            while (!m_delayed.empty() && m_delayed.begin()->first <= m_fleet.now) {
+                announce(m_delayed.begin()->second);
+                m_delayed.erase(m_delayed.begin());
+            }
+            for (auto& it : m_servers) {
+                if (it.endedAt || m_fleet.now < it.nextAt)
+                    continue;
+                it.nextAt = m_fleet.now + interval;
+                const Announcement announcement { it.name, it.domain, ++m_sequence };
+                if (std::bernoulli_distribution(late)(m_random))
+                    m_delayed.emplace(m_fleet.now + 1ms * (m_random() % 3000), announcement);
+                else
+                    announce(announcement);
+            }
+            m_fleet.review({});
+        }
+    }
+
+    /// Ends a server under these requests. The others there were in flight too.
+    void crash(std::size_t server, const std::vector<Traits>& requests, Duration inFlight)
+    {
+        m_servers[server].endedAt = m_fleet.now;
+        if (!requests.empty())
+            m_fleet.crash(server % m_fleet.entries.size(), m_servers[server].name, requests, inFlight);
+    }
+
+    [[nodiscard]] std::size_t size() const { return m_servers.size(); }
+
+private:
+    struct Server {
+        std::string name;
+        std::string domain;
+        Instant nextAt {};
+        std::optional<Instant> endedAt {};
+    };
+
+    struct Announcement {
+        std::string server;
+        std::string domain;
+        std::uint64_t sequence { 0 };
+    };
+
+    void announce(const Announcement& it)
+    {
+        Outcome outcome;
+        m_fleet.leader.announced(crashOf(it.server), FabricDomainId { it.domain }, it.sequence, m_fleet.now, outcome);
+        m_fleet.executeOutcome(outcome);
+    }
+
+    Fleet& m_fleet;
+    std::minstd_rand m_random;
+    std::vector<Server> m_servers;
+    std::multimap<Instant, Announcement> m_delayed;
+    std::uint64_t m_sequence { 0 };
+};
+
+} // namespace
+
+// Guards against parts that go on crashing servers because several requests come at once, so that the crashes are
+// close.
+TEST_CASE("A part is refused within the contact time however close its crashes are", "[quarantine][crashing-part]")
+{
+    const auto atOnce = GENERATE(2U, 3U);
+    const auto delay = GENERATE(Duration { 10ms }, Duration { 120ms }, Duration { 600ms });
+    CAPTURE(atOnce, delay / 1ms);
+    Fleet fleet(2);
+    Domains domains(fleet, 6, 11);
+    // Each request crashes two servers one after the other: the heads of groups in different domains.
+    for (std::size_t attempt = 0; attempt < 3; ++attempt) {
+        domains.run(delay);
+        for (std::size_t i = 0; i < atOnce; ++i)
+            domains.crash(11 * ((attempt * atOnce + i) % 6) + attempt, { requestWith({ crashingPart }) }, delay);
+    }
+    CHECK(fleet.partRefusedByNone(firstPart));
+    domains.run(1500ms);
+    CHECK(fleet.partRefusedByAll(crashingPart));
+}
+
+// The bound from the other side: servers that fail together are no evidence against what their requests share.
+TEST_CASE("The failure of a domain, a data centre or all servers refuses no part that its requests share",
+    "[quarantine][crashing-part]")
+{
+    const auto failing = GENERATE(11U, 22U, 66U);
+    const auto time = GENERATE(Duration { 0ms }, Duration { 200ms });
+    const auto late = GENERATE(0.0, 0.05);
+    CAPTURE(failing, time / 1ms, late);
+    Fleet fleet(7);
+    Domains domains(fleet, 6, 11);
+    domains.late = late;
+    domains.run(3s);
+    const auto begin = fleet.now;
+    for (std::size_t i = 0; i < failing; ++i) {
+        domains.run(begin + time * i / failing - fleet.now);
+        // Two servers of each domain are heads of groups.
+        const bool head = i % 11 < 2;
+        domains.crash(
+            i, head ? std::vector<Traits>(3, requestWith({ firstPart, crashingPart })) : std::vector<Traits> {}, 300ms);
+        if (head)
+            domains.crash(i, { requestWith({ firstPart, crashingPart }) }, 20ms);
+    }
+    domains.run(8s);
+    CHECK(fleet.partRefusedByNone(firstPart));
+    CHECK(fleet.partRefusedByNone(crashingPart));
+    CHECK(fleet.leader.refusedParts().empty());
+}
+
+TEST_CASE("A request that may have crashed a server with a suspected part is not repeated until the part survives",
+    "[quarantine][crashing-part]")
+{
+    Fleet fleet(2);
+    fleet.survive(1, firstPart);
+    const auto request = requestWith({ firstPart, crashingPart });
+    fleet.crash(0, "server-1", { request }, 10ms);
+    CHECK_FALSE(fleet.entries[0].hasUnprovenSuspect(request));
+    fleet.crash(1, "server-2", { requestWith({ firstPart, crashingPart }) }, 10ms);
+    CHECK(fleet.entries[0].hasUnprovenSuspect(request));
+    CHECK(fleet.entries[1].hasUnprovenSuspect(request));
+    CHECK_FALSE(fleet.entries[1].hasUnprovenSuspect(requestWith({ firstPart })));
+    fleet.survive(0, firstPart);
+    fleet.survive(0, crashingPart);
+    CHECK_FALSE(fleet.entries[0].hasUnprovenSuspect(request));
+}
+
 TEST_CASE("A popular part survives servers that are replaced one after the other", "[quarantine][crashing-part]")
 {
     Fleet fleet(4);
