Tell entry VMs when the end of a server's cold start changes

Cause: entry VMs count down the remaining time that they got with a target, and the leader published a target only if it differed apart from that time, or if the time changed from or to zero. A server that becomes cold again first never reports zero. A server whose remaining time became shorter was held back to the old end for the same reason, and by the entry VM itself, which ignored a remaining time of zero.

The new tests on the old code: 9 of 12 variants of a server that becomes cold again fail, and 2 of 2 of one whose cold start gets shorter.

Change: the registry holds the end of the cold start as a point in time by the leader's clock, so that ends can be compared whatever time has passed between heartbeats; differences below the jitter of heartbeats are ignored. The leader publishes a target when its end differs from the published one and either is still to come. Targets that are sent later, to new subscribers or by a new leader, have the time that remains then.

--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -383,6 +383,8 @@
     std::shared_ptr<const routes::Table> m_table;
     std::set<DataCentreId> m_outOfService;
     std::map<ServerId, Target> m_published;
+    /// Ends of the cold starts of these targets, as entry VMs know them.
+    std::map<ServerId, Instant> m_publishedColdUntil;
     /// Heads of groups that were closed because of a failure, until the next heartbeat of each. They are published as
     /// lost instead of withdrawn.
     std::set<ServerId> m_lostTargets;
--- a/packages/core/include/rosemarymill/core/fleet/registry.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/registry.hpp
@@ -13,6 +13,8 @@
     ServerRecord record;
     /// Last receipt of a heartbeat or a leave notice.
     Instant lastReceivedAt;
+    /// End of the server's cold start.
+    Instant coldUntil;
     /// Last time that the server answered a probe.
     Instant probedAliveAt;
     Instant probeSentAt;
@@ -29,6 +31,9 @@
     Instant leaveOrderedAt;
 
     [[nodiscard]] Instant aliveAt() const noexcept { return std::max(lastReceivedAt, probedAliveAt); }
+
+    /// Time at `now` until the cold start is over.
+    [[nodiscard]] Duration coldLeft(Instant now) const noexcept { return std::max(coldUntil - now, Duration::zero()); }
 };
 
 /// Result of applying a heartbeat.
--- a/packages/core/include/rosemarymill/core/fleet/server.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/server.hpp
@@ -58,7 +58,7 @@
     FabricDomainId domain;
     unsigned slots { 0 };
     bool draining { false };
-    /// Time until the server's cold start is over.
+    /// Time from sending the heartbeat until the server's cold start is over.
     Duration coldLeft {};
     /// Models whose weights are stored on the host.
     std::vector<ModelName> staged;
@@ -89,6 +89,7 @@
     /// Model that the group serves; empty for plain services.
     ModelName model;
     unsigned slots { 0 };
+    /// Time from publishing the target until the server's cold start is over.
     Duration coldLeft {};
     /// Incarnation of the process.
     BootId bootId {};
--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -76,13 +76,11 @@
         entry.withdrawn = false;
         entry.terminated = false;
         entry.misdirected = false;
-        if (target.coldLeft > Duration::zero()) {
-            if (now >= entry.coldUntil) {
-                entry.coldTokens = 0;
-                entry.coldTokensAt = now;
-            }
-            entry.coldUntil = now + target.coldLeft;
+        if (target.coldLeft > Duration::zero() && now >= entry.coldUntil) {
+            entry.coldTokens = 0;
+            entry.coldTokensAt = now;
         }
+        entry.coldUntil = now + target.coldLeft;
     }
     for (const auto& id : delta.withdrawn)
         withdraw(id);
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -12,13 +12,12 @@
 /// Minimum interval of the log lines about ignored probe timeouts.
 constexpr Duration ignoredLogInterval = 1s;
 
-/// Whether the difference has to be published to entry VMs. They count down the remaining time of a cold start
-/// themselves, so only its start and end count.
+/// Whether the targets differ apart from the remaining time of a cold start, which passes at entry VMs too.
 bool differs(const Target& a, const Target& b)
 {
     auto comparable = a;
     comparable.coldLeft = b.coldLeft;
-    return comparable != b || (a.coldLeft == Duration::zero()) != (b.coldLeft == Duration::zero());
+    return comparable != b;
 }
 
 } // namespace
@@ -103,6 +102,7 @@
     m_releasedGroups.clear();
     m_staging.clear();
     m_published.clear();
+    m_publishedColdUntil.clear();
     m_lostTargets.clear();
     m_loadStarts.clear();
     m_probeResults.clear();
@@ -307,7 +307,7 @@
         if (!service || service->engine || record.draining || server.gone || m_outOfService.contains(record.dataCentre))
             continue;
         targets.emplace(id,
-            Target { id, record.address, record.service, record.dataCentre, {}, record.slots, record.coldLeft,
+            Target { id, record.address, record.service, record.dataCentre, {}, record.slots, server.coldLeft(m_now),
                 record.bootId() });
     }
     for (const auto& [name, group] : m_groups) {
@@ -318,8 +318,8 @@
         const auto* service = m_table->service(record.service);
         const auto slots = service && service->engine ? service->engine->slots : record.slots;
         targets.emplace(record.id,
-            Target { record.id, record.address, record.service, record.dataCentre, group.model, slots, record.coldLeft,
-                record.bootId() });
+            Target { record.id, record.address, record.service, record.dataCentre, group.model, slots,
+                head->coldLeft(m_now), record.bootId() });
     }
     return targets;
 }
@@ -331,13 +331,19 @@
     delta.full = full;
     for (const auto& [id, target] : targets) {
         const auto it = m_published.find(id);
-        if (full || it == m_published.end() || differs(it->second, target))
+        const auto coldUntil = m_registry.find(id)->coldUntil;
+        auto& publishedColdUntil = m_publishedColdUntil[id];
+        const bool coldDiffers = coldUntil != publishedColdUntil && m_now < std::max(coldUntil, publishedColdUntil);
+        if (full || it == m_published.end() || coldDiffers || differs(it->second, target)) {
             delta.upserts.push_back(target);
+            publishedColdUntil = coldUntil;
+        }
     }
     for (const auto& [id, target] : m_published) {
         if (!targets.contains(id))
             (m_lostTargets.contains(id) ? delta.lost : delta.withdrawn).push_back(id);
     }
+    std::erase_if(m_publishedColdUntil, [&](const auto& it) { return !targets.contains(it.first); });
     m_published = std::move(targets);
     if (!delta.empty())
         effects(effect::PublishTargets { std::move(delta) });
--- a/packages/core/src/fleet/registry.cpp
+++ b/packages/core/src/fleet/registry.cpp
@@ -4,6 +4,22 @@
 
 namespace rosemarymill::fleet {
 
+namespace {
+
+/// Difference of the network delays of heartbeats. Remaining times that differ by less describe the same cold start.
+constexpr Duration heartbeatJitter = 50ms;
+
+/// End of a cold start after a heartbeat that arrived at `now`, given the end that earlier ones stated.
+Instant updatedColdEnd(Instant before, Duration coldLeft, Instant now)
+{
+    if (coldLeft == Duration::zero())
+        return std::min(before, now);
+    const auto end = now + coldLeft;
+    return std::chrono::abs(end - before) < heartbeatJitter ? before : end;
+}
+
+} // namespace
+
 HeartbeatResult Registry::apply(Instant now, ServerRecord record)
 {
     // Draining is final for an incarnation, also when a heartbeat from before it started arrives later.
@@ -35,6 +51,7 @@
         m_servers.erase(it->second);
     m_byAddress[record.address] = record.id;
     auto& server = m_servers[record.id];
+    server.coldUntil = updatedColdEnd(server.coldUntil, record.coldLeft, now);
     server.record = std::move(record);
     server.lastReceivedAt = now;
     server.failedProbes = 0;
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -1,5 +1,7 @@
 #include "fake_fleet.hpp"
 
+#include <rosemarymill/core/dispatch/balancer.hpp>
+
 #include <catch2/catch.hpp>
 
 using namespace rosemarymill;
@@ -937,3 +939,118 @@
     CHECK_FALSE(fleet.control.registry().find(unknownService.id));
     CHECK(fleet.control.targets().contains(head));
 }
+
+namespace {
+
+/// Entry VM whose clients send more requests than a cold server bears. It gets the targets that a leader publishes.
+class ColdServerCaller {
+public:
+    static constexpr double coldRate = 36;
+    static constexpr double overshoot = 1.5;
+    static constexpr double slack = 5;
+    static constexpr double limit = coldRate * overshoot + slack;
+    static constexpr Duration interval = 10ms;
+
+    explicit ColdServerCaller(FakeFleet& fleet)
+        : m_fleet(fleet)
+        , m_balancer({ .coldOvershoot = overshoot, .coldSlack = slack }, 1)
+    {
+        m_balancer.setEntryVms(1);
+    }
+
+    /// Runs the fleet and sends a request each `interval`.
+    void run(Duration time)
+    {
+        for (const auto end = m_fleet.now + time; m_fleet.now < end;) {
+            m_fleet.run(50ms);
+            for (const auto& it : std::exchange(m_fleet.published, {}))
+                m_balancer.apply(it, m_fleet.now);
+            for (auto at = m_fleet.now - 50ms; at < m_fleet.now; at += interval)
+                send(m_fleet.now);
+        }
+    }
+
+    /// Most requests in one second at a server while it was cold.
+    [[nodiscard]] std::size_t mostWhileCold() const
+    {
+        std::size_t most = 0;
+        for (auto it = m_atCold.begin(); it != m_atCold.end(); ++it)
+            most = std::max(most, static_cast<std::size_t>(std::lower_bound(it, m_atCold.end(), *it + 1s) - it));
+        return most;
+    }
+
+    std::size_t sent { 0 };
+
+private:
+    void send(Instant now)
+    {
+        const rosemarymill::dispatch::Query query { ServiceName { "desk" }, {}, {}, coldRate, now };
+        const auto result = m_balancer.choose(query);
+        const auto* choice = std::get_if<rosemarymill::dispatch::Choice>(&result);
+        if (!choice)
+            return;
+        ++sent;
+        if (now < m_fleet.servers.at(choice->target->id).coldUntil)
+            m_atCold.push_back(now);
+    }
+
+    FakeFleet& m_fleet;
+    rosemarymill::dispatch::Balancer m_balancer;
+    std::vector<Instant> m_atCold;
+};
+
+} // namespace
+
+// Guards against entry VMs that send all requests to a server which became cold again before its cold start was over.
+TEST_CASE("a server that becomes cold again gets no more requests than a cold server bears", "[fleet]")
+{
+    struct Variant {
+        Duration again;
+        Duration time;
+        unsigned repeats;
+    };
+    const auto variant = GENERATE(Variant { 700ms, 3s, 1 }, Variant { 2s, 3s, 1 }, Variant { 2s, 6s, 1 },
+        Variant { 1500ms, 3s, 5 }, Variant { 2950ms, 3s, 1 }, Variant { 3300ms, 3s, 1 });
+    const auto newLeader = GENERATE(false, true);
+    CAPTURE(variant.again / 1ms, variant.time / 1ms, variant.repeats, newLeader);
+    FakeFleet fleet({ .domains = 0, .plainServers = 1, .lateHeartbeats = 0 });
+    ColdServerCaller caller(fleet);
+    const auto server = fleet.servers.begin()->first;
+    fleet.lead(1);
+    caller.run(5s);
+    REQUIRE(caller.sent > 0);
+    fleet.makeCold(server, 3s);
+    fleet.run(100ms);
+    for (unsigned i = 0; i < variant.repeats; ++i) {
+        caller.run(variant.again);
+        fleet.makeCold(server, variant.time);
+        fleet.run(50ms);
+    }
+    if (newLeader) {
+        caller.run(150ms);
+        fleet.stepDown();
+        caller.run(500ms);
+        fleet.lead(2);
+    }
+    caller.run(variant.time + 2s);
+    CHECK(static_cast<double>(caller.mostWhileCold()) <= ColdServerCaller::limit);
+}
+
+// Guards against servers that are held back although they have reported that their cold start ends earlier.
+TEST_CASE("a server whose cold start becomes shorter is used in full once it is over", "[fleet]")
+{
+    const auto shorter = GENERATE(Duration { 0ms }, Duration { 300ms });
+    CAPTURE(shorter / 1ms);
+    FakeFleet fleet({ .domains = 0, .plainServers = 1, .lateHeartbeats = 0 });
+    ColdServerCaller caller(fleet);
+    const auto server = fleet.servers.begin()->first;
+    fleet.lead(1);
+    caller.run(5s);
+    fleet.makeCold(server, 20s);
+    caller.run(1s);
+    fleet.makeCold(server, shorter);
+    caller.run(500ms);
+    const auto before = caller.sent;
+    caller.run(1s);
+    CHECK(caller.sent - before == 100);
+}
--- a/tests/core/fleet/fake_fleet.hpp
+++ b/tests/core/fleet/fake_fleet.hpp
@@ -67,6 +67,8 @@
         Instant nextHeartbeat;
         /// Head: since when a member is missing.
         std::optional<Instant> missingSince;
+        /// End of the server's cold start.
+        Instant coldUntil;
     };
 
     explicit FakeFleet(const FleetOptions& options)
@@ -126,6 +128,14 @@
 
     void kill(const ServerId& id) { servers.at(id).alive = false; }
 
+    /// The server is cold for `time`, and reports it at once.
+    void makeCold(const ServerId& id, Duration time)
+    {
+        auto& server = servers.at(id);
+        server.coldUntil = now + time;
+        server.nextHeartbeat = now;
+    }
+
     /// The server's process starts again under the same id. Its host keeps the staged weights.
     void restart(const ServerId& id)
     {
@@ -376,6 +386,7 @@
     {
         server.nextHeartbeat = now + 1200ms;
         ++server.record.sequence;
+        server.record.coldLeft = std::max(server.coldUntil - now, Duration::zero());
         if (server.partitioned)
             return;
         const auto deliverAfter = [&](Duration delay) {
