Use servers again that refused connections for a moment

What callers saw: after its servers had refused connections for 5 s, or for 0.4 s, a service got 503 for all requests until the servers or the leader changed. Heads of groups that refused connections were lost to an entry VM in the same way.

Cause: the balancer of an entry VM took one refused connection for the end of the server's process, and ended that only with the server's next announcement. The leader has no reason to publish a target that has not changed, so that this announcement does not come for a server that lives.

Change: all that an entry VM holds against a server is one record with a reason and an age, which ends with time or with an established connection. While other servers take the requests, the VM tries to connect without a request, at intervals that grow to a second, and only when requests arrive; the connection then serves the next request. A request that no other server can take tries the servers that refused, at most every 20 ms each, so that the first one after their return is served; if connections time out, one request at a time waits. Log lines "suspended server" and "reached server again" and the gauge unreachable_targets show it.

The test that asked for a server to be unused until it is announced again is replaced: the announcement need not come. The new tests ask for few attempts while the server is away, for its use once a connection is established or the process is a new one, and for the limits of cold servers.

--- a/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <span>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -28,6 +29,12 @@
     /// Initial and maximum time for which a failing server gets no requests.
     Duration minSuspension { 250ms };
     Duration maxSuspension { 4s };
+    /// Initial and maximum interval at which it is tried to connect to an unreachable server, while requests arrive.
+    Duration minReconnectInterval { 100ms };
+    Duration maxReconnectInterval { 1s };
+    /// Minimum interval of connection attempts to a server that refused the last one, by requests that no other server
+    /// can take. A refusal arrives at once, so that these requests are not delayed.
+    Duration refusedRetryInterval { 20ms };
     /// Limit on the requests in one second to a cold server over all entry VMs: its cold rate times `coldOvershoot`,
     /// plus `coldSlack` requests. Both values come from the platform's settings.
     double coldOvershoot { 1 };
@@ -80,6 +87,47 @@
     Duration retryAfter {};
 };
 
+/// Why a server gets no requests for a time.
+enum class SuspensionReason : std::uint8_t {
+    None,
+    /// It rejected a request because it was full.
+    Full,
+    /// It did not accept or finish a request.
+    Failing,
+    /// It does not serve the service or model that it was announced for.
+    Misdirected,
+    /// A connection to it was refused.
+    Refused,
+    /// A connection to it was not established in time.
+    Unreachable
+};
+
+/// Name of the value in logs.
+[[nodiscard]] std::string_view nameOf(SuspensionReason reason) noexcept;
+
+/// Suspension of a server by this VM's own observations. It ends with time, or for a server to which no connection was
+/// established, with the next connection; the server's announcement may end it earlier.
+struct Suspension {
+    SuspensionReason reason { SuspensionReason::None };
+    Instant since;
+    /// End of the suspension; without a connection, the time of the next attempt to connect.
+    Instant until;
+    /// Last time for which the server was suspended, which doubles with each failure.
+    Duration period {};
+    /// Last attempt to connect, and whether its outcome is not known yet.
+    Instant attemptedAt;
+    bool attempting { false };
+
+    [[nodiscard]] bool needsConnection() const noexcept
+    {
+        return reason == SuspensionReason::Refused || reason == SuspensionReason::Unreachable;
+    }
+    [[nodiscard]] bool active(Instant now) const noexcept
+    {
+        return reason != SuspensionReason::None && (needsConnection() || now < until);
+    }
+};
+
 /// Server chosen, with the inputs of the choice.
 struct Choice {
     const fleet::Target* target { nullptr };
@@ -134,12 +182,22 @@
     /// again, or for the maximum suspension.
     void misdirected(const ServerId& server, Instant now);
 
+    /// No connection to the server was established: it was `refused` or timed out. The process may have ended, or may
+    /// accept connections again at any moment. The server gets no requests until one is established, except requests
+    /// that no other server can take. Returns whether this begins a suspension.
+    bool notConnected(const ServerId& server, bool refused, Instant now);
+
+    /// A connection to the server was established. Returns how long it had got no requests because of connections that
+    /// were not; zero if it was not suspended for that.
+    Duration connected(const ServerId& server, Instant now);
+
+    /// Unreachable servers to which connections should be tried now, so that requests need not find out. Each is
+    /// returned once for each attempt.
+    [[nodiscard]] std::vector<fleet::Target> takeServersToConnect();
+
     /// The server rejected a request because it was full. It is suspended for a short time.
     void full(const ServerId& server, Instant now);
 
-    /// The server's process has terminated; it gets no requests until it is announced again.
-    void terminated(const ServerId& server);
-
     /// Sets the number of entry VMs and the index of this one among them. VMs with different indexes prefer different
     /// groups among those with equal expected delay.
     void setEntryVms(unsigned n, unsigned position = 0) noexcept
@@ -154,13 +212,13 @@
     [[nodiscard]] const fleet::Target* find(const ServerId& server) const;
     [[nodiscard]] Instant lastProgress(const ServerId& server) const;
     [[nodiscard]] std::size_t size() const noexcept;
+    /// Number of servers to which no connection is established at present.
+    [[nodiscard]] std::size_t unreachable() const noexcept;
 
 private:
     struct Entry {
         fleet::Target target;
         bool withdrawn { false };
-        bool terminated { false };
-        bool misdirected { false };
         unsigned outstanding { 0 };
         unsigned reported { 0 };
         unsigned outstandingAtReport { 0 };
@@ -168,8 +226,7 @@
         /// Time of the last load report of the server itself.
         Instant serverReportedAt;
         Instant progressAt;
-        Instant suspendedUntil;
-        Duration suspension {};
+        Suspension suspension;
         Instant coldUntil;
         /// Token bucket: requests that this VM may send to the server while it is cold.
         double coldTokens { 0 };
@@ -211,6 +268,14 @@
     void countWork(const ModelName& model, const Work& work, Instant now);
 
     [[nodiscard]] double loadOf(const Entry& entry, Instant now) const;
+    /// Chooses an unreachable server that is due for an attempt to connect, or null, for a request that no other server
+    /// can take.
+    [[nodiscard]] Entry* chooseUnreachable(const Query& query);
+    /// Selects the unreachable servers that are due for an attempt to connect.
+    void selectServersToConnect(const Query& query);
+    static void beginAttempt(Suspension& suspension, Instant now) noexcept;
+    [[nodiscard]] bool attemptDue(const Suspension& suspension, Instant now) const noexcept;
+    [[nodiscard]] static bool serves(const Entry& entry, const Query& query);
     [[nodiscard]] static bool isCold(const Entry& entry, const Query& query);
     [[nodiscard]] bool coldTokenReady(Entry& entry, double rate, Instant now) const;
     /// Whether this VM is in the subset of entry VMs that send to the server while it is cold. `totalRate` is the rate
@@ -225,6 +290,7 @@
     BalancerSettings m_settings;
     std::minstd_rand m_random;
     std::map<ServerId, Entry> m_entries;
+    std::vector<fleet::Target> m_serversToConnect;
     /// The initial value is assumed until a control VM reports the number, so that shares of limits start small.
     unsigned m_entryVms { 16 };
     bool m_entryVmsReported { false };
--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -3,7 +3,9 @@
 #include <rosemarymill/core/base/hash.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <utility>
 
 namespace rosemarymill::dispatch {
 
@@ -58,6 +60,13 @@
         scaled(fullStep, engine.meanAnswerTokens / slots) };
 }
 
+std::string_view nameOf(SuspensionReason reason) noexcept
+{
+    constexpr std::array<std::string_view, 6> names { "none", "full", "failing", "misdirected", "refused",
+        "unreachable" };
+    return names[static_cast<std::size_t>(reason)];
+}
+
 void Balancer::apply(const fleet::TargetDelta& delta, Instant now)
 {
     if (delta.full) {
@@ -68,14 +77,11 @@
         auto& entry = m_entries[target.id];
         if (entry.target.id.empty())
             entry.progressAt = now;
-        if (entry.withdrawn || entry.terminated || entry.misdirected) {
-            entry.suspendedUntil = {};
+        const bool moved = entry.target.address != target.address || entry.target.bootId != target.bootId;
+        if (entry.withdrawn || moved || entry.suspension.reason == SuspensionReason::Misdirected)
             entry.suspension = {};
-        }
         entry.target = target;
         entry.withdrawn = false;
-        entry.terminated = false;
-        entry.misdirected = false;
         if (target.coldLeft > Duration::zero() && now >= entry.coldUntil) {
             entry.coldTokens = 0;
             entry.coldTokensAt = now;
@@ -207,14 +213,59 @@
     return last - query.now;
 }
 
+bool Balancer::serves(const Entry& entry, const Query& query)
+{
+    return !entry.withdrawn && entry.target.service == query.service && entry.target.model == query.model;
+}
+
+bool Balancer::attemptDue(const Suspension& suspension, Instant now) const noexcept
+{
+    if (suspension.reason == SuspensionReason::Refused)
+        return now >= suspension.attemptedAt + m_settings.refusedRetryInterval;
+    return suspension.reason == SuspensionReason::Unreachable && now >= suspension.until;
+}
+
+void Balancer::beginAttempt(Suspension& suspension, Instant now) noexcept
+{
+    suspension.attemptedAt = now;
+    suspension.until = now + suspension.period;
+    suspension.attempting = true;
+}
+
+Balancer::Entry* Balancer::chooseUnreachable(const Query& query)
+{
+    Entry* longest = nullptr;
+    for (auto& [id, entry] : m_entries) {
+        if (!serves(entry, query) || !attemptDue(entry.suspension, query.now)
+            || std::find(query.tried.begin(), query.tried.end(), id) != query.tried.end())
+            continue;
+        if (!longest || entry.suspension.attemptedAt < longest->suspension.attemptedAt)
+            longest = &entry;
+    }
+    if (!longest || (isCold(*longest, query) && !coldTokenReady(*longest, query.coldRate, query.now)))
+        return nullptr;
+    beginAttempt(longest->suspension, query.now);
+    return longest;
+}
+
+void Balancer::selectServersToConnect(const Query& query)
+{
+    for (auto& [id, entry] : m_entries) {
+        auto& suspension = entry.suspension;
+        if (!suspension.needsConnection() || !serves(entry, query) || query.now < suspension.until)
+            continue;
+        beginAttempt(suspension, query.now);
+        m_serversToConnect.push_back(entry.target);
+    }
+}
+
+std::vector<fleet::Target> Balancer::takeServersToConnect() { return std::exchange(m_serversToConnect, {}); }
+
 std::variant<Choice, Refusal> Balancer::choose(const Query& query)
 {
     std::uniform_real_distribution<double> noise(0, loadNoise);
-    const auto serves = [&](const Entry& it) {
-        return !it.withdrawn && !it.terminated && it.target.service == query.service && it.target.model == query.model;
-    };
-    const auto groups = static_cast<std::size_t>(
-        std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& it) { return serves(it.second); }));
+    const auto groups = static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(),
+        [&](const auto& it) { return serves(it.second, query) && !it.second.suspension.needsConnection(); }));
     const auto preferred = groups * m_position / std::max(m_entryVms, 1U);
     std::vector<Candidate> candidates;
     Choice choice;
@@ -226,10 +277,14 @@
     };
     for (auto& [id, entry] : m_entries) {
         const auto& target = entry.target;
-        if (!serves(entry))
+        if (!serves(entry, query))
+            continue;
+        if (entry.suspension.needsConnection()) {
+            setReason(NoServer::Failing, retryAfterFull);
             continue;
+        }
         const auto rank = (choice.candidates++ + groups - preferred % groups) % groups;
-        if (query.now < entry.suspendedUntil
+        if (entry.suspension.active(query.now)
             || std::find(query.tried.begin(), query.tried.end(), id) != query.tried.end()) {
             setReason(NoServer::Failing, retryAfterFull);
             continue;
@@ -250,6 +305,16 @@
             : load + noise(m_random) + (target.dataCentre == m_settings.dataCentre ? 0 : m_settings.remotePenalty);
         candidates.push_back({ &entry, score, load });
     }
+    // Another server may have room soon when all others are full or cold.
+    const bool onlyFailing = candidates.empty() && refusal.reason <= NoServer::Failing;
+    if (auto* entry = onlyFailing ? chooseUnreachable(query) : nullptr) {
+        if (isCold(*entry, query))
+            entry->coldTokens -= 1;
+        choice.target = &entry->target;
+        choice.load = loadOf(*entry, query.now);
+        return choice;
+    }
+    selectServersToConnect(query);
     if (candidates.empty()) {
         if (refusal.reason == NoServer::Full && query.work.prefillRate > 0)
             refusal.retryAfter = retryDelay(query, groups);
@@ -341,7 +406,7 @@
     if (it == m_entries.end())
         return;
     it->second.progressAt = now;
-    it->second.suspension = {};
+    it->second.suspension.period = {};
 }
 
 void Balancer::failed(const ServerId& server, Instant now)
@@ -349,12 +414,14 @@
     const auto it = m_entries.find(server);
     if (it == m_entries.end())
         return;
-    auto& entry = it->second;
+    auto& suspension = it->second.suspension;
     // Requests sent before the suspension began that fail during it do not count as further failures.
-    if (now < entry.suspendedUntil)
+    if (suspension.active(now))
         return;
-    entry.suspension = std::clamp(entry.suspension * 2, m_settings.minSuspension, m_settings.maxSuspension);
-    entry.suspendedUntil = now + entry.suspension;
+    suspension.reason = SuspensionReason::Failing;
+    suspension.since = now;
+    suspension.period = std::clamp(suspension.period * 2, m_settings.minSuspension, m_settings.maxSuspension);
+    suspension.until = now + suspension.period;
 }
 
 void Balancer::misdirected(const ServerId& server, Instant now)
@@ -362,21 +429,55 @@
     const auto it = m_entries.find(server);
     if (it == m_entries.end())
         return;
-    it->second.misdirected = true;
-    it->second.suspendedUntil = now + m_settings.maxSuspension;
+    auto& suspension = it->second.suspension;
+    suspension.reason = SuspensionReason::Misdirected;
+    suspension.since = now;
+    suspension.until = now + m_settings.maxSuspension;
 }
 
 void Balancer::full(const ServerId& server, Instant now)
 {
     const auto it = m_entries.find(server);
-    if (it != m_entries.end())
-        it->second.suspendedUntil = std::max(it->second.suspendedUntil, now + fullSuspension);
+    if (it == m_entries.end() || it->second.suspension.needsConnection())
+        return;
+    auto& suspension = it->second.suspension;
+    if (!suspension.active(now)) {
+        suspension.reason = SuspensionReason::Full;
+        suspension.since = now;
+    }
+    suspension.until = std::max(suspension.until, now + fullSuspension);
 }
 
-void Balancer::terminated(const ServerId& server)
+bool Balancer::notConnected(const ServerId& server, bool refused, Instant now)
 {
-    if (const auto it = m_entries.find(server); it != m_entries.end())
-        it->second.terminated = true;
+    const auto it = m_entries.find(server);
+    if (it == m_entries.end())
+        return false;
+    auto& suspension = it->second.suspension;
+    const bool begins = !suspension.needsConnection();
+    if (begins) {
+        suspension = {};
+        suspension.since = now;
+    }
+    // Requests that were sent before the suspension began do not count as further attempts.
+    if (begins || std::exchange(suspension.attempting, false)) {
+        suspension.period
+            = std::clamp(suspension.period * 2, m_settings.minReconnectInterval, m_settings.maxReconnectInterval);
+        suspension.until = now + suspension.period;
+    }
+    suspension.reason = refused ? SuspensionReason::Refused : SuspensionReason::Unreachable;
+    suspension.attemptedAt = now;
+    return begins;
+}
+
+Duration Balancer::connected(const ServerId& server, Instant now)
+{
+    const auto it = m_entries.find(server);
+    if (it == m_entries.end() || !it->second.suspension.needsConnection())
+        return {};
+    const auto since = it->second.suspension.since;
+    it->second.suspension = {};
+    return now - since;
 }
 
 const fleet::Target* Balancer::find(const ServerId& server) const
@@ -391,6 +492,12 @@
     return it == m_entries.end() ? Instant {} : it->second.progressAt;
 }
 
+std::size_t Balancer::unreachable() const noexcept
+{
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(),
+        [](const auto& it) { return !it.second.withdrawn && it.second.suspension.needsConnection(); }));
+}
+
 std::size_t Balancer::size() const noexcept
 {
     return static_cast<std::size_t>(
--- a/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
@@ -121,6 +121,11 @@
     void scheduleCleanUp();
     /// Ends attempts, largest response first, until the buffered responses of all calls are within the limit.
     void limitBuffered();
+    /// Tries to connect to unreachable servers that are due for it, while other servers take the requests.
+    void connectToUnreachableServers(Instant now);
+    /// A connection to the server was established, or was refused or timed out.
+    void serverConnected(const ServerId& server, Instant now);
+    void serverNotConnected(const ServerId& server, bool refused, Instant now);
     /// Cancels calls whose requests are quarantined.
     void enforceQuarantine();
     [[nodiscard]] dispatch::RetryBudget& budget(const ServiceName& service);
--- a/packages/runtime/include/rosemarymill/runtime/proxy/upstream.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/upstream.hpp
@@ -5,10 +5,13 @@
 #include <rosemarymill/runtime/proxy/fwd.hpp>
 #include <rosemarymill/runtime/proxy/message.hpp>
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 struct bufferevent;
@@ -105,14 +108,28 @@
     Duration m_idleLimit {};
 };
 
+/// Connect timeout: the machines are a few milliseconds apart, and a lost packet is retransmitted within this time.
+inline constexpr Duration connectTimeout = 350ms;
+
+/// Outcome of an attempt to connect to a server without a request.
+enum class ConnectResult { Connected, Refused, TimedOut };
+
 /// Pool of server connections that are reused for further requests.
 class UpstreamPool {
 public:
+    using ConnectHandler = std::function<void(const ServerId&, ConnectResult)>;
+
     explicit UpstreamPool(event_base* base)
         : m_base(base)
     {
     }
 
+    /// Sets the function that is called with the outcome of each connect().
+    void onConnect(ConnectHandler handler) { m_connectHandler = std::move(handler); }
+
+    /// Tries to connect to a server. The connection is then idle and serves the next request.
+    void connect(const fleet::Target& target, Instant now);
+
     /// Returns a connection for a request. An idle one is reused if it is within its idle limit, or for a request that
     /// must not be retried, if it was in use within the last 200 ms; otherwise a new one is opened.
     [[nodiscard]] Upstream& acquire(const fleet::Target& target, bool retryable, Instant now);
@@ -136,7 +153,17 @@
     [[nodiscard]] event_base* base() noexcept { return m_base; }
 
 private:
+    friend class Upstream;
+
+    Upstream& open(const fleet::Target& target);
+    /// A connection without a request was established, or could not be.
+    void connected(Upstream& upstream);
+    void connectFailed(Upstream& upstream, ConnectResult result);
+
     event_base* m_base;
+    ConnectHandler m_connectHandler;
+    /// Connections without a request that are not established yet.
+    std::set<Upstream*> m_connecting;
     std::map<Upstream*, std::unique_ptr<Upstream>> m_all;
     std::vector<std::unique_ptr<Upstream>> m_discarded;
     std::map<ServerId, std::list<Upstream*>> m_idle;
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -24,9 +24,6 @@
 using dispatch::AttemptOutcome;
 using dispatch::Step;
 
-/// Connect timeout: the machines are a few milliseconds apart, and a lost packet is retransmitted within this time.
-constexpr Duration connectTimeout = 350ms;
-
 /// A server that makes no progress on any of this VM's requests for this long is reported to the control VM as
 /// suspected: a healthy one sends something in each pass, which takes less than 150 ms even at full load.
 constexpr Duration suspectTimeout = 300ms;
@@ -241,6 +238,7 @@
         return waitForServer(now, "retry budget exhausted");
     const dispatch::Query query { m_service->name, m_model, m_tried, m_service->coldRate, now, m_work };
     const auto result = m_proxy.m_balancer.choose(query);
+    m_proxy.connectToUnreachableServers(now);
     if (const auto* refusal = std::get_if<dispatch::Refusal>(&result))
         return refuseWithoutServer(*refusal);
     const auto& choice = std::get<dispatch::Choice>(result);
@@ -305,7 +303,11 @@
     return out;
 }
 
-void Call::onConnected() { m_attemptAt = m_lastProgressAt = readClock(); }
+void Call::onConnected()
+{
+    m_attemptAt = m_lastProgressAt = readClock();
+    m_proxy.serverConnected(m_server, m_attemptAt);
+}
 
 void Call::onResponse()
 {
@@ -513,12 +515,12 @@
     const auto now = readClock();
     switch (end) {
     case Upstream::End::Refused:
-        m_proxy.m_balancer.terminated(m_server);
+        m_proxy.serverNotConnected(m_server, true, now);
         if (m_proxy.m_stallHandler)
             m_proxy.m_stallHandler(m_server);
         return endAttempt(AttemptOutcome::NotSent, "connection refused");
     case Upstream::End::NotConnected:
-        m_proxy.m_balancer.failed(m_server, now);
+        m_proxy.serverNotConnected(m_server, false, now);
         if (m_proxy.m_stallHandler)
             m_proxy.m_stallHandler(m_server);
         return endAttempt(AttemptOutcome::NotSent, "connection not established");
--- a/packages/runtime/src/proxy/proxy.cpp
+++ b/packages/runtime/src/proxy/proxy.cpp
@@ -1,6 +1,7 @@
 #include <rosemarymill/runtime/proxy/proxy.hpp>
 
 #include <rosemarymill/runtime/base/clock.hpp>
+#include <rosemarymill/runtime/base/log.hpp>
 
 #include <algorithm>
 #include <array>
@@ -46,6 +47,12 @@
           },
           this))
 {
+    m_pool.onConnect([this](const ServerId& server, ConnectResult result) {
+        if (result == ConnectResult::Connected)
+            serverConnected(server, readClock());
+        else
+            serverNotConnected(server, result == ConnectResult::Refused, readClock());
+    });
     auto address = m_settings.address;
     m_listener.reset(evconnlistener_new_bind(
         base,
@@ -92,6 +99,30 @@
     }
 }
 
+void Proxy::connectToUnreachableServers(Instant now)
+{
+    for (const auto& it : m_balancer.takeServersToConnect()) {
+        m_budget.setOutgoing(m_pool.connections());
+        if (!m_budget.makeRoom())
+            return;
+        m_pool.connect(it, now);
+    }
+}
+
+void Proxy::serverConnected(const ServerId& server, Instant now)
+{
+    if (const auto suspended = m_balancer.connected(server, now); suspended > Duration::zero())
+        writeDecision("proxy", "reached server again",
+            { { "server", server.text() }, { "after_ms", std::to_string(suspended / 1ms) } });
+}
+
+void Proxy::serverNotConnected(const ServerId& server, bool refused, Instant now)
+{
+    if (m_balancer.notConnected(server, refused, now))
+        writeDecision("proxy", "suspended server",
+            { { "server", server.text() }, { "why", refused ? "connection refused" : "connection not established" } });
+}
+
 void Proxy::applyCrashReports(std::span<const quarantine::CrashReport> reports)
 {
     const auto now = readClock();
@@ -237,6 +268,7 @@
     gauge("server_connections", m_pool.connections());
     gauge("collected_bytes", m_bufferedBytes);
     gauge("targets", m_balancer.size());
+    gauge("unreachable_targets", m_balancer.unreachable());
     gauge("document_version", m_table ? m_table->document().version : 0);
     constexpr std::array<const char*, 4> reasons { "unknown", "failing", "full", "cold" };
     out << "# TYPE rosemarymill_proxy_without_server_total counter\n";
--- a/tests/runtime/proxy/proxy.cpp
+++ b/tests/runtime/proxy/proxy.cpp
@@ -223,6 +223,81 @@
     }
 }
 
+namespace {
+
+/// Lets the servers answer all requests.
+void answerAll(Fixture& fixture)
+{
+    for (auto* listener : { &fixture.a, &fixture.b }) {
+        listener->onReceived = [](RawConnection& it) {
+            if (it.has("\r\n\r\n"))
+                it.send(makeResponse("200 OK", "done", "X-Seal: s\r\nConnection: close\r\n"));
+        };
+    }
+}
+
+/// Number of answers to orders that are sent one after the other during `time`.
+unsigned ordersAnswered(Fixture& fixture, std::chrono::milliseconds time)
+{
+    unsigned answered = 0;
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end) {
+        auto& client = fixture.client("/order/1");
+        fixture.waitFor([&] { return client.has("\r\n\r\n"); });
+        answered += client.has("HTTP/1.1 200 ") ? 1 : 0;
+        test::runFor(fixture.base.get(), std::chrono::milliseconds { 10 });
+    }
+    return answered;
+}
+
+} // namespace
+
+// Guards against services that stay refused because their servers refused connections for a moment.
+TEST_CASE("the first request after all servers refused connections is served", "[proxy]")
+{
+    using std::chrono::milliseconds;
+    const auto time = GENERATE(milliseconds { 0 }, milliseconds { 400 }, milliseconds { 2500 });
+    CAPTURE(time.count());
+    Fixture fixture;
+    answerAll(fixture);
+    CHECK(ordersAnswered(fixture, milliseconds { 100 }) > 0);
+    fixture.a.stop();
+    fixture.b.stop();
+    auto& refused = fixture.client("/order/1");
+    fixture.waitFor([&] { return refused.has("HTTP/1.1 503 "); });
+    CHECK(ordersAnswered(fixture, time) == 0);
+    test::runFor(fixture.base.get(), milliseconds { 30 });
+    fixture.a.restart();
+    fixture.b.restart();
+    auto& first = fixture.client("/order/1");
+    fixture.waitFor([&] { return first.has("\r\n\r\n"); });
+    CHECK(first.has("HTTP/1.1 200 "));
+    test::runFor(fixture.base.get(), milliseconds { 1100 });
+    (void)ordersAnswered(fixture, milliseconds { 200 });
+    CHECK(fixture.proxy->balancer().unreachable() == 0);
+}
+
+// The same for one of several servers, which other requests must not have to find out.
+TEST_CASE("a server that refused connections is used again while the others take the requests", "[proxy]")
+{
+    using std::chrono::milliseconds;
+    Fixture fixture;
+    answerAll(fixture);
+    fixture.a.stop();
+    (void)ordersAnswered(fixture, milliseconds { 700 });
+    CHECK(fixture.proxy->balancer().unreachable() == 1);
+    const auto before = fixture.proxy->counters().answered;
+    fixture.a.restart();
+    (void)ordersAnswered(fixture, milliseconds { 1300 });
+    CHECK(fixture.proxy->balancer().unreachable() == 0);
+    CHECK(fixture.proxy->counters().refused == 0);
+    CHECK(fixture.proxy->counters().answered > before);
+    const auto answeredByA = std::count_if(fixture.a.acceptedConnections.begin(), fixture.a.acceptedConnections.end(),
+        [](const auto& it) { return it.has("X-Id: r1"); });
+    CHECK(answeredByA > 3);
+    CHECK(fixture.log.str().find("reached server again") != std::string::npos);
+}
+
 TEST_CASE("a group's head server that rejects repeatedly is suspended for longer each time", "[proxy]")
 {
     Fixture fixture;
