--- a/packages/core/include/rosemarymill/core/quarantine/coordinator.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/coordinator.hpp
@@ -56,8 +56,8 @@
     /// Applies an announcement. Two announcements of one boot after a report show that the server has not crashed: the
     /// first of them may have been in flight at the time of the report. An announcement also shows that the domain has
     /// not failed in which other servers have crashed.
-    void announced(
-        const Crash& crash, const FabricDomainId& domain, std::uint64_t sequence, Instant now, Outcome& outcome);
+    void announced(const ServerProcess& process, const FabricDomainId& domain, std::uint64_t sequence, Instant now,
+        Outcome& outcome);
 
     /// Unconfirmed crashes on which the refusal of a request depends, each returned once. The caller probes the servers
     /// and passes the results to applyProbeResult().
--- a/packages/core/include/rosemarymill/core/quarantine/neighbours.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/neighbours.hpp
@@ -8,6 +8,9 @@
 
 namespace rosemarymill::quarantine {
 
+/// Process of a server, which is identified like its crash while it runs.
+using ServerProcess = Crash;
+
 /// Time before a crash within which the server's neighbours announced themselves last: two announcement intervals and
 /// the jitter of connections. Those that failed together with the server did so too.
 inline constexpr Duration neighbourWindow { 2500ms };
@@ -30,7 +33,7 @@
 class Neighbours {
 public:
     /// Records the announcement of a server.
-    void announced(const Crash& process, const FabricDomainId& domain, Instant now);
+    void announced(const ServerProcess& process, const FabricDomainId& domain, Instant now);
 
     /// Observes the neighbours of a server that crashed at `at`. Without an earlier announcement of the server its
     /// domain is not known, and the crash never counts as isolated.
@@ -43,22 +46,22 @@
     void expire(Instant now);
 
 private:
-    struct Process {
+    struct Announcement {
         BootId bootId;
         FabricDomainId domain;
-        Instant announcedAt;
+        Instant at;
     };
 
     struct Observed {
         Instant at;
-        std::vector<Crash> neighbours;
+        std::vector<ServerProcess> neighbours;
         bool isolated { false };
     };
 
     [[nodiscard]] bool isIsolated(const Observed& crash) const;
-    [[nodiscard]] bool announcedSince(const Crash& process, Instant since) const;
+    [[nodiscard]] bool announcedSince(const ServerProcess& process, Instant since) const;
 
-    std::map<ServerId, Process> m_processes;
+    std::map<ServerId, Announcement> m_announcements;
     std::map<Crash, Observed> m_crashes;
 };
 
--- a/packages/core/src/quarantine/coordinator.cpp
+++ b/packages/core/src/quarantine/coordinator.cpp
@@ -248,19 +248,20 @@
 }
 
 void Coordinator::announced(
-    const Crash& crash, const FabricDomainId& domain, std::uint64_t sequence, Instant now, Outcome& outcome)
+    const ServerProcess& process, const FabricDomainId& domain, std::uint64_t sequence, Instant now, Outcome& outcome)
 {
-    m_neighbours.announced(crash, domain, now);
-    const bool suspected = m_state.unconfirmed.contains(crash);
-    if (!suspected && !m_unanswered.contains(crash))
+    m_neighbours.announced(process, domain, now);
+    const bool suspected = m_state.unconfirmed.contains(process);
+    if (!suspected && !m_unanswered.contains(process))
         return;
-    const auto [first, inserted] = m_announcedAfter.try_emplace(crash, sequence);
-    if (inserted || sequence <= first->second || (suspected && !disproves(m_state, crash.server, crash.bootId, now)))
+    const auto [first, inserted] = m_announcedAfter.try_emplace(process, sequence);
+    if (inserted || sequence <= first->second
+        || (suspected && !disproves(m_state, process.server, process.bootId, now)))
         return;
     m_announcedAfter.erase(first);
-    m_unanswered.erase(crash);
+    m_unanswered.erase(process);
     if (suspected)
-        retract(crash, outcome);
+        retract(process, outcome);
 }
 
 void Coordinator::review(const std::function<bool(const Crash&)>& hasEnded, Instant now, Outcome& outcome)
--- a/packages/core/src/quarantine/neighbours.cpp
+++ b/packages/core/src/quarantine/neighbours.cpp
@@ -4,29 +4,29 @@
 
 namespace rosemarymill::quarantine {
 
-void Neighbours::announced(const Crash& process, const FabricDomainId& domain, Instant now)
+void Neighbours::announced(const ServerProcess& process, const FabricDomainId& domain, Instant now)
 {
-    m_processes[process.server] = { process.bootId, domain, now };
+    m_announcements[process.server] = { process.bootId, domain, now };
 }
 
 void Neighbours::crashed(const Crash& crash, Instant at)
 {
-    const auto server = m_processes.find(crash.server);
-    if (server == m_processes.end() || m_crashes.contains(crash))
+    const auto server = m_announcements.find(crash.server);
+    if (server == m_announcements.end() || m_crashes.contains(crash))
         return;
     auto& observed = m_crashes[crash];
     observed.at = at;
-    for (const auto& [id, process] : m_processes) {
-        if (id != crash.server && process.domain == server->second.domain
-            && process.announcedAt >= at - neighbourWindow)
-            observed.neighbours.push_back({ id, process.bootId });
+    for (const auto& [id, announcement] : m_announcements) {
+        if (id != crash.server && announcement.domain == server->second.domain
+            && announcement.at >= at - neighbourWindow)
+            observed.neighbours.push_back({ id, announcement.bootId });
     }
 }
 
-bool Neighbours::announcedSince(const Crash& process, Instant since) const
+bool Neighbours::announcedSince(const ServerProcess& process, Instant since) const
 {
-    const auto it = m_processes.find(process.server);
-    return it != m_processes.end() && it->second.bootId == process.bootId && it->second.announcedAt > since;
+    const auto it = m_announcements.find(process.server);
+    return it != m_announcements.end() && it->second.bootId == process.bootId && it->second.at > since;
 }
 
 bool Neighbours::isIsolated(const Observed& crash) const
@@ -57,7 +57,7 @@
 void Neighbours::expire(Instant now)
 {
     std::erase_if(m_crashes, [&](const auto& it) { return now >= it.second.at + isolationTimeout; });
-    std::erase_if(m_processes, [&](const auto& it) { return now >= it.second.announcedAt + confirmationTimeout; });
+    std::erase_if(m_announcements, [&](const auto& it) { return now >= it.second.at + confirmationTimeout; });
 }
 
 } // namespace rosemarymill::quarantine
