Name the judgement of crashes after what it tells

Neighbours said what it looks at, not what for, and ServerProcess was a second name for the type Crash. The class is CrashIsolation, its neighbours are a type of their own, and announcements name server and boot as elsewhere. No behaviour changes.

--- a/packages/core/include/rosemarymill/core/quarantine/coordinator.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/coordinator.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <rosemarymill/core/quarantine/neighbours.hpp>
+#include <rosemarymill/core/quarantine/crash_isolation.hpp>
 #include <rosemarymill/core/quarantine/part_evidence.hpp>
 #include <rosemarymill/core/quarantine/stored_record.hpp>
 
@@ -56,8 +56,8 @@
     /// Applies an announcement. Two announcements of one boot after a report show that the server has not crashed: the
     /// first of them may have been in flight at the time of the report. An announcement also shows that the domain has
     /// not failed in which other servers have crashed.
-    void announced(const ServerProcess& process, const FabricDomainId& domain, std::uint64_t sequence, Instant now,
-        Outcome& outcome);
+    void announced(const ServerId& server, const BootId& bootId, const FabricDomainId& domain, std::uint64_t sequence,
+        Instant now, Outcome& outcome);
 
     /// Unconfirmed crashes on which the refusal of a request depends, each returned once. The caller probes the servers
     /// and passes the results to applyProbeResult().
@@ -119,7 +119,7 @@
     /// Sequence number of the first announcement after the report of a crash.
     std::map<Crash, std::uint64_t> m_announcedAfter;
     PartEvidence m_parts;
-    Neighbours m_neighbours;
+    CrashIsolation m_isolation;
     Counters m_counters;
 };
 
--- a/packages/core/include/rosemarymill/core/quarantine/neighbours.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/crash_isolation.hpp
@@ -8,9 +8,6 @@
 
 namespace rosemarymill::quarantine {
 
-/// Process of a server, which is identified like its crash while it runs.
-using ServerProcess = Crash;
-
 /// Time before a crash within which the server's neighbours announced themselves last: two announcement intervals and
 /// the jitter of connections. Those that failed together with the server did so too.
 inline constexpr Duration neighbourWindow { 2500ms };
@@ -27,13 +24,13 @@
 inline constexpr std::size_t minNeighbours = 2;
 inline constexpr std::size_t neighboursPerMissing = 8;
 
-/// Tells the crash of a single server from the failure of its fabric domain: a crash is isolated if the other servers
-/// of the domain that lived before it announce themselves after it, except those that have crashed under requests too.
-/// Servers outside any domain count as one domain.
-class Neighbours {
+/// Tells the crash of a single server from the failure of its fabric domain. A crash is isolated if the server's
+/// neighbours, which are the other servers of the domain that lived before it, announce themselves after it. Those that
+/// have crashed under requests too do not count. Servers outside any domain count as one domain.
+class CrashIsolation {
 public:
-    /// Records the announcement of a server.
-    void announced(const ServerProcess& process, const FabricDomainId& domain, Instant now);
+    /// Records that the server's process with this boot id has announced itself.
+    void announced(const ServerId& server, const BootId& bootId, const FabricDomainId& domain, Instant now);
 
     /// Observes the neighbours of a server that crashed at `at`. Without an earlier announcement of the server its
     /// domain is not known, and the crash never counts as isolated.
@@ -52,15 +49,21 @@
         Instant at;
     };
 
+    struct Neighbour {
+        ServerId server;
+        BootId bootId;
+    };
+
     struct Observed {
         Instant at;
-        std::vector<ServerProcess> neighbours;
+        std::vector<Neighbour> neighbours;
         bool isolated { false };
     };
 
     [[nodiscard]] bool isIsolated(const Observed& crash) const;
-    [[nodiscard]] bool announcedSince(const ServerProcess& process, Instant since) const;
+    [[nodiscard]] bool hasAnnouncedSince(const Neighbour& neighbour, Instant since) const;
 
+    /// Last announcement of each server.
     std::map<ServerId, Announcement> m_announcements;
     std::map<Crash, Observed> m_crashes;
 };
--- a/packages/core/include/rosemarymill/core/quarantine/fwd.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/fwd.hpp
@@ -6,8 +6,8 @@
 enum class ReportKind;
 enum class Verdict;
 class Coordinator;
+class CrashIsolation;
 class CrashTracker;
-class Neighbours;
 class PartEvidence;
 struct CrashReport;
 struct Exposure;
--- a/packages/core/src/quarantine/coordinator.cpp
+++ b/packages/core/src/quarantine/coordinator.cpp
@@ -21,7 +21,7 @@
         }
     }
     m_parts = {};
-    m_neighbours = {};
+    m_isolation = {};
     for (const auto& it : parts) {
         m_parts.refuse(it.part, now);
         m_trials[it.part] = { now, it.trials };
@@ -176,7 +176,7 @@
 {
     m_parts.crashed(report.crash, report.parts, now - report.age);
     if (!report.parts.empty())
-        m_neighbours.crashed(report.crash, now - report.age);
+        m_isolation.crashed(report.crash, now - report.age);
     if (counts(report.crash))
         m_parts.confirm(report.crash);
     judgeParts(now, outcome);
@@ -247,21 +247,21 @@
         outcome.store.push_back(report);
 }
 
-void Coordinator::announced(
-    const ServerProcess& process, const FabricDomainId& domain, std::uint64_t sequence, Instant now, Outcome& outcome)
+void Coordinator::announced(const ServerId& server, const BootId& bootId, const FabricDomainId& domain,
+    std::uint64_t sequence, Instant now, Outcome& outcome)
 {
-    m_neighbours.announced(process, domain, now);
-    const bool suspected = m_state.unconfirmed.contains(process);
-    if (!suspected && !m_unanswered.contains(process))
+    m_isolation.announced(server, bootId, domain, now);
+    const Crash crash { server, bootId };
+    const bool suspected = m_state.unconfirmed.contains(crash);
+    if (!suspected && !m_unanswered.contains(crash))
         return;
-    const auto [first, inserted] = m_announcedAfter.try_emplace(process, sequence);
-    if (inserted || sequence <= first->second
-        || (suspected && !disproves(m_state, process.server, process.bootId, now)))
+    const auto [first, inserted] = m_announcedAfter.try_emplace(crash, sequence);
+    if (inserted || sequence <= first->second || (suspected && !disproves(m_state, server, bootId, now)))
         return;
     m_announcedAfter.erase(first);
-    m_unanswered.erase(process);
+    m_unanswered.erase(crash);
     if (suspected)
-        retract(process, outcome);
+        retract(crash, outcome);
 }
 
 void Coordinator::review(const std::function<bool(const Crash&)>& hasEnded, Instant now, Outcome& outcome)
@@ -275,12 +275,12 @@
         }
         it = ended || now >= it->second.at + confirmationTimeout ? m_unanswered.erase(it) : std::next(it);
     }
-    if (const auto isolated = m_neighbours.takeIsolated(now); !isolated.empty()) {
+    if (const auto isolated = m_isolation.takeIsolated(now); !isolated.empty()) {
         for (const auto& it : isolated)
             m_parts.isolate(it);
         judgeParts(now, outcome);
     }
-    m_neighbours.expire(now);
+    m_isolation.expire(now);
     std::erase_if(m_announcedAfter,
         [this](const auto& it) { return !m_state.unconfirmed.contains(it.first) && !m_unanswered.contains(it.first); });
     std::erase_if(m_counted,
--- a/packages/core/src/quarantine/neighbours.cpp
+++ b/packages/core/src/quarantine/crash_isolation.cpp
@@ -1,15 +1,15 @@
-#include <rosemarymill/core/quarantine/neighbours.hpp>
+#include <rosemarymill/core/quarantine/crash_isolation.hpp>
 
 #include <algorithm>
 
 namespace rosemarymill::quarantine {
 
-void Neighbours::announced(const ServerProcess& process, const FabricDomainId& domain, Instant now)
+void CrashIsolation::announced(const ServerId& server, const BootId& bootId, const FabricDomainId& domain, Instant now)
 {
-    m_announcements[process.server] = { process.bootId, domain, now };
+    m_announcements[server] = { bootId, domain, now };
 }
 
-void Neighbours::crashed(const Crash& crash, Instant at)
+void CrashIsolation::crashed(const Crash& crash, Instant at)
 {
     const auto server = m_announcements.find(crash.server);
     if (server == m_announcements.end() || m_crashes.contains(crash))
@@ -23,26 +23,26 @@
     }
 }
 
-bool Neighbours::announcedSince(const ServerProcess& process, Instant since) const
+bool CrashIsolation::hasAnnouncedSince(const Neighbour& neighbour, Instant since) const
 {
-    const auto it = m_announcements.find(process.server);
-    return it != m_announcements.end() && it->second.bootId == process.bootId && it->second.at > since;
+    const auto it = m_announcements.find(neighbour.server);
+    return it != m_announcements.end() && it->second.bootId == neighbour.bootId && it->second.at > since;
 }
 
-bool Neighbours::isIsolated(const Observed& crash) const
+bool CrashIsolation::isIsolated(const Observed& crash) const
 {
     std::size_t all = 0;
     std::size_t alive = 0;
     for (const auto& it : crash.neighbours) {
-        if (m_crashes.contains(it))
+        if (m_crashes.contains({ it.server, it.bootId }))
             continue;
         ++all;
-        alive += announcedSince(it, crash.at + reportJitter) ? 1 : 0;
+        alive += hasAnnouncedSince(it, crash.at + reportJitter) ? 1 : 0;
     }
     return all >= minNeighbours && alive + all / neighboursPerMissing >= all;
 }
 
-std::vector<Crash> Neighbours::takeIsolated(Instant now)
+std::vector<Crash> CrashIsolation::takeIsolated(Instant now)
 {
     std::vector<Crash> isolated;
     for (auto& [id, crash] : m_crashes) {
@@ -54,7 +54,7 @@
     return isolated;
 }
 
-void Neighbours::expire(Instant now)
+void CrashIsolation::expire(Instant now)
 {
     std::erase_if(m_crashes, [&](const auto& it) { return now >= it.second.at + isolationTimeout; });
     std::erase_if(m_announcements, [&](const auto& it) { return now >= it.second.at + confirmationTimeout; });
--- a/packages/runtime/src/nodes/control_node.cpp
+++ b/packages/runtime/src/nodes/control_node.cpp
@@ -457,7 +457,7 @@
     const auto* registered = m_control.registry().find(server);
     if (registered && registered->record.bootId() == bootId && registered->record.sequence == sequence) {
         quarantine::Outcome outcome;
-        m_quarantine.announced({ server, bootId }, registered->record.domain, sequence, now, outcome);
+        m_quarantine.announced(server, bootId, registered->record.domain, sequence, now, outcome);
         executeOutcome(std::move(outcome));
     }
     if (draining)
--- a/tests/core/quarantine/coordinator.cpp
+++ b/tests/core/quarantine/coordinator.cpp
@@ -102,7 +102,7 @@
     void announce(const std::string& server, std::uint64_t sequence, const std::string& boot = "boot")
     {
         Outcome outcome;
-        leader.announced({ ServerId { server }, BootId { boot } }, {}, sequence, now, outcome);
+        leader.announced(ServerId { server }, BootId { boot }, {}, sequence, now, outcome);
         executeOutcome(outcome);
     }
 
@@ -659,7 +659,8 @@
     void announce(const Announcement& it)
     {
         Outcome outcome;
-        m_fleet.leader.announced(crashOf(it.server), FabricDomainId { it.domain }, it.sequence, m_fleet.now, outcome);
+        m_fleet.leader.announced(
+            ServerId { it.server }, BootId { "boot" }, FabricDomainId { it.domain }, it.sequence, m_fleet.now, outcome);
         m_fleet.executeOutcome(outcome);
     }
 
