Judge crashes by the interval at which servers announce themselves

The times in which CrashIsolation looks at announcements were constants that fit an interval of 1.2 s, while the interval is a setting (ControlSettings::heartbeat). With rarer announcements most neighbours lay outside the window, and the others announced themselves only after the crash was forgotten.

Both times now follow from the interval. The new test fails with the former constants at 10 s, and passes at 0.4, 1.2 and 10 s.

--- a/packages/core/include/rosemarymill/core/quarantine/coordinator.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/coordinator.hpp
@@ -45,7 +45,11 @@
         std::uint64_t partsCleared { 0 };
     };
 
-    explicit Coordinator(std::size_t crashesUntilRefusal) { m_state.crashesUntilRefusal = crashesUntilRefusal; }
+    explicit Coordinator(std::size_t crashesUntilRefusal, Duration announcementInterval = defaultAnnouncementInterval)
+        : m_announcementInterval(announcementInterval)
+    {
+        m_state.crashesUntilRefusal = crashesUntilRefusal;
+    }
 
     /// Replaces the state by the stored records.
     void start(const StoredRecords& stored, const StoredParts& parts, Instant now);
@@ -119,7 +123,8 @@
     /// Sequence number of the first announcement after the report of a crash.
     std::map<Crash, std::uint64_t> m_announcedAfter;
     PartEvidence m_parts;
-    CrashIsolation m_isolation;
+    Duration m_announcementInterval;
+    CrashIsolation m_isolation { m_announcementInterval };
     Counters m_counters;
 };
 
--- a/packages/core/include/rosemarymill/core/quarantine/crash_isolation.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/crash_isolation.hpp
@@ -8,16 +8,16 @@
 
 namespace rosemarymill::quarantine {
 
-/// Time before a crash within which the server's neighbours announced themselves last: two announcement intervals and
-/// the jitter of connections. Those that failed together with the server did so too.
-inline constexpr Duration neighbourWindow { 2500ms };
+/// Interval at which servers announce themselves, unless the settings state another one.
+inline constexpr Duration defaultAnnouncementInterval { 1200ms };
 
 /// Shortest time from a crash until it counts as isolated, in which a sound part shows on other servers that requests
 /// with it survive: the time to the first event, `survivalTime` and the time to report it.
 inline constexpr Duration isolationDelay { 1s };
 
-/// Time for which a crash is observed. Neighbours that live announce themselves several times meanwhile.
-inline constexpr Duration isolationTimeout { 6s };
+/// Announcement intervals for which a crash is observed. Neighbours that live announce themselves several times
+/// meanwhile, so that a late announcement does not keep the crash from being judged.
+inline constexpr int observedIntervals = 5;
 
 /// Fewest neighbours by which a crash is judged, and the number of them for each of which one may be missing because
 /// it was lost for another reason or its announcement is late.
@@ -29,6 +29,12 @@
 /// have crashed under requests too do not count. Servers outside any domain count as one domain.
 class CrashIsolation {
 public:
+    /// Servers announce themselves at this interval.
+    explicit CrashIsolation(Duration announcementInterval)
+        : m_interval(announcementInterval)
+    {
+    }
+
     /// Records that the server's process with this boot id has announced itself.
     void announced(const ServerId& server, const BootId& bootId, const FabricDomainId& domain, Instant now);
 
@@ -63,6 +69,11 @@
     [[nodiscard]] bool isIsolated(const Observed& crash) const;
     [[nodiscard]] bool hasAnnouncedSince(const Neighbour& neighbour, Instant since) const;
 
+    /// Time before a crash within which the neighbours announced themselves last. Those that failed together with the
+    /// server did so too.
+    [[nodiscard]] Duration neighbourWindow() const noexcept { return 2 * (m_interval + reportJitter); }
+
+    Duration m_interval;
     /// Last announcement of each server.
     std::map<ServerId, Announcement> m_announcements;
     std::map<Crash, Observed> m_crashes;
--- a/packages/core/src/quarantine/coordinator.cpp
+++ b/packages/core/src/quarantine/coordinator.cpp
@@ -21,7 +21,7 @@
         }
     }
     m_parts = {};
-    m_isolation = {};
+    m_isolation = CrashIsolation { m_announcementInterval };
     for (const auto& it : parts) {
         m_parts.refuse(it.part, now);
         m_trials[it.part] = { now, it.trials };
--- a/packages/core/src/quarantine/crash_isolation.cpp
+++ b/packages/core/src/quarantine/crash_isolation.cpp
@@ -18,7 +18,7 @@
     observed.at = at;
     for (const auto& [id, announcement] : m_announcements) {
         if (id != crash.server && announcement.domain == server->second.domain
-            && announcement.at >= at - neighbourWindow)
+            && announcement.at >= at - neighbourWindow())
             observed.neighbours.push_back({ id, announcement.bootId });
     }
 }
@@ -56,8 +56,9 @@
 
 void CrashIsolation::expire(Instant now)
 {
-    std::erase_if(m_crashes, [&](const auto& it) { return now >= it.second.at + isolationTimeout; });
-    std::erase_if(m_announcements, [&](const auto& it) { return now >= it.second.at + confirmationTimeout; });
+    std::erase_if(m_crashes, [&](const auto& it) { return now >= it.second.at + observedIntervals * m_interval; });
+    std::erase_if(m_announcements,
+        [&](const auto& it) { return now >= it.second.at + std::max(confirmationTimeout, neighbourWindow()); });
 }
 
 } // namespace rosemarymill::quarantine
--- a/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/nodes/control_node.hpp
@@ -242,7 +242,7 @@
     /// Number of entry VMs at the last count, announced to all subscribers while this VM leads.
     unsigned m_entryCount { 0 };
     fleet::LoadTable m_loads;
-    quarantine::Coordinator m_quarantine { quarantine::sharedRequestCrashLimit };
+    quarantine::Coordinator m_quarantine { quarantine::sharedRequestCrashLimit, m_settings.controlSettings.heartbeat };
     /// Reports that could not be stored yet.
     std::vector<quarantine::CrashReport> m_unstoredCrashes;
     Instant m_loadsSentAt;
--- a/tests/core/quarantine/coordinator.cpp
+++ b/tests/core/quarantine/coordinator.cpp
@@ -25,8 +25,9 @@
 
 /// A leader with its log, and entry VMs that exchange reports only through it.
 struct Fleet {
-    explicit Fleet(std::size_t n)
-        : entries(n, CrashTracker { sharedRequestCrashLimit })
+    explicit Fleet(std::size_t n, Duration announcementInterval = defaultAnnouncementInterval)
+        : interval(announcementInterval)
+        , entries(n, CrashTracker { sharedRequestCrashLimit })
     {
     }
 
@@ -116,7 +117,7 @@
     /// A new leader starts with the stored records, and the entry VMs repeat their reports to it.
     void changeLeader()
     {
-        leader = Coordinator { sharedRequestCrashLimit };
+        leader = Coordinator { sharedRequestCrashLimit, interval };
         leader.start(stored, storedParts, now);
         Outcome outcome;
         for (auto& entry : entries) {
@@ -155,7 +156,8 @@
 
     Instant now { start };
     bool connected { true };
-    Coordinator leader { sharedRequestCrashLimit };
+    Duration interval;
+    Coordinator leader { sharedRequestCrashLimit, interval };
     StoredRecords stored;
     StoredParts storedParts;
     std::vector<CrashTracker> entries;
@@ -594,7 +596,6 @@
 /// Servers in fabric domains that announce themselves at intervals, in virtual time. Each has requests in flight.
 class Domains {
 public:
-    static constexpr Duration interval = 1200ms;
     static constexpr Duration step = 10ms;
 
     Domains(Fleet& fleet, std::size_t domains, std::size_t servers)
@@ -603,9 +604,9 @@
     {
         for (std::size_t i = 0; i < domains * servers; ++i) {
             m_servers.push_back({ "server-" + std::to_string(i), "domain-" + std::to_string(i / servers) });
-            m_servers.back().nextAt = fleet.now + interval * (m_random() % 100) / 100;
+            m_servers.back().nextAt = fleet.now + fleet.interval * (m_random() % 100) / 100;
         }
-        run(2 * interval);
+        run(2 * fleet.interval);
     }
 
     /// Announcements of this share of the servers are late by up to three seconds.
@@ -621,7 +622,7 @@
             for (auto& it : m_servers) {
                 if (it.endedAt || m_fleet.now < it.nextAt)
                     continue;
-                it.nextAt = m_fleet.now + interval;
+                it.nextAt = m_fleet.now + m_fleet.interval;
                 const Announcement announcement { it.name, it.domain, ++m_sequence };
                 if (std::bernoulli_distribution(late)(m_random))
                     m_delayed.emplace(m_fleet.now + 1ms * (m_random() % 3000), announcement);
@@ -713,6 +714,20 @@
 
 } // namespace
 
+// Guards against times that fit one announcement interval only, which is a setting.
+TEST_CASE(
+    "Crashes are judged by the neighbours' next announcements, however rare these are", "[quarantine][crashing-part]")
+{
+    const auto interval = GENERATE(Duration { 400ms }, Duration { 1200ms }, Duration { 10s });
+    CAPTURE(interval / 1ms);
+    Fleet fleet(2, interval);
+    Domains domains(fleet, 6, 11);
+    for (std::size_t i = 0; i < partCrashLimit; ++i)
+        domains.crash(11 * i, { requestWith({ crashingPart }) }, 10ms);
+    domains.run(std::max(interval, isolationDelay) + 300ms);
+    CHECK(fleet.partRefusedByAll(crashingPart));
+}
+
 // The bound from the other side: servers that fail together are no evidence against what their requests share.
 TEST_CASE("The failure of a domain, a data centre or all servers refuses no part that its requests share",
     "[quarantine][crashing-part]")
