End the suspicion of a part at all entry VMs

A suspected part keeps entry VMs from repeating requests that may have crashed their server. The leader told them when the suspicion began, but not when it ended; each of them held it for ten minutes, unless a request with the part survived there. A part that two broken connections had brought under suspicion could so cost retries long after the servers were known to live.

The leader now sends that a part is cleared when requests with it have survived since its crashes, when fewer than two of these remain, or when it has forgotten the part. The new test fails in its three sections without these messages. hasUnprovenSuspect is named holdsSuspectedPart.

--- a/packages/core/include/rosemarymill/core/quarantine/coordinator.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/coordinator.hpp
@@ -100,6 +100,8 @@
     void survived(std::span<const Exposure> parts, Instant now, Outcome& outcome);
     /// Publishes new suspects among the parts of prompts, and refuses those with enough evidence.
     void judgeParts(Instant now, Outcome& outcome);
+    /// Tells entry VMs which parts are no longer suspected.
+    void publishClearedSuspects(Outcome& outcome);
     /// Whether a trial of a request or part is due, which is recorded if so.
     [[nodiscard]] bool grantTrial(const Fingerprint& fingerprint, std::size_t before, Instant lastCrash, Instant now);
     void retract(const Crash& crash, Outcome& outcome);
--- a/packages/core/include/rosemarymill/core/quarantine/crash_tracker.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/crash_tracker.hpp
@@ -76,9 +76,9 @@
     /// The part for which a request is refused, or null.
     [[nodiscard]] const Fingerprint* refusedPart(const Traits& traits) const;
 
-    /// Whether the request holds a suspected part of which this VM has seen no request survive. While it does, a
-    /// request that may have crashed its server is not sent to another one.
-    [[nodiscard]] bool hasUnprovenSuspect(const Traits& traits) const;
+    /// Whether the request holds a part that the coordinator suspects and of which this VM has seen no request survive.
+    /// While it does, a request that may have crashed its server is not sent to another one.
+    [[nodiscard]] bool holdsSuspectedPart(const Traits& traits) const;
 
     /// Record of a fingerprint, or null.
     [[nodiscard]] const Record* find(const Fingerprint& fingerprint) const;
--- a/packages/core/include/rosemarymill/core/quarantine/part_evidence.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/part_evidence.hpp
@@ -80,6 +80,10 @@
     /// Parts that have become suspects since the last call.
     [[nodiscard]] std::vector<Fingerprint> takeNewSuspects();
 
+    /// Parts that are no longer suspected since the last call, though they were not refused: requests with them have
+    /// survived, or too few of their crashes remain.
+    [[nodiscard]] std::vector<Fingerprint> takeClearedSuspects();
+
     /// Unverified crashes on which suspicions depend, each returned once.
     [[nodiscard]] std::vector<Crash> takeCrashesToVerify();
 
@@ -150,6 +154,8 @@
     /// Marks the part as refused and its crashes as accounted for.
     std::vector<Crash> refuse(PartState& part);
     void suspect(const Fingerprint& id, PartState& part);
+    /// Ends the suspicion of a part with fewer crashes than `suspectedPartCrashes`.
+    void reviewSuspicion(const Fingerprint& id, PartState& part);
     void drop(const Crash& crash);
     void makeRoom();
 
@@ -163,6 +169,7 @@
     /// When a server last began to write an answer and survived, whatever the request held.
     Instant m_lastSurvival;
     std::vector<Fingerprint> m_newSuspects;
+    std::vector<Fingerprint> m_clearedSuspects;
     std::vector<Crash> m_toVerify;
 };
 
--- a/packages/core/src/quarantine/coordinator.cpp
+++ b/packages/core/src/quarantine/coordinator.cpp
@@ -139,12 +139,19 @@
         cleared.push_back(it.part);
         ++m_counters.partsCleared;
     }
+    publishClearedSuspects(outcome);
     if (cleared.empty())
         return;
     outcome.publish.push_back(partReport(ReportKind::Cleared, cleared));
     outcome.store.push_back(partReport(ReportKind::Cleared, cleared));
 }
 
+void Coordinator::publishClearedSuspects(Outcome& outcome)
+{
+    if (const auto cleared = m_parts.takeClearedSuspects(); !cleared.empty())
+        outcome.publish.push_back(partReport(ReportKind::Cleared, cleared));
+}
+
 void Coordinator::judgeParts(Instant now, Outcome& outcome)
 {
     for (const auto& it : m_parts.takeCrashesToVerify()) {
@@ -157,6 +164,7 @@
         m_counters.partsSuspected += suspects.size();
         outcome.publish.push_back(partReport(ReportKind::PartSuspected, suspects));
     }
+    publishClearedSuspects(outcome);
     auto verdicts = m_parts.judge();
     for (const auto& verdict : verdicts) {
         ++m_counters.partsRefused;
@@ -231,6 +239,7 @@
 void Coordinator::retract(const Crash& crash, Outcome& outcome)
 {
     m_parts.retract(crash);
+    publishClearedSuspects(outcome);
     m_counted.erase(crash);
     retractForRequests(crash, outcome);
 }
@@ -291,6 +300,7 @@
         outcome.publish.push_back(partReport(ReportKind::Cleared, parts));
         outcome.store.push_back(partReport(ReportKind::Cleared, parts));
     }
+    publishClearedSuspects(outcome);
     if (auto expired = expire(m_state, now); !expired.empty())
         outcome.store.push_back({ ReportKind::Cleared, {}, std::move(expired) });
 }
--- a/packages/core/src/quarantine/crash_tracker.cpp
+++ b/packages/core/src/quarantine/crash_tracker.cpp
@@ -113,7 +113,7 @@
     return it == traits.parts.end() ? nullptr : &*it;
 }
 
-bool CrashTracker::hasUnprovenSuspect(const Traits& traits) const
+bool CrashTracker::holdsSuspectedPart(const Traits& traits) const
 {
     return std::any_of(traits.parts.begin(), traits.parts.end(),
         [this](const auto& it) { return m_watched.contains(it) && !lastSurvival(it); });
--- a/packages/core/src/quarantine/part_evidence.cpp
+++ b/packages/core/src/quarantine/part_evidence.cpp
@@ -174,6 +174,14 @@
     }
 }
 
+void PartEvidence::reviewSuspicion(const Fingerprint& id, PartState& part)
+{
+    if (!part.suspected || part.refused || count(part, false).crashes >= suspectedPartCrashes)
+        return;
+    part.suspected = false;
+    m_clearedSuspects.push_back(id);
+}
+
 void PartEvidence::confirm(const Crash& crash)
 {
     if (const auto it = m_crashes.find(crash); it != m_crashes.end())
@@ -200,7 +208,8 @@
     for (auto& [id, part] : m_parts) {
         if (part.refused && !part.seen.empty())
             part.refusedAt = std::max(part.refusedAt, part.seen.back().at);
-        std::erase_if(part.seen, [&](const auto& seen) { return seen.crash == number; });
+        if (std::erase_if(part.seen, [&](const auto& seen) { return seen.crash == number; }) > 0)
+            reviewSuspicion(id, part);
     }
     std::erase_if(m_parts, [](const auto& entry) {
         return entry.second.seen.empty() && !entry.second.refused && !entry.second.hasSurvived;
@@ -225,7 +234,7 @@
     part.survivedSince = part.hasSurvived ? std::max(part.survivedSince, since) : since;
     part.hasSurvived = true;
     std::erase_if(part.seen, [&](const auto& seen) { return seen.at <= part.survivedSince; });
-    part.suspected = part.suspected && !part.seen.empty();
+    reviewSuspicion(id, part);
     return withdrawn;
 }
 
@@ -276,6 +285,8 @@
 
 std::vector<Fingerprint> PartEvidence::takeNewSuspects() { return std::exchange(m_newSuspects, {}); }
 
+std::vector<Fingerprint> PartEvidence::takeClearedSuspects() { return std::exchange(m_clearedSuspects, {}); }
+
 std::vector<Crash> PartEvidence::takeCrashesToVerify() { return std::exchange(m_toVerify, {}); }
 
 std::vector<Fingerprint> PartEvidence::suspects() const
@@ -304,7 +315,10 @@
         const auto rank = [](const PartState& it) { return std::tuple(it.refused, it.suspected, it.seen.size()); };
         return rank(a.second) < rank(b.second);
     };
-    m_parts.erase(std::min_element(m_parts.begin(), m_parts.end(), evictedBefore));
+    const auto evicted = std::min_element(m_parts.begin(), m_parts.end(), evictedBefore);
+    if (evicted->second.suspected && !evicted->second.refused)
+        m_clearedSuspects.push_back(evicted->first);
+    m_parts.erase(evicted);
 }
 
 } // namespace rosemarymill::quarantine
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -624,7 +624,7 @@
 
 bool Call::isHeldBack() const
 {
-    return isRefused() || (m_mayHaveCrashedServer && m_proxy.m_quarantine.hasUnprovenSuspect(m_traits));
+    return isRefused() || (m_mayHaveCrashedServer && m_proxy.m_quarantine.holdsSuspectedPart(m_traits));
 }
 
 void Call::endAttempt(AttemptOutcome end, std::string_view why)
--- a/tests/core/quarantine/coordinator.cpp
+++ b/tests/core/quarantine/coordinator.cpp
@@ -714,6 +714,39 @@
 
 } // namespace
 
+// Guards against entry VMs that hold requests back for a part which the coordinator does not suspect any more.
+TEST_CASE("All entry VMs learn that a part is no longer suspected", "[quarantine][crashing-part]")
+{
+    Fleet fleet(3);
+    const auto request = requestWith({ crashingPart });
+    const auto suspected = [&] {
+        return std::count_if(
+            fleet.entries.begin(), fleet.entries.end(), [&](const auto& it) { return it.holdsSuspectedPart(request); });
+    };
+    for (const auto* server : { "server-1", "server-2" })
+        fleet.crash(0, server, { requestWith({ crashingPart }) }, 10ms);
+    REQUIRE(suspected() == 3);
+    SECTION("because a request with it survived at one of them")
+    {
+        fleet.now += 1s;
+        fleet.survive(1, crashingPart);
+        CHECK(suspected() == 0);
+    }
+    SECTION("because one of the servers has not crashed")
+    {
+        Outcome outcome;
+        fleet.leader.report({ ReportKind::Retracted, crashOf("server-1"), {} }, fleet.now, outcome);
+        fleet.executeOutcome(outcome);
+        CHECK(suspected() == 0);
+    }
+    SECTION("because the crashes are too old")
+    {
+        fleet.now += recordRetention + 1s;
+        fleet.review({});
+        CHECK(suspected() == 0);
+    }
+}
+
 // Guards against times that fit one announcement interval only, which is a setting.
 TEST_CASE(
     "Crashes are judged by the neighbours' next announcements, however rare these are", "[quarantine][crashing-part]")
@@ -766,14 +799,14 @@
     fleet.survive(1, firstPart);
     const auto request = requestWith({ firstPart, crashingPart });
     fleet.crash(0, "server-1", { request }, 10ms);
-    CHECK_FALSE(fleet.entries[0].hasUnprovenSuspect(request));
+    CHECK_FALSE(fleet.entries[0].holdsSuspectedPart(request));
     fleet.crash(1, "server-2", { requestWith({ firstPart, crashingPart }) }, 10ms);
-    CHECK(fleet.entries[0].hasUnprovenSuspect(request));
-    CHECK(fleet.entries[1].hasUnprovenSuspect(request));
-    CHECK_FALSE(fleet.entries[1].hasUnprovenSuspect(requestWith({ firstPart })));
+    CHECK(fleet.entries[0].holdsSuspectedPart(request));
+    CHECK(fleet.entries[1].holdsSuspectedPart(request));
+    CHECK_FALSE(fleet.entries[1].holdsSuspectedPart(requestWith({ firstPart })));
     fleet.survive(0, firstPart);
     fleet.survive(0, crashingPart);
-    CHECK_FALSE(fleet.entries[0].hasUnprovenSuspect(request));
+    CHECK_FALSE(fleet.entries[0].holdsSuspectedPart(request));
 }
 
 TEST_CASE("A popular part survives servers that are replaced one after the other", "[quarantine][crashing-part]")
