--- a/packages/core/include/rosemarymill/core/quarantine/crash_isolation.hpp
+++ b/packages/core/include/rosemarymill/core/quarantine/crash_isolation.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <rosemarymill/core/quarantine/part_evidence.hpp>
 #include <rosemarymill/core/quarantine/quarantine.hpp>
 
 #include <cstddef>
@@ -39,7 +40,7 @@
     void announced(const ServerId& server, const BootId& bootId, const FabricDomainId& domain, Instant now);
 
     /// Observes the neighbours of a server that crashed at `at`. Without an earlier announcement of the server its
-    /// domain is not known, and the crash never counts as isolated.
+    /// domain is not known, and the crash never counts as isolated; neither does one beyond `maxPartCrashes` at a time.
     void crashed(const Crash& crash, Instant at);
 
     /// Crashes that are now known to be isolated, each returned once.
@@ -48,6 +49,9 @@
     /// Forgets servers and crashes that are too old to matter.
     void expire(Instant now);
 
+    /// Number of crashes that are observed.
+    [[nodiscard]] std::size_t size() const noexcept { return m_crashes.size(); }
+
 private:
     struct Announcement {
         BootId bootId;
--- a/packages/core/src/quarantine/crash_isolation.cpp
+++ b/packages/core/src/quarantine/crash_isolation.cpp
@@ -12,7 +12,7 @@
 void CrashIsolation::crashed(const Crash& crash, Instant at)
 {
     const auto server = m_announcements.find(crash.server);
-    if (server == m_announcements.end() || m_crashes.contains(crash))
+    if (server == m_announcements.end() || m_crashes.contains(crash) || m_crashes.size() >= maxPartCrashes)
         return;
     auto& observed = m_crashes[crash];
     observed.at = at;
