Forget released groups that no server reports

A member that returns with it later is treated as one of a group of an earlier leader: the group is recovered and closed before its members are used. The new test of the number fails without this; the one of a returning member passes with and without.

--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -244,6 +244,8 @@
     [[nodiscard]] bool leads() const noexcept { return m_leads; }
     [[nodiscard]] const Registry& registry() const noexcept { return m_registry; }
     [[nodiscard]] const std::map<std::string, Group>& groups() const noexcept { return m_groups; }
+    /// Number of released groups that are still remembered.
+    [[nodiscard]] std::size_t releasedGroups() const noexcept { return m_releasedGroups.size(); }
     /// Targets as last published, for new subscribers.
     [[nodiscard]] const std::map<ServerId, Target>& targets() const noexcept { return m_published; }
     /// Whether the targets are complete, so that they may replace those of an earlier leader: true once
@@ -307,6 +309,8 @@
     /// Orders the head of a released group that serves to leave it.
     void endReleasedGroup(RegisteredServer& head, Effects& effects);
     void endReleasedGroups(Effects& effects);
+    /// Forgets released groups that no server reports any more.
+    void forgetReleasedGroups();
     /// Keeps counting the loads of a cancelled group's members, which continue on their hosts.
     void trackRemainingLoads(const Group& group);
     /// Returns whether the group has ended and its members are free.
@@ -400,6 +404,7 @@
     Instant m_unregisteredProgressAt;
     /// Last time that unanswered probes were logged as ignored.
     Instant m_ignoredProbesLoggedAt;
+    Instant m_releasedGroupsReviewedAt;
     /// Start times of the loads within the last load window, since client traffic started.
     std::deque<Instant> m_loadStarts;
 };
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -259,6 +259,7 @@
     probeSuspectGroups(effects);
     reviewGroups(effects);
     endReleasedGroups(effects);
+    forgetReleasedGroups();
     formGroups(effects);
     publish(false, effects);
 }
--- a/packages/core/src/fleet/groups.cpp
+++ b/packages/core/src/fleet/groups.cpp
@@ -313,6 +313,21 @@
     }
 }
 
+void Control::forgetReleasedGroups()
+{
+    if (m_now < m_releasedGroupsReviewedAt + m_settings.removeAfter)
+        return;
+    m_releasedGroupsReviewedAt = m_now;
+    std::set<std::string> reported;
+    for (const auto& [id, server] : m_registry.servers()) {
+        if (server.record.group)
+            reported.insert(server.record.group->group);
+    }
+    // A member that was unreachable may report its group once more. The group is then recovered and closed again.
+    std::erase_if(m_releasedGroups,
+        [&](const auto& it) { return m_now >= it.second.at + m_settings.removeAfter && !reported.contains(it.first); });
+}
+
 void Control::releaseGroup(const Group& group, const std::string& reason, Effects& effects)
 {
     m_releasedGroups[group.name] = { group.epoch, m_now };
--- a/tests/core/fleet/control.cpp
+++ b/tests/core/fleet/control.cpp
@@ -658,6 +658,41 @@
     CHECK(fleet.openHeads().size() == 1);
 }
 
+// Guards against leaders that remember each group which they have ever formed.
+TEST_CASE("released groups are forgotten once no server reports them", "[fleet]")
+{
+    FakeFleet fleet({ .domains = 1 });
+    fleet.lead(1);
+    fleet.run(30s);
+    for (int i = 0; i < 20; ++i) {
+        fleet.restart(anyOpenHead(fleet));
+        fleet.run(12s);
+    }
+    CHECK(fleet.control.releasedGroups() < 12);
+    fleet.run(70s);
+    CHECK(fleet.control.releasedGroups() <= 2);
+    CHECK(fleet.violations.empty());
+}
+
+// A server reports its group again after the leader has forgotten that the group was released.
+TEST_CASE("a member that returns with a forgotten group leaves it before it is used", "[fleet]")
+{
+    FakeFleet fleet({ .domains = 1, .serversPerDomain = 4, .lateHeartbeats = 0 });
+    fleet.lead(1);
+    fleet.run(30s);
+    REQUIRE(fleet.openHeads().size() == 1);
+    const auto head = anyOpenHead(fleet);
+    const auto member = fleet.servers.at(head).members.back();
+    fleet.servers.at(member).partitioned = true;
+    fleet.run(90s);
+    CHECK(fleet.control.releasedGroups() == 0);
+    fleet.servers.at(member).partitioned = false;
+    fleet.drain(fleet.servers.at(anyOpenHead(fleet)).members.back());
+    fleet.run(20s);
+    CHECK(fleet.violations.empty());
+    CHECK(fleet.openHeads().size() == 1);
+}
+
 TEST_CASE("no incomplete group is opened and no server is in two groups during failures", "[fleet]")
 {
     for (std::uint64_t seed = 1; seed <= 12; ++seed) {
