Name what the leader does with heads that serve after a release

"End released groups" and "held by a serving head" needed their comments to be understood, and a pending formation could be taken for a group that is being formed: the members join then, while this is the head's order to open. No behaviour changes.

--- a/packages/core/include/rosemarymill/core/fleet/control.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/control.hpp
@@ -74,7 +74,7 @@
 /// Action that a server is ordered to perform.
 enum class OrderKind : std::uint8_t { Join, Open, Close, Leave, Stage };
 
-/// Order to a server.
+/// Order to a server. What it does not need for its kind is empty.
 struct Order {
     OrderKind kind { OrderKind::Join };
     std::string group;
@@ -302,13 +302,13 @@
     void releaseGroup(const Group& group, const std::string& reason, Effects& effects);
     /// Whether the membership belongs to a released group, so that its members may join others.
     [[nodiscard]] bool isReleased(const Membership& membership) const;
-    /// Whether the server has reported, since its group was released, that it serves as the group's head.
-    [[nodiscard]] bool servesReleasedGroup(const RegisteredServer& server) const;
-    /// Whether the server reports a released group whose head serves, so that it must not join another one yet.
-    [[nodiscard]] bool isHeldByServingHead(const RegisteredServer& server) const;
-    /// Orders the head of a released group that serves to leave it.
-    void endReleasedGroup(RegisteredServer& head, Effects& effects);
-    void endReleasedGroups(Effects& effects);
+    /// Whether the server has reported, later than the release of its group, that it serves as the group's head.
+    [[nodiscard]] bool servesAfterRelease(const RegisteredServer& server) const;
+    /// Whether this holds for the head of the server's group, so that the server must not join another one yet.
+    [[nodiscard]] bool headServesAfterRelease(const RegisteredServer& server) const;
+    /// Orders a head that serves after the release of its group to leave, and all such heads.
+    void orderToLeave(RegisteredServer& head, Effects& effects);
+    void endServiceAfterRelease(Effects& effects);
     /// Forgets released groups that no server reports any more.
     void forgetReleasedGroups();
     /// Keeps counting the loads of a cancelled group's members, which continue on their hosts.
@@ -352,7 +352,7 @@
     [[nodiscard]] std::uint64_t nextEpoch() const;
     /// Fencing number above all that this leader or an earlier one has used.
     [[nodiscard]] FencingNumber nextFencingNumber();
-    /// Whether the fencing number is of the current term.
+    /// Whether an order with this number was sent in the current term, so that its answer still counts.
     [[nodiscard]] bool isOfThisTerm(const FencingNumber& fencing) const noexcept;
     /// Counts `count` new loads against the limits of the weight store. Returns false when they exceed a limit.
     [[nodiscard]] bool reserveLoads(const routes::Engine& engine, unsigned count);
--- a/packages/core/include/rosemarymill/core/fleet/group.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/group.hpp
@@ -53,7 +53,7 @@
     /// Orders to open that the head has not answered. Each may be executed at any time, also after later orders.
     unsigned unansweredOpens { 0 };
     /// The head has accepted an order to open, and has not reported that it is open.
-    bool formationPending { false };
+    bool openPending { false };
     /// The head has closed and was ordered to leave.
     bool headLeaving { false };
     /// The head has reported that it is open. If it reports later that it is ready, it has closed.
@@ -73,10 +73,7 @@
 
     /// Whether the head may open at a later time, so that it has to leave before the members are reused. Its answer to
     /// an order to close does not prove the opposite.
-    [[nodiscard]] bool mayOpenLater() const noexcept
-    {
-        return openUncertain || unansweredOpens > 0 || formationPending;
-    }
+    [[nodiscard]] bool mayOpenLater() const noexcept { return openUncertain || unansweredOpens > 0 || openPending; }
 };
 
 } // namespace rosemarymill::fleet
--- a/packages/core/include/rosemarymill/core/fleet/registry.hpp
+++ b/packages/core/include/rosemarymill/core/fleet/registry.hpp
@@ -32,7 +32,7 @@
 
     [[nodiscard]] Instant aliveAt() const noexcept { return std::max(lastReceivedAt, probedAliveAt); }
 
-    /// Time at `now` until the cold start is over.
+    /// Remaining time of the cold start, which entry VMs count down from the time at which they receive it.
     [[nodiscard]] Duration coldLeft(Instant now) const noexcept { return std::max(coldUntil - now, Duration::zero()); }
 };
 
--- a/packages/core/src/fleet/control.cpp
+++ b/packages/core/src/fleet/control.cpp
@@ -65,8 +65,8 @@
         server.lastModel = server.record.loaded.front();
     if (server.record.group)
         recoverGroup(server.record, effects);
-    if (servesReleasedGroup(server))
-        endReleasedGroup(server, effects);
+    if (servesAfterRelease(server))
+        orderToLeave(server, effects);
     if (!registered || server.record.draining != wasDraining || server.record.group)
         reviewGroups(effects);
     publish(false, effects);
@@ -258,7 +258,7 @@
     probeOverdueServers(effects);
     probeSuspectGroups(effects);
     reviewGroups(effects);
-    endReleasedGroups(effects);
+    endServiceAfterRelease(effects);
     forgetReleasedGroups();
     formGroups(effects);
     publish(false, effects);
--- a/packages/core/src/fleet/groups.cpp
+++ b/packages/core/src/fleet/groups.cpp
@@ -234,7 +234,7 @@
 void Control::joinMember(Group& group, std::size_t rank, Effects& effects)
 {
     const auto* server = m_registry.find(group.members[rank]);
-    if (server && !isHeldByServingHead(*server))
+    if (server && !headServesAfterRelease(*server))
         orderMember(group, rank, OrderKind::Join, effects);
 }
 
@@ -270,7 +270,7 @@
     return it != m_releasedGroups.end() && it->second.epoch >= membership.epoch;
 }
 
-bool Control::servesReleasedGroup(const RegisteredServer& server) const
+bool Control::servesAfterRelease(const RegisteredServer& server) const
 {
     const auto& group = server.record.group;
     if (!group || group->rank != 0 || server.gone
@@ -280,18 +280,18 @@
     return it != m_releasedGroups.end() && it->second.epoch >= group->epoch && server.lastReceivedAt > it->second.at;
 }
 
-bool Control::isHeldByServingHead(const RegisteredServer& server) const
+bool Control::headServesAfterRelease(const RegisteredServer& server) const
 {
     const auto& group = server.record.group;
     if (!group || !isReleased(*group))
         return false;
     const auto& servers = m_registry.servers();
     return std::any_of(servers.begin(), servers.end(), [&](const auto& it) {
-        return it.second.record.isMemberOf(group->group, group->epoch) && servesReleasedGroup(it.second);
+        return it.second.record.isMemberOf(group->group, group->epoch) && servesAfterRelease(it.second);
     });
 }
 
-void Control::endReleasedGroup(RegisteredServer& head, Effects& effects)
+void Control::orderToLeave(RegisteredServer& head, Effects& effects)
 {
     if (m_now < head.leaveOrderedAt + m_settings.orderRetry)
         return;
@@ -305,11 +305,11 @@
     order(head.record.id, std::move(it), effects);
 }
 
-void Control::endReleasedGroups(Effects& effects)
+void Control::endServiceAfterRelease(Effects& effects)
 {
     for (auto& [id, server] : m_registry.servers()) {
-        if (servesReleasedGroup(server))
-            endReleasedGroup(server, effects);
+        if (servesAfterRelease(server))
+            orderToLeave(server, effects);
     }
 }
 
@@ -390,7 +390,7 @@
     if (head->record.group->state == MemberState::Open) {
         log("opened group", group.name, "the head is open", effects);
         group.reportedOpen = true;
-        group.formationPending = false;
+        group.openPending = false;
         group.phase = GroupPhase::Open;
         group.since = m_now;
         return;
@@ -406,7 +406,7 @@
     const auto* head = group.head().empty() ? nullptr : m_registry.find(group.head());
     if (head && head->record.isMemberOf(group.name, group.epoch) && head->record.group->state == MemberState::Open) {
         group.reportedOpen = true;
-        group.formationPending = false;
+        group.openPending = false;
     }
     if (continueForming(group); group.phase != GroupPhase::Open)
         return;
@@ -548,7 +548,7 @@
     if (event.order.kind == OrderKind::Open && event.result != OrderResult::Unknown) {
         group.unansweredOpens -= std::min(group.unansweredOpens, 1U);
         const bool accepted = event.result == OrderResult::InProgress || event.result == OrderResult::Done;
-        group.formationPending = group.formationPending || (accepted && !group.reportedOpen);
+        group.openPending = group.openPending || (accepted && !group.reportedOpen);
     }
     if (event.order.kind == OrderKind::Close && group.phase == GroupPhase::Closing && done) {
         if (group.mayOpenLater()) {
--- a/packages/core/src/fleet/placement.cpp
+++ b/packages/core/src/fleet/placement.cpp
@@ -72,7 +72,7 @@
     if (record.group && !record.group->isStandby() && !m_groups.contains(record.group->group)
         && !isReleased(*record.group))
         return false;
-    if (isHeldByServingHead(server))
+    if (headServesAfterRelease(server))
         return false;
     for (const auto& [name, group] : m_groups) {
         if (std::find(group.members.begin(), group.members.end(), record.id) != group.members.end())
