Select the servers to connect to where the connections are opened

Balancer::choose also selected unreachable servers, which its name did not say and a second call had to collect. The selection is a call of its own now, made unless the request itself finds out. "Unreachable" named both one reason and the two reasons that need a connection; the reason is NotConnected, which a refusal is not, and the outcome of a connection attempt is named alike, since it covers more than timeouts. nameOf(SuspensionReason) had no use. The comment of the connect timeout spoke of machines. No behaviour changes.

--- a/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
+++ b/packages/core/include/rosemarymill/core/dispatch/balancer.hpp
@@ -10,7 +10,6 @@
 #include <optional>
 #include <random>
 #include <span>
-#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -98,15 +97,12 @@
     Misdirected,
     /// A connection to it was refused.
     Refused,
-    /// A connection to it was not established in time.
-    Unreachable
+    /// A connection to it was not established, for another reason or in time.
+    NotConnected
 };
 
-/// Name of the value in logs.
-[[nodiscard]] std::string_view nameOf(SuspensionReason reason) noexcept;
-
-/// Suspension of a server by this VM's own observations. It ends with time, or for a server to which no connection was
-/// established, with the next connection; the server's announcement may end it earlier.
+/// Suspension of a server by this VM's own observations. It ends with time, or for an unreachable server, to which no
+/// connection was established, with the next connection; the server's announcement may end it earlier.
 struct Suspension {
     SuspensionReason reason { SuspensionReason::None };
     Instant since;
@@ -118,13 +114,13 @@
     Instant attemptedAt;
     bool attempting { false };
 
-    [[nodiscard]] bool needsConnection() const noexcept
+    [[nodiscard]] bool unreachable() const noexcept
     {
-        return reason == SuspensionReason::Refused || reason == SuspensionReason::Unreachable;
+        return reason == SuspensionReason::Refused || reason == SuspensionReason::NotConnected;
     }
     [[nodiscard]] bool active(Instant now) const noexcept
     {
-        return reason != SuspensionReason::None && (needsConnection() || now < until);
+        return reason != SuspensionReason::None && (unreachable() || now < until);
     }
 };
 
@@ -134,6 +130,8 @@
     /// Requests at the server in relation to its slots, as estimated.
     double load { 0 };
     unsigned candidates { 0 };
+    /// The server is unreachable, and this request finds out whether it still is, since no other one can take it.
+    bool unreachable { false };
 };
 
 /// Load balancer of an entry VM, with the announced servers and its view of their load. Chooses the least loaded server
@@ -191,9 +189,9 @@
     /// were not; zero if it was not suspended for that.
     Duration connected(const ServerId& server, Instant now);
 
-    /// Unreachable servers to which connections should be tried now, so that requests need not find out. Each is
-    /// returned once for each attempt.
-    [[nodiscard]] std::vector<fleet::Target> takeServersToConnect();
+    /// Unreachable servers of the service or model that are due for an attempt to connect, so that further requests
+    /// need not find out whether they still are. The attempt counts as begun: connected() or notConnected() follows.
+    [[nodiscard]] std::vector<fleet::Target> takeServersToConnect(const Query& query);
 
     /// The server rejected a request because it was full. It is suspended for a short time.
     void full(const ServerId& server, Instant now);
@@ -271,8 +269,6 @@
     /// Chooses an unreachable server that is due for an attempt to connect, or null, for a request that no other server
     /// can take.
     [[nodiscard]] Entry* chooseUnreachable(const Query& query);
-    /// Selects the unreachable servers that are due for an attempt to connect.
-    void selectServersToConnect(const Query& query);
     static void beginAttempt(Suspension& suspension, Instant now) noexcept;
     [[nodiscard]] bool attemptDue(const Suspension& suspension, Instant now) const noexcept;
     [[nodiscard]] static bool serves(const Entry& entry, const Query& query);
@@ -290,7 +286,6 @@
     BalancerSettings m_settings;
     std::minstd_rand m_random;
     std::map<ServerId, Entry> m_entries;
-    std::vector<fleet::Target> m_serversToConnect;
     /// The initial value is assumed until a control VM reports the number, so that shares of limits start small.
     unsigned m_entryVms { 16 };
     bool m_entryVmsReported { false };
--- a/packages/core/src/dispatch/balancer.cpp
+++ b/packages/core/src/dispatch/balancer.cpp
@@ -3,7 +3,6 @@
 #include <rosemarymill/core/base/hash.hpp>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <utility>
 
@@ -60,13 +59,6 @@
         scaled(fullStep, engine.meanAnswerTokens / slots) };
 }
 
-std::string_view nameOf(SuspensionReason reason) noexcept
-{
-    constexpr std::array<std::string_view, 6> names { "none", "full", "failing", "misdirected", "refused",
-        "unreachable" };
-    return names[static_cast<std::size_t>(reason)];
-}
-
 void Balancer::apply(const fleet::TargetDelta& delta, Instant now)
 {
     if (delta.full) {
@@ -222,7 +214,7 @@
 {
     if (suspension.reason == SuspensionReason::Refused)
         return now >= suspension.attemptedAt + m_settings.refusedRetryInterval;
-    return suspension.reason == SuspensionReason::Unreachable && now >= suspension.until;
+    return suspension.reason == SuspensionReason::NotConnected && now >= suspension.until;
 }
 
 void Balancer::beginAttempt(Suspension& suspension, Instant now) noexcept
@@ -248,24 +240,24 @@
     return longest;
 }
 
-void Balancer::selectServersToConnect(const Query& query)
+std::vector<fleet::Target> Balancer::takeServersToConnect(const Query& query)
 {
+    std::vector<fleet::Target> due;
     for (auto& [id, entry] : m_entries) {
         auto& suspension = entry.suspension;
-        if (!suspension.needsConnection() || !serves(entry, query) || query.now < suspension.until)
+        if (!suspension.unreachable() || !serves(entry, query) || query.now < suspension.until)
             continue;
         beginAttempt(suspension, query.now);
-        m_serversToConnect.push_back(entry.target);
+        due.push_back(entry.target);
     }
+    return due;
 }
 
-std::vector<fleet::Target> Balancer::takeServersToConnect() { return std::exchange(m_serversToConnect, {}); }
-
 std::variant<Choice, Refusal> Balancer::choose(const Query& query)
 {
     std::uniform_real_distribution<double> noise(0, loadNoise);
     const auto groups = static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(),
-        [&](const auto& it) { return serves(it.second, query) && !it.second.suspension.needsConnection(); }));
+        [&](const auto& it) { return serves(it.second, query) && !it.second.suspension.unreachable(); }));
     const auto preferred = groups * m_position / std::max(m_entryVms, 1U);
     std::vector<Candidate> candidates;
     Choice choice;
@@ -279,7 +271,7 @@
         const auto& target = entry.target;
         if (!serves(entry, query))
             continue;
-        if (entry.suspension.needsConnection()) {
+        if (entry.suspension.unreachable()) {
             setReason(NoServer::Failing, retryAfterFull);
             continue;
         }
@@ -312,9 +304,9 @@
             entry->coldTokens -= 1;
         choice.target = &entry->target;
         choice.load = loadOf(*entry, query.now);
+        choice.unreachable = true;
         return choice;
     }
-    selectServersToConnect(query);
     if (candidates.empty()) {
         if (refusal.reason == NoServer::Full && query.work.prefillRate > 0)
             refusal.retryAfter = retryDelay(query, groups);
@@ -438,7 +430,7 @@
 void Balancer::full(const ServerId& server, Instant now)
 {
     const auto it = m_entries.find(server);
-    if (it == m_entries.end() || it->second.suspension.needsConnection())
+    if (it == m_entries.end() || it->second.suspension.unreachable())
         return;
     auto& suspension = it->second.suspension;
     if (!suspension.active(now)) {
@@ -454,7 +446,7 @@
     if (it == m_entries.end())
         return false;
     auto& suspension = it->second.suspension;
-    const bool begins = !suspension.needsConnection();
+    const bool begins = !suspension.unreachable();
     if (begins) {
         suspension = {};
         suspension.since = now;
@@ -465,7 +457,7 @@
             = std::clamp(suspension.period * 2, m_settings.minReconnectInterval, m_settings.maxReconnectInterval);
         suspension.until = now + suspension.period;
     }
-    suspension.reason = refused ? SuspensionReason::Refused : SuspensionReason::Unreachable;
+    suspension.reason = refused ? SuspensionReason::Refused : SuspensionReason::NotConnected;
     suspension.attemptedAt = now;
     return begins;
 }
@@ -473,7 +465,7 @@
 Duration Balancer::connected(const ServerId& server, Instant now)
 {
     const auto it = m_entries.find(server);
-    if (it == m_entries.end() || !it->second.suspension.needsConnection())
+    if (it == m_entries.end() || !it->second.suspension.unreachable())
         return {};
     const auto since = it->second.suspension.since;
     it->second.suspension = {};
@@ -495,7 +487,7 @@
 std::size_t Balancer::unreachable() const noexcept
 {
     return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(),
-        [](const auto& it) { return !it.second.withdrawn && it.second.suspension.needsConnection(); }));
+        [](const auto& it) { return !it.second.withdrawn && it.second.suspension.unreachable(); }));
 }
 
 std::size_t Balancer::size() const noexcept
--- a/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/proxy.hpp
@@ -121,9 +121,9 @@
     void scheduleCleanUp();
     /// Ends attempts, largest response first, until the buffered responses of all calls are within the limit.
     void limitBuffered();
-    /// Tries to connect to unreachable servers that are due for it, while other servers take the requests.
-    void connectToUnreachableServers(Instant now);
-    /// A connection to the server was established, or was refused or timed out.
+    /// Tries to connect to the unreachable servers that could take the request and are due for it.
+    void connectToUnreachableServers(const dispatch::Query& query);
+    /// A connection to the server was established, or was not because it was refused or for another reason.
     void serverConnected(const ServerId& server, Instant now);
     void serverNotConnected(const ServerId& server, bool refused, Instant now);
     /// Cancels calls whose requests are quarantined.
--- a/packages/runtime/include/rosemarymill/runtime/proxy/upstream.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/proxy/upstream.hpp
@@ -108,11 +108,16 @@
     Duration m_idleLimit {};
 };
 
-/// Connect timeout: the machines are a few milliseconds apart, and a lost packet is retransmitted within this time.
+/// Connect timeout: VMs are a few milliseconds apart, and a lost packet is retransmitted within this time.
 inline constexpr Duration connectTimeout = 350ms;
 
 /// Outcome of an attempt to connect to a server without a request.
-enum class ConnectResult { Connected, Refused, TimedOut };
+enum class ConnectResult {
+    Connected,
+    Refused,
+    /// It failed for another reason, or took longer than `connectTimeout`.
+    NotConnected
+};
 
 /// Pool of server connections that are reused for further requests.
 class UpstreamPool {
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -238,8 +238,10 @@
         return waitForServer(now, "retry budget exhausted");
     const dispatch::Query query { m_service->name, m_model, m_tried, m_service->coldRate, now, m_work };
     const auto result = m_proxy.m_balancer.choose(query);
-    m_proxy.connectToUnreachableServers(now);
-    if (const auto* refusal = std::get_if<dispatch::Refusal>(&result))
+    const auto* refusal = std::get_if<dispatch::Refusal>(&result);
+    if (refusal || !std::get<dispatch::Choice>(result).unreachable)
+        m_proxy.connectToUnreachableServers(query);
+    if (refusal)
         return refuseWithoutServer(*refusal);
     const auto& choice = std::get<dispatch::Choice>(result);
     m_server = choice.target->id;
--- a/packages/runtime/src/proxy/proxy.cpp
+++ b/packages/runtime/src/proxy/proxy.cpp
@@ -99,13 +99,13 @@
     }
 }
 
-void Proxy::connectToUnreachableServers(Instant now)
+void Proxy::connectToUnreachableServers(const dispatch::Query& query)
 {
-    for (const auto& it : m_balancer.takeServersToConnect()) {
+    for (const auto& it : m_balancer.takeServersToConnect(query)) {
         m_budget.setOutgoing(m_pool.connections());
         if (!m_budget.makeRoom())
             return;
-        m_pool.connect(it, now);
+        m_pool.connect(it, query.now);
     }
 }
 
--- a/packages/runtime/src/proxy/upstream.cpp
+++ b/packages/runtime/src/proxy/upstream.cpp
@@ -164,7 +164,7 @@
     }
     const bool refused = !it.m_connected && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
     if (!it.m_call && !it.m_connected)
-        return it.m_pool.connectFailed(it, refused ? ConnectResult::Refused : ConnectResult::TimedOut);
+        return it.m_pool.connectFailed(it, refused ? ConnectResult::Refused : ConnectResult::NotConnected);
     if (!it.m_call)
         return it.m_pool.discard(it);
     if (!it.m_connected)
@@ -301,7 +301,7 @@
     const auto connecting = m_connecting;
     for (auto* it : connecting) {
         if (now >= it->m_idleSince + connectTimeout)
-            connectFailed(*it, ConnectResult::TimedOut);
+            connectFailed(*it, ConnectResult::NotConnected);
     }
 }
 
--- a/tests/core/dispatch/balancer.cpp
+++ b/tests/core/dispatch/balancer.cpp
@@ -167,7 +167,7 @@
     std::vector<Duration> attempts;
     for (auto now = start; now < start + 30s; now += 50ms) {
         CHECK(chosen(balancer, query(now)) != "a");
-        for (const auto& it : balancer.takeServersToConnect()) {
+        for (const auto& it : balancer.takeServersToConnect(query(now))) {
             REQUIRE(it.id == a);
             attempts.push_back(now - start);
             CHECK_FALSE(balancer.notConnected(a, refuses, now));
@@ -224,11 +224,11 @@
         if (chosen(balancer, query(now)).empty())
             continue;
         ++attempts;
+        CHECK(balancer.takeServersToConnect(query(now)).empty());
         (void)balancer.notConnected(a, false, now);
     }
     CHECK(attempts >= 18);
     CHECK(attempts <= 25);
-    CHECK(balancer.takeServersToConnect().empty());
 }
 
 TEST_CASE("a server that refused a connection and is cold gets no more requests than it sustains", "[dispatch]")
