Write Retry-After in one place

The time after which a request rejected for overload may come again stood three times, as a duration and in two texts, and a call's rejections formatted theirs elsewhere. Two comments had their marker twice.

--- a/packages/core/include/rosemarymill/core/limits/connection_table.hpp
+++ b/packages/core/include/rosemarymill/core/limits/connection_table.hpp
@@ -81,7 +81,7 @@
     /// Whether another connection can be opened.
     [[nodiscard]] bool hasRoom() const noexcept { return size() + m_outgoing < m_limits.connections; }
 
-    /// /// Chooses a connection to close because of the memory that it holds, and marks it as closing. Returns end() if
+    /// Chooses a connection to close because of the memory that it holds, and marks it as closing. Returns end() if
     /// none may be closed. `except` is not chosen; it may be end().
     [[nodiscard]] Handle closeForMemory(Instant now, Handle except);
 
--- a/packages/runtime/include/rosemarymill/runtime/base/connection_budget.hpp
+++ b/packages/runtime/include/rosemarymill/runtime/base/connection_budget.hpp
@@ -6,6 +6,7 @@
 #include <concepts>
 #include <cstdint>
 #include <iosfwd>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 
@@ -20,12 +21,11 @@
 /// the time in which servers answer some of the requests in progress.
 inline constexpr Duration overloadRetryAfter = 300ms;
 
-/// The same as a header line.
-inline constexpr std::string_view overloadRetryAfterLine = "Retry-After: 0.30\r\n";
+/// Header line that asks the client to wait for `time`, in seconds with two decimals.
+[[nodiscard]] std::string retryAfterLine(Duration time);
 
-/// Response to such a request when its connection is closed at once.
-inline constexpr std::string_view overloadResponse
-    = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.30\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+/// Response to a request that is rejected with `overloadRetryAfter`, when its connection is closed at once.
+[[nodiscard]] const std::string& overloadResponse();
 
 /// Sends bytes that fit into the send buffer of a connection that is about to be closed. If sending fails, the
 /// connection is closed without them.
@@ -52,7 +52,7 @@
     ConnectionSlot(const ConnectionSlot&) = delete;
     ConnectionSlot& operator=(const ConnectionSlot&) = delete;
 
-    /// /// Records what the connection does and holds, in bytes. Connections are closed by the event loop, not in this
+    /// Records what the connection does and holds, in bytes. Connections are closed by the event loop, not in this
     /// call.
     void update(limits::Activity activity, std::size_t bytes);
 
@@ -87,7 +87,7 @@
     [[nodiscard]] bool makeRoom();
 
     /// Rejects a connection for which there is no room.
-    static void rejectAndClose(int socket) noexcept;
+    static void rejectAndClose(int socket);
 
     /// Records the number of outgoing connections.
     void setOutgoing(std::size_t n) noexcept { m_table.setOutgoing(n); }
--- a/packages/runtime/src/base/connection_budget.cpp
+++ b/packages/runtime/src/base/connection_budget.cpp
@@ -3,6 +3,9 @@
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 
+#include <algorithm>
+#include <array>
+#include <cstdio>
 #include <cstring>
 #include <ostream>
 #include <string>
@@ -36,9 +39,24 @@
     static_cast<void>(send(socket, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL));
 }
 
-void ConnectionBudget::rejectAndClose(int socket) noexcept
+std::string retryAfterLine(Duration time)
 {
-    trySend(socket, overloadResponse);
+    std::array<char, 48> text {};
+    const auto seconds = std::chrono::duration<double>(time).count();
+    const auto n = std::snprintf(text.data(), text.size(), "Retry-After: %.2f\r\n", seconds);
+    return { text.data(), std::min(static_cast<std::size_t>(n), text.size() - 1) };
+}
+
+const std::string& overloadResponse()
+{
+    static const std::string response = "HTTP/1.1 503 Service Unavailable\r\n" + retryAfterLine(overloadRetryAfter)
+        + "Connection: close\r\nContent-Length: 0\r\n\r\n";
+    return response;
+}
+
+void ConnectionBudget::rejectAndClose(int socket)
+{
+    trySend(socket, overloadResponse());
     evutil_closesocket(socket);
 }
 
--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -150,7 +150,7 @@
         exchange->m_tooLarge = true;
     if (exchange->m_tooLarge || server.m_budget.admits(length))
         return true;
-    trySend(htp->sock, overloadResponse);
+    trySend(htp->sock, overloadResponse());
     return false;
 }
 
@@ -158,7 +158,7 @@
 {
     // The response to an earlier request must not be mixed with this one.
     if (receiving && evbuffer_get_length(bufferevent_get_output(evhtp_connection_get_bev(htp))) == 0)
-        trySend(htp->sock, overloadResponse);
+        trySend(htp->sock, overloadResponse());
     closeAtOnce(htp);
 }
 
--- a/packages/runtime/src/proxy/call.cpp
+++ b/packages/runtime/src/proxy/call.cpp
@@ -780,9 +780,8 @@
     std::string headers;
     if (!m_attemptId.empty())
         appendHeader(headers, m_proxy.m_settings.names.attemptId, m_attemptId);
-    if (retryAfter > Duration::zero()) {
-        appendHeader(headers, "Retry-After", formatNumber(std::chrono::duration<double>(retryAfter).count()));
-    }
+    if (retryAfter > Duration::zero())
+        headers.append(retryAfterLine(retryAfter));
     m_client.sendResponse(
         status, status == 503 ? "Service Unavailable" : "Failed", headers, nullptr, m_client.closing());
 }
--- a/packages/runtime/src/proxy/client_connection.cpp
+++ b/packages/runtime/src/proxy/client_connection.cpp
@@ -176,7 +176,7 @@
 {
     const auto& names = m_proxy.m_settings.names;
     const auto id = m_parser.head().find(names.attemptId);
-    std::string headers { overloadRetryAfterLine };
+    auto headers = retryAfterLine(overloadRetryAfter);
     if (!id.empty())
         headers.append(names.attemptId).append(": ").append(id).append("\r\n");
     writeDecision("call", "refused",
@@ -203,7 +203,7 @@
     // No byte of an unfinished request has been sent to a server. The response to an earlier one must not be mixed with
     // this one.
     if (!m_call && m_parser.started() && !m_closeAfterWrite && unsentBytes() == 0)
-        trySend(bufferevent_getfd(m_buf.get()), overloadResponse);
+        trySend(bufferevent_getfd(m_buf.get()), overloadResponse());
     abort();
 }
 
