Check the head of a response by one rule

The daemon and the operators' client each combined the lowest status and the names of the fields, and the lowest status stood in the header of field names. isResponseHead is the rule for both, in message_head.hpp, which now holds all rules for heads. No behaviour changes.

--- a/packages/core/src/base/field_name.cpp
+++ b/packages/core/src/base/message_head.cpp
@@ -1,4 +1,4 @@
-#include <rosemarymill/core/base/field_name.hpp>
+#include <rosemarymill/core/base/message_head.hpp>
 
 #include <algorithm>
 
--- a/packages/ctl/src/client.cpp
+++ b/packages/ctl/src/client.cpp
@@ -1,6 +1,6 @@
 #include <rosemarymill/ctl/client.hpp>
 
-#include <rosemarymill/core/base/field_name.hpp>
+#include <rosemarymill/core/base/message_head.hpp>
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -27,9 +27,8 @@
 /// Returns -1 for a response that must not be used, so that evhttp closes the connection.
 int onHead(evhttp_request* request, void*)
 {
-    const bool valid = evhttp_request_get_response_code(request) >= static_cast<int>(lowestStatus)
-        && haveValidNames(*evhttp_request_get_input_headers(request));
-    return valid ? 0 : -1;
+    const auto status = evhttp_request_get_response_code(request);
+    return isResponseHead(status, *evhttp_request_get_input_headers(request)) ? 0 : -1;
 }
 
 void onResponse(evhttp_request* request, void* arg)
--- a/packages/runtime/src/base/response_head.cpp
+++ b/packages/runtime/src/base/response_head.cpp
@@ -1,6 +1,6 @@
 #include <rosemarymill/runtime/base/response_head.hpp>
 
-#include <rosemarymill/core/base/field_name.hpp>
+#include <rosemarymill/core/base/message_head.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
 
 #include <event2/http.h>
@@ -10,8 +10,7 @@
 
 bool isValidHead(evhttp_request& request)
 {
-    return evhttp_request_get_response_code(&request) >= static_cast<int>(lowestStatus)
-        && haveValidNames(*evhttp_request_get_input_headers(&request));
+    return isResponseHead(evhttp_request_get_response_code(&request), *evhttp_request_get_input_headers(&request));
 }
 
 int rejectInvalidHead(evhttp_request* request, void*)
--- a/packages/runtime/src/proxy/message.cpp
+++ b/packages/runtime/src/proxy/message.cpp
@@ -1,6 +1,6 @@
 #include <rosemarymill/runtime/proxy/message.hpp>
 
-#include <rosemarymill/core/base/field_name.hpp>
+#include <rosemarymill/core/base/message_head.hpp>
 
 #include <algorithm>
 #include <array>
--- a/packages/runtime/src/proxy/upstream.cpp
+++ b/packages/runtime/src/proxy/upstream.cpp
@@ -1,6 +1,6 @@
 #include <rosemarymill/runtime/proxy/upstream.hpp>
 
-#include <rosemarymill/core/base/field_name.hpp>
+#include <rosemarymill/core/base/message_head.hpp>
 #include <rosemarymill/runtime/base/address.hpp>
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/reset_on_close.hpp>
