Close sockets at once by one function

The proxy's and the other listeners' connections each took the descriptor from libevent and closed it. closeSocket in reset_on_close.hpp does both. No behaviour changes.

--- a/packages/runtime/src/base/reset_on_close.cpp
+++ b/packages/runtime/src/base/reset_on_close.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <event2/util.h>
 
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
@@ -31,4 +32,13 @@
         resetOnClose(evhttp_connection_get_bufferevent(connection));
 }
 
+void closeSocket(bufferevent* buf) noexcept
+{
+    if (!buf || bufferevent_getfd(buf) < 0)
+        return;
+    const auto socket = bufferevent_getfd(buf);
+    bufferevent_setfd(buf, -1);
+    evutil_closesocket(socket);
+}
+
 } // namespace rosemarymill::runtime
--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include <rosemarymill/runtime/http/server.hpp>
 
 #include <rosemarymill/runtime/base/log.hpp>
+#include <rosemarymill/runtime/base/reset_on_close.hpp>
 #include <rosemarymill/runtime/http/problem.hpp>
 
 #include "connection.hpp"
@@ -38,18 +39,6 @@
     return length;
 }
 
-/// Frees a connection and closes its socket. libevent alone would close the socket only in the next iteration of its
-/// loop, after further connections.
-void closeAtOnce(evhtp_connection_t* connection)
-{
-    if (auto* bev = evhtp_connection_get_bev(connection)) {
-        const auto socket = bufferevent_getfd(bev);
-        bufferevent_setfd(bev, -1);
-        evutil_closesocket(socket);
-    }
-    evhtp_connection_free(connection);
-}
-
 evhtp_res onHeader(evhtp_request_t*, evhtp_header_t* header, void* arg)
 {
     auto& connection = connectionOf(arg);
@@ -159,7 +148,8 @@
     // The response to an earlier request must not be mixed with this one.
     if (receiving && evbuffer_get_length(bufferevent_get_output(evhtp_connection_get_bev(htp))) == 0)
         trySend(htp->sock, overloadResponse());
-    closeAtOnce(htp);
+    closeSocket(evhtp_connection_get_bev(htp));
+    evhtp_connection_free(htp);
 }
 
 void Connection::updateUsage()
--- a/packages/runtime/src/proxy/client_connection.cpp
+++ b/packages/runtime/src/proxy/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <rosemarymill/runtime/base/clock.hpp>
 #include <rosemarymill/runtime/base/log.hpp>
+#include <rosemarymill/runtime/base/reset_on_close.hpp>
 #include <rosemarymill/runtime/proxy/call.hpp>
 #include <rosemarymill/runtime/proxy/proxy.hpp>
 #include <rosemarymill/runtime/proxy/socket.hpp>
@@ -49,11 +50,7 @@
 
 void ClientConnection::close() noexcept
 {
-    // libevent would close the descriptor only in the next iteration of its loop, after further connections.
-    if (const auto socket = bufferevent_getfd(m_buf.get()); socket >= 0) {
-        bufferevent_setfd(m_buf.get(), -1);
-        evutil_closesocket(socket);
-    }
+    closeSocket(m_buf.get());
     m_buf.reset();
     // The object gives back its memory now, since it is destroyed only after other events of this iteration.
     m_body.reset();
