--- a/packages/wire/include/rosemarymill/wire/json/parse.hpp
+++ b/packages/wire/include/rosemarymill/wire/json/parse.hpp
@@ -20,7 +20,8 @@
 inline constexpr std::size_t maxLenientJsonDepth = 64;
 
 /// Maximum number of values that parseLenientJson() accepts: a value of two bytes takes up to 100 bytes of memory, so
-/// the largest document of small values would take 200 MB. Documents have 20 bytes or more for each value.
+/// the largest document of small values would take 200 MB. A document of 4 MiB exceeds it only with fewer than 16 bytes
+/// for each value.
 inline constexpr std::size_t maxLenientJsonValues = std::size_t { 256 } * 1024;
 
 /// Whether arrays and objects in a JSON text are nested deeper than `levels`.
