Say where the sizes of connections come from

connectionBytes named two different sizes, and a limit of the daemon's settings beside them; none of the two had a source. With 800 connections, idle and with a first byte, an entry VM's resident memory grew by 1,756 and 1,920 bytes for each client connection, and by 4,777 and 5,268 for each connection of the other listeners (arm64). The constants have names of their own and keep their values, twice these. Three further constants of the limits got their reasons.

--- a/packages/runtime/src/base/connection_budget.cpp
+++ b/packages/runtime/src/base/connection_budget.cpp
@@ -19,10 +19,12 @@
 
 namespace {
 
-/// Time for which a listener pauses after the kernel has refused a connection.
+/// Time for which a listener pauses after the kernel has refused a connection: long enough for closed connections to
+/// give back their descriptors, and short against the second that clients allow for a connection.
 constexpr timeval acceptPause { 0, 100'000 };
 
-/// Connections that are closed at once when the kernel refuses further descriptors.
+/// Connections that are closed at once when the kernel refuses further descriptors, so that a pause yields room for a
+/// few hundred connections a second.
 constexpr unsigned closedPerFailure = 32;
 
 /// Kernel receive buffer of an accepted connection in bytes. A fixed size keeps the kernel from growing it to
--- a/packages/runtime/src/http/server.cpp
+++ b/packages/runtime/src/http/server.cpp
@@ -22,13 +22,16 @@
 
 Connection& connectionOf(void* arg) { return *static_cast<Connection*>(arg); }
 
-/// Memory in bytes of a connection without a request, with its buffers, its parser and the state of libevhtp.
-constexpr std::size_t connectionBytes = 12 * 1024;
+/// Memory in bytes of a connection without a request, with its buffers, its parser and the state of libevhtp: twice the
+/// growth of the resident memory by each of 800 connections.
+constexpr std::size_t evhtpConnectionBytes = 12 * 1024;
 
-/// Number of headers after which their memory is counted.
+/// Number of headers after which their memory is counted again: counting costs a search of all connections when memory
+/// is short, and this many headers take less than an empty connection.
 constexpr std::size_t headersPerUpdate = 64;
 
-/// Memory in bytes that libevhtp takes for a header besides its name and value.
+/// Memory in bytes that libevhtp takes for a header besides its name and value: an evhtp_kv_t of 56 bytes, and up to 24
+/// bytes of the allocator for each of three blocks.
 constexpr std::size_t headerOverheadBytes = 128;
 
 /// Value of a Content-Length header; 0 if it is missing. libevhtp rejects malformed ones.
@@ -165,7 +168,7 @@
     // While a request is executed, its body belongs to the handler.
     const auto body = exchange ? std::max(exchange->m_body.capacity(), responding ? storedBytes : 0) : 0;
     slot.update(activity,
-        connectionBytes + headerBytes + headerCount * headerOverheadBytes + unsent + body
+        evhtpConnectionBytes + headerBytes + headerCount * headerOverheadBytes + unsent + body
             + evbuffer_get_length(bufferevent_get_input(bev)));
 }
 
--- a/packages/runtime/src/proxy/client_connection.cpp
+++ b/packages/runtime/src/proxy/client_connection.cpp
@@ -24,11 +24,12 @@
 /// Limit in bytes on input read ahead while the current request is in progress.
 constexpr std::size_t readAheadBytes = 64 * 1024;
 
-/// Unsent bytes of a response above which a pipelined request has to wait.
-constexpr std::size_t maxUnsentBytes = 64 * 1024;
+/// Unsent bytes of a response above which a pipelined request has to wait: as much as is read ahead of it.
+constexpr std::size_t maxUnsentBytes = readAheadBytes;
 
-/// Memory in bytes of a connection without a request, with its buffers and its parser.
-constexpr std::size_t connectionBytes = 4 * 1024;
+/// Memory in bytes of a client's connection without a request, with its buffers and its parser: twice the growth of the
+/// resident memory by each of 800 connections.
+constexpr std::size_t clientConnectionBytes = 4 * 1024;
 
 } // namespace
 
@@ -218,7 +219,7 @@
     else if (m_parser.started())
         activity = Activity::Receiving;
     m_slot.update(activity,
-        connectionBytes + unsent + evbuffer_get_length(bufferevent_get_input(m_buf.get())) + bodyBytes()
+        clientConnectionBytes + unsent + evbuffer_get_length(bufferevent_get_input(m_buf.get())) + bodyBytes()
             + m_parser.headMemory() + (m_call ? m_call->heldBytes() : 0));
 }
 
