--- a/review/lib3/fleet3.py
+++ b/review/lib3/fleet3.py
@@ -109,7 +109,8 @@
     writer = None
     try:
         reader, writer = await connect(address, timeout)
-        writer.write(format_message(f"{method} {path} HTTP/1.1", [("Host", address), *headers], body))
+        host = [] if any(name == "Host" for name, _ in headers) else [("Host", address)]
+        writer.write(format_message(f"{method} {path} HTTP/1.1", [*host, *headers], body))
         return await asyncio.wait_for(read_message(reader), timeout)
     except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, ValueError):
         return None
@@ -186,9 +187,6 @@
     def ended_by_itself(self):
         return self.process is not None and self.process.returncode is not None and not self.expected_end
 
-    def metric(self, name):
-        return None
-
 
 class Fleet:
     def __init__(self, record, cores=3, entries=2, gateways=0):
