--- a/review/lib3/fleet3.py
+++ b/review/lib3/fleet3.py
@@ -540,6 +540,10 @@
     record = Record(folder)
 
     async def limited():
+        # A signal from outside ends the case like its time limit does, so that its processes are ended too.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         return await asyncio.wait_for(play(record), limit)
 
     try:
@@ -547,8 +551,8 @@
     except CannotRun as error:
         record(f"cannot run: {error}")
         sys.exit(2)
-    except asyncio.TimeoutError:
-        record("cannot run: the case took too long")
+    except (asyncio.TimeoutError, asyncio.CancelledError) as error:
+        record(f"cannot run: {'the case took too long' if isinstance(error, asyncio.TimeoutError) else 'interrupted'}")
         sys.exit(2)
     record("the rule was broken" if broken else "the rule held")
     print("broken" if broken else "held")
